--- /dev/null
+++ b/cmd/almondstile/main.go
@@ -0,0 +1,4 @@
+// Command almondstile is the proxy daemon and the operators' client.
+package main
+
+func main() {}
