--- /dev/null
+++ b/bench/deployment/deployment.go
@@ -0,0 +1,171 @@
+// Package deployment reads the files that describe a deployment and turns them
+// into the configuration, keys and stand-in servers of an experiment.
+package deployment
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+
+	"almondstile/contract"
+	"almondstile/standin/backendsim"
+	"almondstile/zone"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Deployment is one deployment file.
+type Deployment struct {
+	Name              string                  `toml:"name"`
+	ClientDelayMicros int64                   `toml:"client_delay_us"`
+	ZoneDelayMicros   int64                   `toml:"zone_delay_us"`
+	LoadShare         float64                 `toml:"load_share"`
+	Zones             []zone.AvailabilityZone `toml:"zones"`
+	Services          []Service               `toml:"services"`
+	Teams             []contract.Team         `toml:"teams"`
+}
+
+// Service describes the backend servers of one service, which are alike.
+type Service struct {
+	ID           contract.ServiceID `toml:"id"`
+	Servers      int                `toml:"servers"`
+	Slots        int                `toml:"slots"`
+	ColdSlots    int                `toml:"cold_slots"`
+	Connections  int                `toml:"connections"`
+	MedianMicros int                `toml:"median_us"`
+	Sigma        float64            `toml:"sigma"`
+	FloorShare   float64            `toml:"floor_share"`
+	// LoadWeight is the service's part of the load.
+	LoadWeight int `toml:"load_weight"`
+}
+
+// Load reads a deployment file. Unknown settings are errors.
+func Load(path string) (*Deployment, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "deployment")
+	}
+	var d Deployment
+	decoder := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields()
+	if err := decoder.Decode(&d); err != nil {
+		return nil, errors.Wrapf(err, "deployment %s", path)
+	}
+	if len(d.Zones) == 0 || len(d.Services) == 0 || len(d.Teams) == 0 {
+		return nil, errors.Newf("deployment %s: zones, services and teams must not be empty", path)
+	}
+	return &d, nil
+}
+
+// ServerID names the n-th server of a service, counted from 0.
+func (s Service) ServerID(n int) contract.ServerID {
+	return contract.ServerID(fmt.Sprintf("%s-%d", s.ID, n))
+}
+
+// ServerZone spreads the servers of a service evenly over the zones.
+func (d *Deployment) ServerZone(n int) zone.ID { return d.Zones[n%len(d.Zones)].ID }
+
+// Simulated returns the configurations of the stand-in servers.
+func (d *Deployment) Simulated(seed uint64) []backendsim.Config {
+	var out []backendsim.Config
+	for _, s := range d.Services {
+		for n := range s.Servers {
+			out = append(out, backendsim.Config{
+				ID: s.ServerID(n), Seed: seed, Slots: s.Slots, ColdSlots: s.ColdSlots,
+				Connections: s.Connections, MedianMicros: s.MedianMicros, Sigma: s.Sigma,
+				Secrets: d.Secrets(seed),
+			})
+		}
+	}
+	return out
+}
+
+// KeysPerTeam is the number of keys of each team. One of them can be withdrawn
+// while the team goes on with the other.
+const KeysPerTeam = 2
+
+// KeyID names the n-th key of a team.
+func KeyID(team contract.TeamID, n int) contract.KeyID {
+	return contract.KeyID(fmt.Sprintf("%s-key%d", team, n))
+}
+
+// Secret returns the secret part of a key.
+func Secret(seed uint64, key contract.KeyID) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d/%s", seed, key))
+	return hex.EncodeToString(sum[:16])
+}
+
+// Credential returns what a caller presents for a key.
+func Credential(seed uint64, key contract.KeyID) string {
+	return string(key) + "." + Secret(seed, key)
+}
+
+// Secrets returns the secrets of all keys.
+func (d *Deployment) Secrets(seed uint64) []string {
+	var out []string
+	for _, k := range d.keys(seed) {
+		out = append(out, Secret(seed, k.ID))
+	}
+	return out
+}
+
+func (d *Deployment) keys(seed uint64) []contract.Key {
+	var out []contract.Key
+	for _, t := range d.Teams {
+		for n := range KeysPerTeam {
+			id := KeyID(t.ID, n)
+			out = append(out, contract.Key{ID: id, Team: t.ID, SecretHash: contract.HashSecret(Secret(seed, id))})
+		}
+	}
+	return out
+}
+
+// Paths of the routes of a service.
+func (s Service) Path() string        { return "/" + string(s.ID) }
+func (s Service) PrivatePath() string { return "/" + string(s.ID) + "/private" }
+func (s Service) OpenPath() string    { return "/" + string(s.ID) + "/open" }
+
+// routeTimeoutMillis bounds each request; it leaves room for several attempts
+// at the median service times of the deployment files.
+const routeTimeoutMillis = 3000
+
+// routes returns three routes for each service: one for all teams, one for the
+// first team alone and one open to all.
+func (d *Deployment) routes() []contract.Route {
+	var everyone []contract.TeamID
+	for _, t := range d.Teams {
+		everyone = append(everyone, t.ID)
+	}
+	var out []contract.Route
+	for _, s := range d.Services {
+		route := contract.Route{
+			ID: contract.RouteID(s.ID), PathPrefix: s.Path(), Service: s.ID, Teams: everyone,
+			IdempotentMethods: []string{"GET"}, TimeoutMillis: routeTimeoutMillis,
+		}
+		private, open := route, route
+		private.ID, private.PathPrefix, private.Teams = route.ID+"-private", s.PrivatePath(), everyone[:1]
+		open.ID, open.PathPrefix, open.Teams, open.OpenToAll = route.ID+"-open", s.OpenPath(), nil, true
+		out = append(out, route, private, open)
+	}
+	return out
+}
+
+// Configuration returns the first configuration of the fleet. addresses tells
+// where VMs reach each server.
+func (d *Deployment) Configuration(seed uint64, addresses map[contract.ServerID]string) *contract.Configuration {
+	c := &contract.Configuration{Zones: d.Zones, Teams: d.Teams, Keys: d.keys(seed), Routes: d.routes()}
+	for _, s := range d.Services {
+		service := contract.Service{ID: s.ID, FloorShare: s.FloorShare}
+		for n := range s.Servers {
+			id := s.ServerID(n)
+			service.Servers = append(service.Servers, contract.Server{
+				ID: id, Zone: d.ServerZone(n), Address: addresses[id],
+				Slots: s.Slots, ColdSlots: s.ColdSlots, Connections: s.Connections,
+			})
+		}
+		c.Services = append(c.Services, service)
+	}
+	return c
+}
--- /dev/null
+++ b/bench/deployment/deployment_test.go
@@ -0,0 +1,48 @@
+package deployment
+
+import (
+	"testing"
+
+	"almondstile/contract"
+)
+
+// Guards against deployment files that differ from the design page.
+func TestDeploymentFiles(t *testing.T) {
+	want := map[string]map[contract.ServiceID]int{
+		"cairnlight": {"shelfview": 6, "loandesk": 12, "borrowerbook": 11},
+		"vanua":      {"template-desk": 8, "lodging-desk": 12, "status-desk": 16},
+	}
+	for name, services := range want {
+		d, err := Load("../../deployments/" + name + ".toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.Name != name || len(d.Zones) != 3 || len(d.Teams) != 8 || len(d.Services) != len(services) {
+			t.Fatalf("%s: %d zones, %d teams, %d services", d.Name, len(d.Zones), len(d.Teams), len(d.Services))
+		}
+		for _, s := range d.Services {
+			if s.Servers != services[s.ID] || s.Slots != 3 {
+				t.Fatalf("%s: %d servers with %d slots", s.ID, s.Servers, s.Slots)
+			}
+		}
+	}
+}
+
+// Guards against keys that do not open the routes they are meant for.
+func TestKeysAuthorize(t *testing.T) {
+	d, err := Load("../../deployments/vanua.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := contract.NewIndex(d.Configuration(7, nil))
+	route, err := x.Match(d.Services[0].PrivatePath() + "/page")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, team, err := x.Authorize(route, Credential(7, KeyID(d.Teams[0].ID, 1))); err != nil || team != d.Teams[0].ID {
+		t.Fatalf("first team: %q, %v", team, err)
+	}
+	if _, _, err := x.Authorize(route, Credential(7, KeyID(d.Teams[1].ID, 0))); err == nil {
+		t.Fatal("the second team may use the first team's private route")
+	}
+}
--- a/standin/backendsim/exchange.go
+++ b/standin/backendsim/exchange.go
@@ -112,7 +112,7 @@
 func (s *Server) record(req incoming, a admission, instance string, now time.Time) Execution {
 	return Execution{
 		Server: s.id, Instance: instance, RequestID: req.Header.Get(HeaderRequestID),
-		OperationID: req.operation, Team: req.Header.Get(HeaderTeam), Method: req.Method,
+		OperationID: req.operation, Attempt: req.Header.Get(HeaderAttempt), Team: req.Header.Get(HeaderTeam), Method: req.Method,
 		Target: req.RequestURI, Start: now, InFlight: a.inFlight, Cold: a.cold, Bearable: a.bearable,
 		Draining: a.mode.Draining, Secrets: s.findSecrets(req), Result: Running,
 	}
--- a/standin/backendsim/types.go
+++ b/standin/backendsim/types.go
@@ -14,12 +14,17 @@
 	HeaderNotRun      = "Almondstile-Not-Run"
 	HeaderInstance    = "Almondstile-Server-Instance"
 	HeaderOperationID = "X-Operation-Id"
+	// HeaderAttempt numbers a caller's own attempts at one operation.
+	HeaderAttempt = "X-Operation-Attempt"
 	// HeaderPoison marks a request that crashes the server that runs it.
 	HeaderPoison = "X-Poison"
 	// BodyPoison marks such a request in its body.
 	BodyPoison = "poison-request"
 )
 
+// DefaultAnswerBytes is the least length of an answer's body.
+const DefaultAnswerBytes = 256
+
 // Config describes one server. Zero values get the defaults of withDefaults.
 type Config struct {
 	ID      contract.ServerID `json:"id"`
@@ -59,7 +64,7 @@
 	setDefault(&c.RestartMillis, 500)
 	setDefault(&c.Connections, 330)
 	setDefault(&c.MedianMicros, 10_000)
-	setDefault(&c.AnswerBytes, 256)
+	setDefault(&c.AnswerBytes, DefaultAnswerBytes)
 	return c
 }
 
@@ -123,11 +128,13 @@
 	Instance    string            `json:"instance"`
 	RequestID   string            `json:"request_id"`
 	OperationID string            `json:"operation_id"`
-	Team        string            `json:"team"`
-	Method      string            `json:"method"`
-	Target      string            `json:"target"`
-	Start       time.Time         `json:"start"`
-	End         time.Time         `json:"end"`
+	// Attempt is what the caller sent in HeaderAttempt.
+	Attempt string    `json:"attempt,omitempty"`
+	Team    string    `json:"team"`
+	Method  string    `json:"method"`
+	Target  string    `json:"target"`
+	Start   time.Time `json:"start"`
+	End     time.Time `json:"end"`
 	// InFlight counts the running requests at the start, with this one.
 	InFlight int  `json:"in_flight"`
 	Cold     bool `json:"cold"`
