Add links, connections, forwarding, the entry and the owner side

Cause: the request path needs to know how far an exchange got; fasthttp's client resends by itself and hides it. Change: httpconn sends a request once on a connection of its own and reports its progress; upstream, forward, entry and owner build on it; link carries authenticated jsonrpc2 control messages.

No measurement yet.

--- /dev/null
+++ b/entry/dispatcher.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"almondstile/contract"
+	"almondstile/header"
+	"almondstile/link"
+	"almondstile/quota"
+	"almondstile/request"
+	"almondstile/vm"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+)
+
+// Source gives the configuration that is in force on this VM.
+type Source interface {
+	Index() *contract.Index
+}
+
+// Members tells which VMs hold roles and whether this VM may serve.
+type Members interface {
+	List() vm.MemberList
+	Self() vm.VM
+	Ready(now time.Time) (ready bool, reason string)
+}
+
+// Tokens admits requests within the rate and burst of their team.
+type Tokens interface {
+	Take(ctx context.Context, team contract.TeamID) (quota.Grant, error)
+}
+
+// Forwarder hands a request to the VM that owns its backend server, if relay is
+// not nil through that VM.
+type Forwarder interface {
+	Forward(ctx context.Context, owner vm.VM, relay *vm.VM, req *request.Request) request.Result
+}
+
+// Observer counts results. Its methods must not block.
+type Observer interface {
+	Finished(req *request.Request, result request.Result, attempts int, elapsed time.Duration)
+}
+
+// Incoming is a caller's request as a front end received it.
+type Incoming struct {
+	Method string
+	Path   string
+	Target string // path and query
+	Header []request.Field
+	Body   []byte
+	// Credential is what the caller presented as its key, "" if nothing.
+	Credential string
+	Arrived    time.Time
+}
+
+// Parts are what a Dispatcher needs.
+type Parts struct {
+	Source    Source
+	Members   Members
+	Tokens    Tokens
+	Claims    Claims
+	Forwarder Forwarder
+	Links     *link.Links
+	Observer  Observer
+	Clock     func() time.Time
+}
+
+// Dispatcher takes callers' requests through the fleet.
+type Dispatcher struct {
+	parts    Parts
+	selector *selector
+	retries  *retries
+}
+
+// NewDispatcher returns a dispatcher.
+func NewDispatcher(parts Parts) *Dispatcher {
+	return &Dispatcher{
+		parts:    parts,
+		selector: newSelector(parts.Members, parts.Links),
+		retries:  newRetries(),
+	}
+}
+
+// Do serves one request. The context ends when the caller goes away. The first
+// result is the request's ID.
+func (d *Dispatcher) Do(ctx context.Context, in Incoming) (string, request.Result) {
+	req := &request.Request{ID: uuid.NewString()}
+	result, attempts := d.serve(ctx, in, req)
+	d.parts.Observer.Finished(req, result, attempts, d.parts.Clock().Sub(in.Arrived))
+	return req.ID, result
+}
+
+func (d *Dispatcher) serve(ctx context.Context, in Incoming, req *request.Request) (request.Result, int) {
+	if ready, _ := d.parts.Members.Ready(d.parts.Clock()); !ready {
+		return request.Rejected(request.ReasonNotReady), 0
+	}
+	index := d.parts.Source.Index()
+	route, err := authorize(index, in, req)
+	if err != nil {
+		return request.Rejected(reasonOf(err)), 0
+	}
+	req.Deadline = in.Arrived.Add(route.Timeout())
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	if rejected := d.admit(ctx, req.Team); rejected != nil {
+		return *rejected, 0
+	}
+	ticket, settled := d.claim(ctx, req)
+	if settled != nil {
+		return *settled, 0
+	}
+	result, attempts := d.attempt(ctx, req)
+	ticket.Finish(context.WithoutCancel(ctx), result)
+	return result, attempts
+}
+
+// authorize fills the request from the configuration and the caller's input.
+func authorize(index *contract.Index, in Incoming, req *request.Request) (*contract.Route, error) {
+	route, err := index.Match(in.Path)
+	if err != nil {
+		return nil, err
+	}
+	key, team, err := index.Authorize(route, in.Credential)
+	if err != nil {
+		return nil, err
+	}
+	req.Route, req.Service = route.ID, route.Service
+	req.Key, req.Team = key, team
+	req.Weight = 1
+	if t := index.Team(team); t != nil {
+		req.Weight = max(1, t.Weight)
+	}
+	req.Method, req.Target, req.Body = in.Method, in.Target, in.Body
+	req.Header = header.Sanitize(in.Header)
+	req.Idempotent = route.Idempotent(in.Method)
+	if !req.Idempotent {
+		req.IdempotencyKey = header.Get(in.Header, header.IdempotencyKey)
+	}
+	return route, nil
+}
+
+func reasonOf(err error) request.Reason {
+	switch {
+	case errors.Is(err, contract.ErrNoRoute):
+		return request.ReasonNoRoute
+	case errors.Is(err, contract.ErrNoKey):
+		return request.ReasonNoKey
+	case errors.Is(err, contract.ErrTeamNotOnRoute):
+		return request.ReasonWrongTeam
+	default:
+		return request.ReasonBadKey
+	}
+}
+
+// admit takes a token of the team. Requests on open routes have no team.
+func (d *Dispatcher) admit(ctx context.Context, team contract.TeamID) *request.Result {
+	if team == "" {
+		return nil
+	}
+	_, err := d.parts.Tokens.Take(ctx, team)
+	if err == nil {
+		return nil
+	}
+	var limited *quota.RejectedError
+	rejected := request.Rejected(request.ReasonNotReady)
+	switch {
+	case errors.As(err, &limited):
+		rejected = request.Rejected(request.ReasonRate)
+		rejected.RetryAfter = limited.RetryAfter
+	case errors.Is(err, context.DeadlineExceeded):
+		rejected = request.Rejected(request.ReasonDeadline)
+	case errors.Is(err, context.Canceled):
+		rejected = request.Rejected(request.ReasonCanceled)
+	}
+	return &rejected
+}
+
+// attempt sends the request to servers until one attempt settles it.
+func (d *Dispatcher) attempt(ctx context.Context, req *request.Request) (request.Result, int) {
+	tried := make(map[contract.ServerID]bool)
+	last := request.Rejected(request.ReasonNoServer)
+	for attempts := 0; ; attempts++ {
+		now := d.parts.Clock()
+		choice, ok := d.selector.choose(d.parts.Source.Index(), req.Service, tried, now)
+		if !ok {
+			return last, attempts
+		}
+		tried[choice.server.ID] = true
+		req.Server = choice.server.ID
+		last = d.send(ctx, choice, req)
+		if !d.retries.allow(req, last, attempts+1, req.Deadline.Sub(d.parts.Clock())) {
+			return last, attempts + 1
+		}
+	}
+}
+
+func (d *Dispatcher) send(ctx context.Context, c choice, req *request.Request) request.Result {
+	d.selector.started(c.server.ID)
+	defer d.selector.finished(c.server.ID)
+	result := d.parts.Forwarder.Forward(ctx, c.owner, c.relay, req)
+	d.selector.learn(req.Service, result.ServiceState, d.parts.Clock())
+	return result
+}
--- /dev/null
+++ b/entry/httpfront/response.go
@@ -0,0 +1,147 @@
+package httpfront
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"almondstile/header"
+	"almondstile/request"
+
+	"github.com/valyala/fasthttp"
+)
+
+// errorBody is what a caller gets instead of a backend server's response.
+type errorBody struct {
+	Outcome request.Outcome `json:"outcome"`
+	Reason  request.Reason  `json:"reason"`
+	Message string          `json:"message"`
+	// RetryAfterMillis is 0 if it is not known when to come again.
+	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
+}
+
+func write(ctx *fasthttp.RequestCtx, id string, result request.Result) {
+	if result.Outcome != request.Answered {
+		writeError(ctx, id, withRetryAfter(result), "")
+		return
+	}
+	ctx.SetStatusCode(result.Status)
+	for _, f := range result.Header {
+		ctx.Response.Header.Add(f.Name, f.Value)
+	}
+	setOutcome(ctx, id, result)
+	ctx.SetBody(result.Body)
+}
+
+func setOutcome(ctx *fasthttp.RequestCtx, id string, result request.Result) {
+	h := &ctx.Response.Header
+	h.Set(header.Outcome, string(result.Outcome))
+	if result.Reason != request.ReasonNone {
+		h.Set(header.Reason, string(result.Reason))
+	}
+	if id != "" {
+		h.Set(header.RequestID, id)
+	}
+}
+
+// writeError writes a result without a backend server's response. detail, if
+// not empty, replaces the usual message of the reason.
+func writeError(ctx *fasthttp.RequestCtx, id string, result request.Result, detail string) {
+	if detail == "" {
+		detail = messages[result.Reason]
+	}
+	body := errorBody{
+		Outcome: result.Outcome, Reason: result.Reason, Message: detail,
+		RetryAfterMillis: result.RetryAfter.Milliseconds(),
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(statusOf(result))
+	setOutcome(ctx, id, result)
+	if result.RetryAfter > 0 {
+		seconds := int(math.Ceil(result.RetryAfter.Seconds()))
+		ctx.Response.Header.Set(header.RetryAfter, strconv.Itoa(seconds))
+	}
+	if result.Reason == request.ReasonNoKey || result.Reason == request.ReasonBadKey {
+		ctx.Response.Header.Set("WWW-Authenticate", `Bearer realm="almondstile"`)
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(encoded)
+}
+
+// statusOf maps a result without a response to a status.
+func statusOf(result request.Result) int {
+	if result.Outcome == request.Unknown {
+		if result.Reason == request.ReasonDeadline {
+			return fasthttp.StatusGatewayTimeout
+		}
+		return fasthttp.StatusBadGateway
+	}
+	switch result.Reason {
+	case request.ReasonNoKey, request.ReasonBadKey:
+		return fasthttp.StatusUnauthorized
+	case request.ReasonWrongTeam:
+		return fasthttp.StatusForbidden
+	case request.ReasonNoRoute:
+		return fasthttp.StatusNotFound
+	case request.ReasonMalformed:
+		return fasthttp.StatusBadRequest
+	case request.ReasonTooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case request.ReasonRate:
+		return fasthttp.StatusTooManyRequests
+	case request.ReasonConflict:
+		return fasthttp.StatusUnprocessableEntity
+	case request.ReasonDuplicate:
+		return fasthttp.StatusConflict
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
+
+// messages explain the reasons to the people who read a response.
+var messages = map[request.Reason]string{
+	request.ReasonNoKey:            "The request carries no key. Send it as \"Authorization: Bearer KEY\".",
+	request.ReasonBadKey:           "The key is not known or was withdrawn.",
+	request.ReasonWrongTeam:        "The key's team may not use this route.",
+	request.ReasonNoRoute:          "No route matches the path.",
+	request.ReasonMalformed:        "The request is malformed.",
+	request.ReasonTooLarge:         "The request is larger than the limit.",
+	request.ReasonRate:             "The team is over its rate.",
+	request.ReasonNoServer:         "No backend server of the service takes requests now.",
+	request.ReasonBusy:             "All backend servers of the service are busy.",
+	request.ReasonDeadline:         "The request did not finish in the time that its route allows.",
+	request.ReasonEjected:          "The backend server is ejected.",
+	request.ReasonNotOwner:         "The backend server has no owner at the moment.",
+	request.ReasonLeaving:          "The backend server is leaving.",
+	request.ReasonQuarantined:      "The same request crashed backend servers and is refused for a time.",
+	request.ReasonShed:             "The backend server shed the request.",
+	request.ReasonConnect:          "The backend server or its owner cannot be reached.",
+	request.ReasonLostResponse:     "The connection to the backend server was lost before its response.",
+	request.ReasonTruncated:        "The backend server's response was incomplete.",
+	request.ReasonCrossed:          "The backend server sent another request's response.",
+	request.ReasonResponseTooLarge: "The backend server's response is larger than the limit.",
+	request.ReasonCrash:            "The backend server crashed.",
+	request.ReasonStoreAway:        "Idempotency keys cannot be recorded at the moment.",
+	request.ReasonDuplicate:        "A request with this idempotency key is running, or ran and its response is not known.",
+	request.ReasonConflict:         "The idempotency key was used for another request.",
+	request.ReasonNotReady:         "This VM does not serve requests at the moment.",
+	request.ReasonCanceled:         "The caller closed the connection.",
+	request.ReasonOverloaded:       "This VM is overloaded.",
+	request.ReasonInternal:         "An internal error occurred.",
+}
+
+// minRetryAfter is what callers are told if a rejection has no time of its own.
+const minRetryAfter = time.Second
+
+// withRetryAfter tells callers of temporary rejections when to come again.
+func withRetryAfter(result request.Result) request.Result {
+	if result.RetryAfter == 0 && result.Outcome == request.NotRun && statusOf(result) == fasthttp.StatusServiceUnavailable {
+		result.RetryAfter = minRetryAfter
+	}
+	return result
+}
--- /dev/null
+++ b/httpconn/pool.go
@@ -0,0 +1,253 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"almondstile/request"
+	"almondstile/shard"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Errors of an exchange. The progress returned beside them says what they mean
+// for the request.
+var (
+	ErrConnect   = errors.New("httpconn: cannot connect")
+	ErrDeadline  = errors.New("httpconn: deadline exceeded")
+	ErrCanceled  = errors.New("httpconn: canceled")
+	ErrClosed    = errors.New("httpconn: the peer closed the connection without a response")
+	ErrTruncated = errors.New("httpconn: the response is incomplete")
+	ErrTooLarge  = errors.New("httpconn: the response is larger than the limit")
+	ErrMalformed = errors.New("httpconn: the response is malformed")
+)
+
+// Options bound the connections of a Pool.
+type Options struct {
+	// ConnectTimeout bounds the TCP handshake.
+	ConnectTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept. It must be well
+	// below the peer's own limit: a request written just as the peer closes an
+	// idle connection has an unknown outcome.
+	IdleTimeout time.Duration
+	// MaxIdlePerAddress bounds the unused connections to one address.
+	MaxIdlePerAddress int
+	// MaxResponseBytes bounds the body of a response.
+	MaxResponseBytes int
+}
+
+// DefaultOptions returns the options that fit backend servers and VMs.
+func DefaultOptions() Options {
+	return Options{
+		ConnectTimeout:    500 * time.Millisecond,
+		IdleTimeout:       5 * time.Second,
+		MaxIdlePerAddress: 64,
+		MaxResponseBytes:  16 << 20,
+	}
+}
+
+// Pool keeps idle connections, sharded by address.
+type Pool struct {
+	options Options
+	idle    shard.Map[string, []*conn]
+}
+
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	idleSince time.Time
+	written   int64
+}
+
+// Write counts the bytes that the kernel accepted: as long as there are none,
+// the peer cannot have seen any part of the request.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written += int64(n)
+	return n, err
+}
+
+const bufferBytes = 16 << 10
+
+// NewPool returns an empty pool.
+func NewPool(options Options) *Pool {
+	return &Pool{options: options}
+}
+
+// Do sends req to address and reads the whole response into resp. The context
+// bounds the exchange; when it ends the connection is closed, which tells the
+// peer that the request was canceled. Do never sends a request twice.
+//
+// verify, if not nil, checks a whole response; if it returns an error, the
+// response does not count as received and the connection is closed.
+func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, verify func(*fasthttp.Response) error) (request.Progress, error) {
+	c, err := p.connection(ctx, address)
+	if err != nil {
+		return request.NothingWritten, err
+	}
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.SetDeadline(time.Unix(1, 0)) // unblocks the exchange at once
+	})
+	err = c.exchange(req, resp, p.options.MaxResponseBytes)
+	if err == nil && verify != nil {
+		err = verify(resp)
+	}
+	interrupted := !stop()
+	if err == nil {
+		p.release(address, c, !interrupted && reusable(req, resp, c))
+		return request.ResponseComplete, nil
+	}
+	_ = c.Close()
+	if c.written == 0 {
+		return request.NothingWritten, contextError(ctx, err)
+	}
+	return request.Written, contextError(ctx, err)
+}
+
+func (c *conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, maxBytes int) error {
+	if err := req.Write(c.writer); err != nil {
+		return errors.Mark(errors.Wrap(err, "writing the request"), ErrClosed)
+	}
+	if err := c.writer.Flush(); err != nil {
+		return errors.Mark(errors.Wrap(err, "writing the request"), ErrClosed)
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return errors.Mark(errors.Wrap(err, "waiting for the response"), ErrClosed)
+	}
+	resp.SkipBody = req.Header.IsHead()
+	if err := resp.ReadLimitBody(c.reader, maxBytes); err != nil {
+		return classifyReadError(err)
+	}
+	if !endsVisibly(resp) {
+		return errors.Wrap(ErrTruncated, "the end of the body is the end of the connection")
+	}
+	return nil
+}
+
+// endsVisibly reports whether the response declares its own end. A body that
+// ends with the connection cannot be told from one that was cut off.
+func endsVisibly(resp *fasthttp.Response) bool {
+	const identity = -2 // fasthttp's ContentLength of a body without length or chunks
+	return resp.SkipBody || resp.Header.ContentLength() != identity || bodyForbidden(resp.StatusCode())
+}
+
+func bodyForbidden(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || status < 200
+}
+
+func classifyReadError(err error) error {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
+		return errors.Mark(err, ErrTooLarge)
+	case isTruncation(err):
+		return errors.Mark(err, ErrTruncated)
+	default:
+		return errors.Mark(err, ErrMalformed)
+	}
+}
+
+// contextError puts the end of the context before the socket error it caused.
+func contextError(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errors.Mark(err, ErrDeadline)
+	case ctx.Err() != nil:
+		return errors.Mark(err, ErrCanceled)
+	default:
+		return err
+	}
+}
+
+func reusable(req *fasthttp.Request, resp *fasthttp.Response, c *conn) bool {
+	return !req.ConnectionClose() && !resp.ConnectionClose() && c.reader.Buffered() == 0
+}
+
+// connection takes an idle connection that is still open, or dials a new one.
+func (p *Pool) connection(ctx context.Context, address string) (*conn, error) {
+	for {
+		c := p.takeIdle(address)
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		if time.Since(c.idleSince) < p.options.IdleTimeout && quiet(c.Conn) {
+			c.written = 0
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) takeIdle(address string) *conn {
+	var taken *conn
+	p.idle.Update(address, func(list []*conn, _ bool) ([]*conn, bool) {
+		if n := len(list); n > 0 {
+			taken = list[n-1]
+			list[n-1] = nil
+			list = list[:n-1]
+		}
+		return list, len(list) > 0
+	})
+	return taken
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	dialer := net.Dialer{Timeout: p.options.ConnectTimeout}
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, contextError(ctx, errors.Mark(errors.Wrapf(err, "connecting to %s", address), ErrConnect))
+	}
+	c := &conn{Conn: nc}
+	c.reader = bufio.NewReaderSize(nc, bufferBytes)
+	c.writer = bufio.NewWriterSize(c, bufferBytes)
+	return c, nil
+}
+
+func (p *Pool) release(address string, c *conn, reuse bool) {
+	if reuse {
+		c.idleSince = time.Now()
+		p.idle.Update(address, func(list []*conn, _ bool) ([]*conn, bool) {
+			if reuse = len(list) < p.options.MaxIdlePerAddress; reuse {
+				list = append(list, c)
+			}
+			return list, true
+		})
+	}
+	if !reuse {
+		_ = c.Close()
+	}
+}
+
+// CloseIdle closes connections that were unused for the idle timeout, or all
+// unused ones if all is true. The owner of the pool calls it now and then.
+func (p *Pool) CloseIdle(all bool) {
+	var addresses []string
+	p.idle.Range(func(address string, _ []*conn) bool {
+		addresses = append(addresses, address)
+		return true
+	})
+	for _, address := range addresses {
+		for _, c := range p.removeIdle(address, all) {
+			_ = c.Close()
+		}
+	}
+}
+
+func (p *Pool) removeIdle(address string, all bool) (removed []*conn) {
+	p.idle.Update(address, func(list []*conn, _ bool) ([]*conn, bool) {
+		var kept []*conn
+		for _, c := range list {
+			if all || time.Since(c.idleSince) >= p.options.IdleTimeout {
+				removed = append(removed, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		return kept, len(kept) > 0
+	})
+	return removed
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,151 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"almondstile/backend"
+	"almondstile/contract"
+	"almondstile/entry"
+	"almondstile/logging"
+	"almondstile/request"
+	"almondstile/upstream"
+	"almondstile/vm"
+)
+
+// Members tells whether this VM may act in a role now.
+type Members interface {
+	MayAct(now time.Time, role vm.Role) (since time.Time, ok bool)
+	List() vm.MemberList
+	Self() vm.VM
+}
+
+// Exchanger runs one attempt at a backend server.
+type Exchanger interface {
+	Do(ctx context.Context, server *contract.Server, req *request.Request) upstream.Exchange
+	// Refuses reports whether the server refuses connections.
+	Refuses(ctx context.Context, server *contract.Server) bool
+}
+
+// Quarantine refuses requests that crashed servers.
+type Quarantine interface {
+	// Quarantined reports whether the request must not run.
+	Quarantined(now time.Time, req *request.Request) bool
+	// Crashed tells the service's home and the other owners that the request
+	// was running when its server crashed. It returns when they know, or when
+	// the context ends.
+	Crashed(ctx context.Context, req *request.Request)
+	// Succeeded notes that the request ran to its end.
+	Succeeded(now time.Time, req *request.Request)
+}
+
+// Parts are what an Owner needs.
+type Parts struct {
+	Source     entry.Source
+	Members    Members
+	Servers    *backend.Servers
+	Exchanger  Exchanger
+	Quarantine Quarantine
+	Clock      func() time.Time
+	Log        logging.Logger
+}
+
+// Owner runs requests at the backend servers that this VM owns.
+type Owner struct {
+	parts Parts
+	roles ownedServers
+}
+
+// New returns an owner.
+func New(parts Parts) *Owner { return &Owner{parts: parts} }
+
+// Run runs one attempt at the server that the request names.
+func (o *Owner) Run(ctx context.Context, req *request.Request) (result request.Result) {
+	defer func() {
+		// A panic in one request must not end the process. Whether the request
+		// had been written is not known at this point.
+		if p := recover(); p != nil {
+			o.parts.Log.WithField("panic", p).Error("Running a request panicked.")
+			result = request.Lost(request.ReasonInternal)
+		}
+		result.ServiceState = o.parts.Servers.ServiceState(req.Service)
+	}()
+	if reason := o.check(req); reason != request.ReasonNone {
+		return request.Rejected(reason)
+	}
+	ticket := o.parts.Servers.Enter(o.parts.Clock(), req)
+	if d := o.parts.Servers.Wait(ctx, ticket, o.parts.Clock); !d.Admitted {
+		return request.Rejected(d.Reason)
+	}
+	return o.runAdmitted(ctx, req, ticket)
+}
+
+// check decides whether the request may run here now. It is asked again after
+// the request waited, because the key may be withdrawn, the server leave, the
+// zone go out or the lease expire meanwhile.
+func (o *Owner) check(req *request.Request) request.Reason {
+	now := o.parts.Clock()
+	index := o.parts.Source.Index()
+	server := index.Server(req.Server)
+	switch {
+	case server == nil || !index.TakesNewWork(server):
+		return request.ReasonLeaving
+	case req.Team != "" && !index.KeyValid(req.Key, req.Team):
+		return request.ReasonBadKey
+	case o.parts.Quarantine.Quarantined(now, req):
+		return request.ReasonQuarantined
+	case !now.Before(req.Deadline):
+		return request.ReasonDeadline
+	}
+	if _, ok := o.parts.Members.MayAct(now, entry.ServerRole(server)); !ok {
+		return request.ReasonNotOwner
+	}
+	return request.ReasonNone
+}
+
+func (o *Owner) runAdmitted(ctx context.Context, req *request.Request, ticket *backend.Ticket) request.Result {
+	sample := backend.Sample{Outcome: backend.Unjudged}
+	defer func() { o.parts.Servers.Leave(o.parts.Clock(), ticket, sample) }()
+	if reason := o.check(req); reason != request.ReasonNone {
+		return request.Rejected(reason)
+	}
+	server := o.parts.Source.Index().Server(req.Server)
+	exchange := o.parts.Exchanger.Do(ctx, server, req)
+	sample = judge(exchange)
+	if exchange.Cut && o.parts.Exchanger.Refuses(ctx, server) {
+		sample.Outcome = backend.Crash
+		exchange.Result.Reason = request.ReasonCrash
+	}
+	switch sample.Outcome {
+	case backend.Crash:
+		o.parts.Quarantine.Crashed(ctx, req)
+	case backend.OK:
+		o.parts.Quarantine.Succeeded(o.parts.Clock(), req)
+	}
+	return exchange.Result
+}
+
+// firstServerError is the lowest status that blames the server.
+const firstServerError = 500
+
+// judge turns an exchange into evidence about its server.
+func judge(e upstream.Exchange) backend.Sample {
+	sample := backend.Sample{Latency: e.Latency, Instance: e.Instance}
+	switch {
+	case e.Result.Outcome == request.Answered && e.Result.Status >= firstServerError:
+		sample.Outcome = backend.ErrorStatus
+	case e.Result.Outcome == request.Answered:
+		sample.Outcome = backend.OK
+	case e.ConnectFailed:
+		sample.Outcome = backend.ConnectFailed
+	case e.Result.Reason == request.ReasonShed:
+		sample.Outcome = backend.Shed
+	case e.Result.Reason == request.ReasonTruncated, e.Result.Reason == request.ReasonCrossed:
+		sample.Outcome = backend.Truncated
+	case e.Result.Reason == request.ReasonCanceled:
+		sample.Outcome = backend.Unjudged
+	default:
+		sample.Outcome = backend.Lost
+	}
+	return sample
+}
--- /dev/null
+++ b/owner/roles.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"almondstile/contract"
+	"almondstile/entry"
+)
+
+// ownedServers remembers what the last Sync applied.
+type ownedServers struct {
+	mu            sync.Mutex // serializes Sync
+	listVersion   uint64
+	configVersion uint64
+	applied       bool
+	owned         map[contract.ServerID]bool
+}
+
+// Sync applies the current configuration and member list to the records of the
+// servers that this VM owns. The daemon calls it after each change of either
+// and at intervals; without a change it does nothing.
+func (o *Owner) Sync(now time.Time) {
+	r := &o.roles
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	index, list := o.parts.Source.Index(), o.parts.Members.List()
+	if r.applied && r.listVersion == list.Version && r.configVersion == index.Version() {
+		return
+	}
+	owned := make(map[contract.ServerID]bool)
+	services := index.Configuration().Services
+	for i := range services {
+		for j := range services[i].Servers {
+			server := &services[i].Servers[j]
+			holder, ok := list.Holder(entry.ServerRole(server))
+			if !ok || holder.ID != o.parts.Members.Self().ID {
+				continue
+			}
+			owned[server.ID] = true
+			o.parts.Servers.Changed(now, services[i].ID, *server, index.TakesNewWork(server))
+		}
+	}
+	for id := range r.owned {
+		if !owned[id] {
+			o.parts.Servers.Released(id)
+		}
+	}
+	r.owned, r.applied = owned, true
+	r.listVersion, r.configVersion = list.Version, index.Version()
+}
--- a/request/request.go
+++ b/request/request.go
@@ -77,6 +77,7 @@
 	ReasonCrash            Reason = "server-crashed"
 	ReasonStoreAway        Reason = "store-away"
 	ReasonDuplicate        Reason = "duplicate"
+	ReasonConflict         Reason = "idempotency-key-conflict"
 	ReasonNotReady         Reason = "not-ready"
 	ReasonCanceled         Reason = "canceled"
 	ReasonOverloaded       Reason = "overloaded"
