httpconn: reject responses whose end is not declared, with tests

Cause: fasthttp turns a body that ends with the connection into one with a length, so a cut-off response passed as whole. Change: the header is read first and such a body is rejected.

Measured: go test -race -count=20 ./httpconn passes; before the change the case "end not declared" failed with error nil.

--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -118,21 +118,39 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return errors.Mark(errors.Wrap(err, "waiting for the response"), ErrClosed)
 	}
-	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(c.reader, maxBytes); err != nil {
+	if err := readResponse(c.reader, resp, req.Header.IsHead(), maxBytes); err != nil {
 		return classifyReadError(err)
 	}
-	if !endsVisibly(resp) {
-		return errors.Wrap(ErrTruncated, "the end of the body is the end of the connection")
-	}
 	return nil
 }
 
-// endsVisibly reports whether the response declares its own end. A body that
-// ends with the connection cannot be told from one that was cut off.
-func endsVisibly(resp *fasthttp.Response) bool {
-	const identity = -2 // fasthttp's ContentLength of a body without length or chunks
-	return resp.SkipBody || resp.Header.ContentLength() != identity || bodyForbidden(resp.StatusCode())
+// readResponse reads a final response. It differs from fasthttp's own reading
+// in one point: a body without length or chunks is rejected, because its end
+// cannot be told from a connection that was cut off.
+func readResponse(r *bufio.Reader, resp *fasthttp.Response, head bool, maxBytes int) error {
+	const chunked, identity = -1, -2 // values of ContentLength
+	for interim := true; interim; {
+		if err := resp.Header.Read(r); err != nil {
+			return err
+		}
+		status := resp.StatusCode()
+		interim = status < 200 && status != fasthttp.StatusSwitchingProtocols
+	}
+	if head || bodyForbidden(resp.StatusCode()) {
+		resp.SkipBody = true
+		return nil
+	}
+	length := resp.Header.ContentLength()
+	if length == identity {
+		return errors.Wrap(ErrTruncated, "the end of the body is the end of the connection")
+	}
+	if err := resp.ReadBody(r, maxBytes); err != nil {
+		return err
+	}
+	if length == chunked {
+		return resp.Header.ReadTrailer(r)
+	}
+	return nil
 }
 
 func bodyForbidden(status int) bool {
@@ -144,7 +162,7 @@
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
 		return errors.Mark(err, ErrTooLarge)
-	case isTruncation(err):
+	case isTruncation(err), errors.Is(err, ErrTruncated):
 		return errors.Mark(err, ErrTruncated)
 	default:
 		return errors.Mark(err, ErrMalformed)
--- /dev/null
+++ b/httpconn/pool_test.go
@@ -0,0 +1,230 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"almondstile/request"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// scripted serves each request with the bytes that reply returns for it, and
+// closes the connection if the bytes are nil. It counts the requests it read.
+func scripted(t *testing.T, reply func(n int64) []byte) (address string, requests *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	requests = new(atomic.Int64)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { serveScript(nc, requests, reply) })
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String(), requests
+}
+
+func serveScript(nc net.Conn, requests *atomic.Int64, reply func(n int64) []byte) {
+	defer nc.Close()
+	r := bufio.NewReader(nc)
+	for {
+		var req fasthttp.Request
+		if err := req.Read(r); err != nil {
+			return
+		}
+		out := reply(requests.Add(1))
+		if out == nil {
+			return
+		}
+		if _, err := nc.Write(out); err != nil {
+			return
+		}
+	}
+}
+
+func do(t *testing.T, p *Pool, address, method string) (*fasthttp.Response, request.Progress, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.Header.SetMethod(method)
+	req.SetRequestURI("/x")
+	req.Header.SetHost("test")
+	progress, err := p.Do(ctx, address, &req, &resp, nil)
+	return &resp, progress, err
+}
+
+const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against the resending of fasthttp's own client: a server that reads
+// the request and closes without a response must see it exactly once.
+func TestNeverSendsTwice(t *testing.T) {
+	for _, method := range []string{"GET", "PUT", "POST"} {
+		address, requests := scripted(t, func(n int64) []byte {
+			if n == 1 {
+				return []byte(okResponse)
+			}
+			return nil
+		})
+		p := NewPool(DefaultOptions())
+		if _, progress, err := do(t, p, address, method); err != nil || progress != request.ResponseComplete {
+			t.Fatalf("%s: first exchange: %v", method, err)
+		}
+		_, progress, err := do(t, p, address, method) // on the reused connection
+		if !errors.Is(err, ErrClosed) || progress != request.Written {
+			t.Errorf("%s: got progress %d, error %v; want Written, ErrClosed", method, progress, err)
+		}
+		if got := requests.Load(); got != 2 {
+			t.Errorf("%s: the server read %d requests, want 2", method, got)
+		}
+	}
+}
+
+// Guards against passing on incomplete responses, and against calling their
+// requests "not run".
+func TestIncompleteResponses(t *testing.T) {
+	cases := map[string]struct {
+		bytes string
+		want  error
+	}{
+		"short body":         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", ErrTruncated},
+		"no last chunk":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", ErrTruncated},
+		"end not declared":   {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", ErrTruncated},
+		"cut in the headers": {"HTTP/1.1 200 OK\r\nContent-Le", ErrTruncated},
+		"not HTTP":           {"hello hello hello\r\n\r\n", ErrMalformed},
+	}
+	for name, c := range cases {
+		address, _ := scripted(t, func(int64) []byte { return []byte(c.bytes) })
+		address = closing(t, address, len(c.bytes))
+		_, progress, err := do(t, NewPool(DefaultOptions()), address, "GET")
+		if !errors.Is(err, c.want) || progress != request.Written {
+			t.Errorf("%s: got progress %d, error %v; want Written, %v", name, progress, err, c.want)
+		}
+	}
+}
+
+// closing relays to address and closes the connection to the client after n
+// response bytes.
+func closing(t *testing.T, address string, n int) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer client.Close()
+		server, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		defer server.Close()
+		wg.Go(func() { _, _ = server.(*net.TCPConn).ReadFrom(client) })
+		buf := make([]byte, n)
+		for got := 0; got < n; {
+			k, err := server.Read(buf[got:])
+			if err != nil {
+				return
+			}
+			_, _ = client.Write(buf[got : got+k])
+			got += k
+		}
+	})
+	return listener.Addr().String()
+}
+
+// Guards against a refused connection counting as possibly run.
+func TestRefusedConnectionIsNotWritten(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, progress, err := do(t, NewPool(DefaultOptions()), address, "GET")
+	if !errors.Is(err, ErrConnect) || progress != request.NothingWritten {
+		t.Fatalf("got progress %d, error %v", progress, err)
+	}
+}
+
+// Guards against reuse of a connection on which the peer sent unrequested bytes:
+// the next request would get a response that is not its own.
+func TestUnrequestedBytesCloseTheConnection(t *testing.T) {
+	address, requests := scripted(t, func(n int64) []byte {
+		if n == 1 {
+			return []byte(okResponse + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+		}
+		return []byte(okResponse)
+	})
+	p := NewPool(DefaultOptions())
+	for i := 0; i < 2; i++ {
+		resp, _, err := do(t, p, address, "GET")
+		if err != nil || string(resp.Body()) != "ok" {
+			t.Fatalf("exchange %d: body %q, error %v", i, resp.Body(), err)
+		}
+	}
+	if requests.Load() != 2 {
+		t.Fatalf("the server read %d requests", requests.Load())
+	}
+}
+
+// Guards against a canceled caller's request running on at the server: the
+// server must see the connection close.
+func TestHangupIsSeenByThePeer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	canceled, started := make(chan struct{}), make(chan struct{})
+	wg.Go(func() {
+		nc, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		var req fasthttp.Request
+		if err := req.Read(bufio.NewReader(nc)); err != nil {
+			return
+		}
+		stop := WatchHangup(nc, wg.Go, func() { close(canceled) })
+		defer stop()
+		close(started)
+		<-canceled
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	wg.Go(func() {
+		<-started
+		cancel()
+	})
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("/x")
+	req.Header.SetHost("test")
+	progress, err := NewPool(DefaultOptions()).Do(ctx, listener.Addr().String(), &req, &resp, nil)
+	if !errors.Is(err, ErrCanceled) || progress != request.Written {
+		t.Fatalf("got progress %d, error %v", progress, err)
+	}
+}
