--- /dev/null
+++ b/backend/state.go
@@ -0,0 +1,103 @@
+package backend
+
+import (
+	"encoding/binary"
+	"math"
+
+	"almondstile/contract"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrBadState says that an encoded service state cannot be decoded.
+var ErrBadState = errors.New("backend: malformed service state")
+
+// ServerState is what entry VMs know of a server when they select one.
+type ServerState struct {
+	Server  contract.ServerID `json:"server"`
+	Ejected bool              `json:"ejected,omitempty"`
+	// LowWeight asks for as little traffic as the other servers allow.
+	LowWeight bool `json:"low_weight,omitempty"`
+	Warm      bool `json:"warm,omitempty"`
+	// Load is (in flight + queued) / allowed slots.
+	Load float64 `json:"load"`
+}
+
+// Encoding of a service state: a version byte, then for each server the length
+// and bytes of its ID, a byte of flags and the load in hundredths as uvarint.
+const (
+	stateVersion = 1
+
+	flagEjected   = 1 << 0
+	flagLowWeight = 1 << 1
+	flagWarm      = 1 << 2
+
+	loadUnit = 100
+	maxLoad  = 1e6
+)
+
+// EncodeStates returns the compact form that travels with each response.
+func EncodeStates(states []ServerState) []byte {
+	b := []byte{stateVersion}
+	for _, s := range states {
+		b = binary.AppendUvarint(b, uint64(len(s.Server)))
+		b = append(b, s.Server...)
+		var flags byte
+		if s.Ejected {
+			flags |= flagEjected
+		}
+		if s.LowWeight {
+			flags |= flagLowWeight
+		}
+		if s.Warm {
+			flags |= flagWarm
+		}
+		load := min(max(s.Load, 0), maxLoad)
+		b = binary.AppendUvarint(append(b, flags), uint64(math.Round(load*loadUnit)))
+	}
+	return b
+}
+
+// DecodeStates reverses EncodeStates. Nothing encoded means nothing known.
+func DecodeStates(b []byte) ([]ServerState, error) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	if b[0] != stateVersion {
+		return nil, ErrBadState
+	}
+	var states []ServerState
+	for b = b[1:]; len(b) > 0; {
+		n, width := binary.Uvarint(b)
+		if width <= 0 || n >= uint64(len(b)-width) {
+			return nil, ErrBadState
+		}
+		id, rest := b[width:width+int(n)], b[width+int(n):]
+		load, width := binary.Uvarint(rest[1:])
+		if width <= 0 {
+			return nil, ErrBadState
+		}
+		states = append(states, ServerState{
+			Server:    contract.ServerID(id),
+			Ejected:   rest[0]&flagEjected != 0,
+			LowWeight: rest[0]&flagLowWeight != 0,
+			Warm:      rest[0]&flagWarm != 0,
+			Load:      float64(load) / loadUnit,
+		})
+		b = rest[1+width:]
+	}
+	return states, nil
+}
+
+// SetServiceState keeps the newest state of a service's servers, which the
+// service home returns with its verdicts.
+func (s *Servers) SetServiceState(service contract.ServiceID, states []ServerState) {
+	s.states.Store(service, EncodeStates(states))
+}
+
+// ServiceState returns the encoded state of a service for request.Result, or
+// nil if none is known. The bytes must not be modified.
+func (s *Servers) ServiceState(service contract.ServiceID) []byte {
+	b, _ := s.states.Load(service)
+	return b
+}
