--- /dev/null
+++ b/standin/platformsim/dynamo_ops.go
@@ -0,0 +1,199 @@
+package platformsim
+
+import (
+	"context"
+	"encoding/json"
+	"regexp"
+	"strconv"
+
+	"almondstile/platform"
+
+	"github.com/cockroachdb/errors"
+)
+
+type getItemInput struct {
+	Key            attributes
+	ConsistentRead bool
+}
+
+type getItemOutput struct {
+	Item attributes `json:"Item,omitempty"`
+}
+
+func (c *Client) getItem(ctx context.Context, body []byte) (any, error) {
+	var in getItemInput
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, errors.Wrap(errInvalid, err.Error())
+	}
+	key, err := in.Key.key()
+	if err != nil {
+		return nil, err
+	}
+	item, err := c.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return getItemOutput{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return getItemOutput{Item: attributesOf(item)}, nil
+}
+
+type queryInput struct {
+	KeyConditionExpression    string
+	ExpressionAttributeValues attributes
+	ExclusiveStartKey         attributes
+	Limit                     int
+}
+
+type queryOutput struct {
+	Items            []attributes
+	Count            int
+	LastEvaluatedKey attributes `json:"LastEvaluatedKey,omitempty"`
+}
+
+// partitionCondition is the only form of KeyConditionExpression served.
+var partitionCondition = regexp.MustCompile(`^\s*` + partitionAttribute + `\s*=\s*(:\w+)\s*$`)
+
+func (c *Client) queryItems(ctx context.Context, body []byte) (any, error) {
+	var in queryInput
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, errors.Wrap(errInvalid, err.Error())
+	}
+	match := partitionCondition.FindStringSubmatch(in.KeyConditionExpression)
+	if match == nil || in.ExpressionAttributeValues[match[1]].S == nil {
+		return nil, errors.Wrapf(errInvalid, "key condition %q is not supported", in.KeyConditionExpression)
+	}
+	after := ""
+	if in.ExclusiveStartKey != nil {
+		key, err := in.ExclusiveStartKey.key()
+		if err != nil {
+			return nil, err
+		}
+		after = key
+	}
+	found, err := c.Query(ctx, *in.ExpressionAttributeValues[match[1]].S+"/")
+	if err != nil {
+		return nil, err
+	}
+	return page(found, after, in.Limit), nil
+}
+
+// page returns the items after the key of the last page, up to the page size.
+func page(found []platform.Item, after string, limit int) queryOutput {
+	size := queryPageItems
+	if limit > 0 {
+		size = min(size, limit)
+	}
+	out := queryOutput{Items: []attributes{}}
+	for _, item := range found {
+		if item.Key <= after {
+			continue
+		}
+		if out.Count == size {
+			last := out.Items[size-1]
+			out.LastEvaluatedKey = attributes{
+				partitionAttribute: last[partitionAttribute], sortAttribute: last[sortAttribute],
+			}
+			break
+		}
+		out.Items = append(out.Items, attributesOf(item))
+		out.Count++
+	}
+	return out
+}
+
+type transactInput struct {
+	TransactItems []transactItem
+}
+
+type transactItem struct {
+	Update         *transactOperation
+	Delete         *transactOperation
+	ConditionCheck *transactOperation
+}
+
+type transactOperation struct {
+	Key                       attributes
+	UpdateExpression          string
+	ConditionExpression       string
+	ExpressionAttributeValues attributes
+}
+
+func (c *Client) transactItems(ctx context.Context, body []byte) (any, error) {
+	var in transactInput
+	if err := json.Unmarshal(body, &in); err != nil {
+		return nil, errors.Wrap(errInvalid, err.Error())
+	}
+	writes := make([]platform.Write, len(in.TransactItems))
+	for i, item := range in.TransactItems {
+		write, err := item.write()
+		if err != nil {
+			return nil, err
+		}
+		writes[i] = write
+	}
+	failed, err := c.transact(ctx, writes)
+	if errors.Is(err, platform.ErrConditionFailed) {
+		return nil, canceledError{err, failed}
+	}
+	return struct{}{}, err
+}
+
+func (t transactItem) write() (platform.Write, error) {
+	switch {
+	case t.Update != nil:
+		return t.Update.put()
+	case t.Delete != nil:
+		return t.Delete.with(platform.Delete)
+	case t.ConditionCheck != nil && t.ConditionCheck.ConditionExpression != "":
+		return t.ConditionCheck.with(platform.Check)
+	default:
+		return platform.Write{}, errors.Wrap(errInvalid, "the operation of a transaction item is not supported")
+	}
+}
+
+// putExpression is the only form of UpdateExpression served: it replaces the
+// value and adds one to the version.
+var putExpression = regexp.MustCompile(
+	`^\s*SET\s+` + valueAttribute + `\s*=\s*(:\w+)\s+ADD\s+` + versionAttribute + `\s+(:\w+)\s*$`)
+
+func (o *transactOperation) put() (platform.Write, error) {
+	match := putExpression.FindStringSubmatch(o.UpdateExpression)
+	if match == nil {
+		return platform.Write{}, errors.Wrapf(errInvalid, "update %q is not supported", o.UpdateExpression)
+	}
+	if step := o.ExpressionAttributeValues[match[2]].N; step == nil || *step != "1" {
+		return platform.Write{}, errors.Wrap(errInvalid, "the version must grow by one")
+	}
+	write, err := o.with(platform.Put)
+	write.Value = o.ExpressionAttributeValues[match[1]].B
+	return write, err
+}
+
+var (
+	absentCondition  = regexp.MustCompile(`^\s*attribute_not_exists\(\s*` + partitionAttribute + `\s*\)\s*$`)
+	versionCondition = regexp.MustCompile(`^\s*` + versionAttribute + `\s*=\s*(:\w+)\s*$`)
+)
+
+func (o *transactOperation) with(kind platform.WriteKind) (platform.Write, error) {
+	key, err := o.Key.key()
+	write := platform.Write{Kind: kind, Key: key}
+	if err != nil || o.ConditionExpression == "" {
+		return write, err
+	}
+	if absentCondition.MatchString(o.ConditionExpression) {
+		write.Condition.Kind = platform.Absent
+		return write, nil
+	}
+	match := versionCondition.FindStringSubmatch(o.ConditionExpression)
+	if match == nil || o.ExpressionAttributeValues[match[1]].N == nil {
+		return write, errors.Wrapf(errInvalid, "condition %q is not supported", o.ConditionExpression)
+	}
+	version, err := strconv.ParseUint(*o.ExpressionAttributeValues[match[1]].N, 10, 64)
+	if err != nil {
+		return write, errors.Wrap(errInvalid, err.Error())
+	}
+	write.Condition = platform.Condition{Kind: platform.VersionIs, Version: version}
+	return write, nil
+}
