--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -128,6 +128,9 @@
 func framingFault(r *fasthttp.Request) string {
 	lengths, encodings, hosts := 0, 0, 0
 	for _, line := range bytes.Split(r.Header.RawHeaders(), []byte("\n")) {
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return "a header line is folded"
+		}
 		name, _, ok := bytes.Cut(line, []byte(":"))
 		if !ok {
 			continue
