--- /dev/null
+++ b/configstore/fake_test.go
@@ -0,0 +1,189 @@
+package configstore
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"almondstile/contract"
+	"almondstile/link"
+	"almondstile/logging"
+	"almondstile/platform"
+	"almondstile/vm"
+	"almondstile/zone"
+)
+
+// fault is what a fake does with one call.
+type fault int
+
+const (
+	noFault fault = iota
+	beforeWrite
+	afterWrite // the write takes effect and its response is lost
+	lateWrite  // the response is lost, and the write is tried at the next call
+)
+
+// fakeStore is a table and an object store in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Item
+	objects map[string][]byte
+	away    bool
+	// faults are used up by the next transactions, in order.
+	faults []fault
+	late   [][]platform.Write
+	// beforeTransact, if set, runs before the next transaction, unlocked.
+	beforeTransact func()
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]platform.Item{}, objects: map[string][]byte{}}
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return platform.Item{}, platform.ErrNotDone
+	}
+	item, ok := s.rows[key]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return item, nil
+}
+
+func (s *fakeStore) Query(_ context.Context, prefix string) ([]platform.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []platform.Item
+	for key, item := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
+	return items, nil
+}
+
+func (s *fakeStore) Transact(_ context.Context, writes []platform.Write) error {
+	s.mu.Lock()
+	hook := s.beforeTransact
+	s.beforeTransact = nil
+	s.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := noFault
+	if len(s.faults) > 0 {
+		f, s.faults = s.faults[0], s.faults[1:]
+	}
+	if s.away || f == beforeWrite {
+		return platform.ErrNotDone
+	}
+	if f == lateWrite {
+		s.late = append(s.late, writes)
+		return platform.ErrUnknownOutcome
+	}
+	for _, earlier := range s.late {
+		_ = s.apply(earlier) // its caller no longer waits for the result
+	}
+	s.late = nil
+	err := s.apply(writes)
+	if f == afterWrite {
+		return platform.ErrUnknownOutcome
+	}
+	return err
+}
+
+func (s *fakeStore) apply(writes []platform.Write) error {
+	for _, w := range writes {
+		item, exists := s.rows[w.Key]
+		if (w.Condition.Kind == platform.Absent && exists) ||
+			(w.Condition.Kind == platform.VersionIs && (!exists || item.Version != w.Condition.Version)) {
+			return platform.ErrConditionFailed
+		}
+	}
+	for _, w := range writes {
+		switch w.Kind {
+		case platform.Put:
+			s.rows[w.Key] = platform.Item{Key: w.Key, Version: s.rows[w.Key].Version + 1, Value: w.Value}
+		case platform.Delete:
+			delete(s.rows, w.Key)
+		}
+	}
+	return nil
+}
+
+// fakeObjects gives the fake store the methods of an object store.
+type fakeObjects struct{ *fakeStore }
+
+func (s fakeObjects) Put(_ context.Context, name string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = data
+	return nil
+}
+
+func (s fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if data, ok := s.objects[name]; ok && !s.away {
+		return data, nil
+	}
+	return nil, platform.ErrNotFound
+}
+
+// fakeFleet is a set of VMs whose control messages go through JSON, as they do
+// between processes.
+type fakeFleet struct {
+	store     *fakeStore
+	followers map[vm.ID]*Follower
+	vms       []vm.VM
+}
+
+func newFakeFleet(ids ...vm.ID) *fakeFleet {
+	fleet := &fakeFleet{store: newFakeStore(), followers: map[vm.ID]*Follower{}}
+	for _, id := range ids {
+		fleet.vms = append(fleet.vms, vm.VM{ID: id})
+		fleet.start(id)
+	}
+	return fleet
+}
+
+func (f *fakeFleet) start(id vm.ID) *Follower {
+	f.followers[id] = NewFollower(f.store, fakeObjects{f.store}, f, f, logging.Discard().Part("config"), Options{})
+	return f.followers[id]
+}
+
+func (f *fakeFleet) planner(id vm.ID) *Planner {
+	p := NewPlanner(f.store, fakeObjects{f.store}, f.followers[id], logging.Discard().Part("config"))
+	p.retryPause = time.Microsecond
+	return p
+}
+
+func (f *fakeFleet) Peers() []vm.VM { return f.vms }
+
+func (f *fakeFleet) Call(ctx context.Context, to vm.VM, method string, params, result any) error {
+	follower, ok := f.followers[to.ID]
+	if !ok || method != MethodDeltas {
+		return link.ErrUnreachable
+	}
+	raw, _ := json.Marshal(params)
+	reply, err := follower.DeltasHandler()(ctx, "caller", raw)
+	if err != nil {
+		return link.ErrRejected
+	}
+	raw, _ = json.Marshal(reply)
+	return json.Unmarshal(raw, result)
+}
+
+// setZone is an intent that gives the only zone a new region.
+func setZone(region string) contract.Intent {
+	return contract.NewIntent(contract.SetZone{ID: zone.ID("a"), Region: region})
+}
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -151,7 +151,7 @@
 		SetZoneOut{"a", true}, WithdrawKey{"k1"},
 		SetTeam{Team{"walkers", 50, 10, 2}},
 		SetRoute{Route{ID: "loans", PathPrefix: "/l", Service: "loandesk", TimeoutMillis: 1000}},
-	), "ann", time.Time{})
+	), time.Time{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -177,11 +177,11 @@
 	c := base(t)
 	intent := NewIntent(SetZoneOut{"a", true}, SetServerLeaving{"l2", true})
 	var refused *RefusedError
-	if _, err := NewPlan("p", c, intent, "", time.Time{}); !errors.As(err, &refused) {
+	if _, err := NewPlan("p", c, intent, time.Time{}); !errors.As(err, &refused) {
 		t.Fatalf("got %v, want a refusal", err)
 	}
 	intent.AllowNoSlots = true
-	plan, err := NewPlan("p", c, intent, "", time.Time{})
+	plan, err := NewPlan("p", c, intent, time.Time{})
 	if err != nil || len(plan.Effect.Warnings) != 1 {
 		t.Fatalf("got %+v, %v, want one warning", plan.Effect, err)
 	}
--- a/contract/intent.go
+++ b/contract/intent.go
@@ -11,7 +11,9 @@
 // none. Single actions are built as an Intent with one Change.
 type Intent struct {
 	// Note is the operator's own description.
-	Note    string
+	Note string
+	// Author names the operator. The operators' API sets it from the token.
+	Author  string
 	Changes []Change
 	// AllowNoSlots confirms that a routed service may be left without any slot
 	// for new work. Without it such a plan is refused.
@@ -51,6 +53,7 @@
 
 type intentRecord struct {
 	Note         string         `json:"note,omitempty"`
+	Author       string         `json:"author,omitempty"`
 	AllowNoSlots bool           `json:"allow_no_slots,omitempty"`
 	Changes      []changeRecord `json:"changes"`
 }
@@ -62,7 +65,10 @@
 
 // MarshalJSON encodes the intent with the name of each change.
 func (i Intent) MarshalJSON() ([]byte, error) {
-	record := intentRecord{Note: i.Note, AllowNoSlots: i.AllowNoSlots, Changes: make([]changeRecord, len(i.Changes))}
+	record := intentRecord{
+		Note: i.Note, Author: i.Author, AllowNoSlots: i.AllowNoSlots,
+		Changes: make([]changeRecord, len(i.Changes)),
+	}
 	for n, change := range i.Changes {
 		name, ok := changeNames[reflect.TypeOf(change)]
 		if !ok {
@@ -84,7 +90,7 @@
 	if err := unmarshalStrict(data, &record); err != nil {
 		return errors.Wrap(err, "decoding intent")
 	}
-	decoded := Intent{Note: record.Note, AllowNoSlots: record.AllowNoSlots}
+	decoded := Intent{Note: record.Note, Author: record.Author, AllowNoSlots: record.AllowNoSlots}
 	for _, r := range record.Changes {
 		change, err := r.decode()
 		if err != nil {
--- a/contract/plan.go
+++ b/contract/plan.go
@@ -12,7 +12,6 @@
 	ID      string    `json:"id"`
 	Base    uint64    `json:"base"`
 	Created time.Time `json:"created"`
-	Author  string    `json:"author,omitempty"`
 	Intent  Intent    `json:"intent"`
 	Effect  Effect    `json:"effect"`
 }
@@ -29,7 +28,7 @@
 
 // NewPlan computes the plan of an intent on base. The error is
 // ErrEmptyIntent, an *InvalidError or a *RefusedError.
-func NewPlan(id string, base *Configuration, intent Intent, author string, now time.Time) (Plan, error) {
+func NewPlan(id string, base *Configuration, intent Intent, now time.Time) (Plan, error) {
 	result, err := Apply(base, intent)
 	if err != nil {
 		return Plan{}, err
@@ -38,7 +37,7 @@
 	if len(effect.Refusals) > 0 {
 		return Plan{}, &RefusedError{Effect: effect}
 	}
-	return Plan{ID: id, Base: base.Version, Created: now, Author: author, Intent: intent, Effect: effect}, nil
+	return Plan{ID: id, Base: base.Version, Created: now, Intent: intent, Effect: effect}, nil
 }
 
 // Delta is an accepted intent. Applied to version Version-1 it gives Version.
