Add the bench's process supervisor and its experiments

Cause: the promises have to be checked on real almondstile processes under faults.

Change: bench/fleet starts VM processes with small limits and kills only those, by process ID, also if the bench dies; it starts the stand-ins and the links. The bench command runs experiments: a seeded load, a timetable of faults, and the findings as text or JSON lines, with exit code 1 for a broken promise and 2 for a run that showed nothing.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"almondstile/bench/check"
+)
+
+// Guards against experiments that get lost or cannot be told apart.
+func TestExperimentsAreRegistered(t *testing.T) {
+	for _, name := range []string{
+		"vm-crash", "gray-server", "one-way-partition", "store-away", "key-withdrawal", "noisy-team",
+		"cold-fleet", "poison-request", "lost-answers", "paused-vm", "rolling-restart", "zone-out",
+		"racing-operators", "small-teams", "flapping", "everything", "added-latency", "healthy-noise",
+	} {
+		if _, ok := find(name); !ok {
+			t.Errorf("%s is missing", name)
+		}
+	}
+	seen := make(map[string]bool)
+	for _, e := range experiments() {
+		if seen[e.Name] || e.About == "" || e.Length == 0 {
+			t.Errorf("%s is registered twice or is incomplete", e.Name)
+		}
+		seen[e.Name] = true
+	}
+}
+
+// Guards against broken promises that do not fail the run, and against missed
+// measures that are reported as broken promises.
+func TestReportTellsBrokenPromises(t *testing.T) {
+	var out bytes.Buffer
+	rep := &report{out: &out, json: true}
+	o := runOptions{Seed: 3, VMs: 6}
+	rep.print("x", o, check.Finding{Name: "P5", OK: true})
+	rep.print("x", o, check.Finding{Name: "detection-slow", Value: 9, Bound: 5})
+	if rep.broken.Load() {
+		t.Fatal("a kept promise and a missed measure count as a broken promise")
+	}
+	rep.print("x", o, check.Finding{Name: "P10", Value: 1})
+	if !rep.broken.Load() {
+		t.Fatal("a broken promise does not count")
+	}
+	decoder := json.NewDecoder(&out)
+	for _, want := range []line{
+		{Kind: "promise", Finding: check.Finding{Name: "P5", OK: true}},
+		{Kind: "measure", Finding: check.Finding{Name: "detection-slow", Value: 9, Bound: 5}},
+		{Kind: "promise", Finding: check.Finding{Name: "P10", Value: 1}},
+	} {
+		want.Experiment, want.Seed, want.VMs = "x", 3, 6
+		var got line
+		if err := decoder.Decode(&got); err != nil || got != want {
+			t.Fatalf("got %+v, error %v", got, err)
+		}
+	}
+}
--- a/bench/check/history.go
+++ b/bench/check/history.go
@@ -83,6 +83,19 @@
 
 func keyOf(c load.Call) string { return attemptKey(c.Operation, fmt.Sprint(c.Attempt)) }
 
+// UniqueVersions checks that no two confirms were given the same version.
+func (h *History) UniqueVersions() Finding {
+	seen := make(map[uint64]bool)
+	var found []string
+	for _, c := range h.Confirms {
+		if seen[c.Version] {
+			found = append(found, fmt.Sprintf("version %d was accepted twice", c.Version))
+		}
+		seen[c.Version] = true
+	}
+	return violations("unique-versions", len(h.Confirms), found)
+}
+
 // executionsByAttempt groups the executions by the caller's attempt.
 func (h *History) executionsByAttempt() map[string][]backendsim.Execution {
 	out := make(map[string][]backendsim.Execution)
--- a/bench/deployment/deployment.go
+++ b/bench/deployment/deployment.go
@@ -169,3 +169,29 @@
 	}
 	return c
 }
+
+// Intent returns the changes that lead from an empty configuration to c.
+func Intent(c *contract.Configuration) contract.Intent {
+	var changes []contract.Change
+	for _, z := range c.Zones {
+		changes = append(changes, contract.SetZone{ID: z.ID, Region: z.Region})
+	}
+	for _, s := range c.Services {
+		changes = append(changes, contract.SetService{ID: s.ID, FloorShare: s.FloorShare})
+		for _, server := range s.Servers {
+			changes = append(changes, contract.SetServer{Service: s.ID, Server: server})
+		}
+	}
+	for _, t := range c.Teams {
+		changes = append(changes, contract.SetTeam{Team: t})
+	}
+	for _, k := range c.Keys {
+		changes = append(changes, contract.IssueKey{ID: k.ID, Team: k.Team, SecretHash: k.SecretHash})
+	}
+	for _, r := range c.Routes {
+		changes = append(changes, contract.SetRoute{Route: r})
+	}
+	intent := contract.NewIntent(changes...)
+	intent.Note = "first configuration"
+	return intent
+}
--- a/bench/deployment/deployment_test.go
+++ b/bench/deployment/deployment_test.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"fmt"
 	"testing"
 
 	"almondstile/contract"
@@ -28,13 +29,22 @@
 	}
 }
 
-// Guards against keys that do not open the routes they are meant for.
+// Guards against a first configuration that is not valid, and against keys that
+// do not open the routes they are meant for.
 func TestKeysAuthorize(t *testing.T) {
 	d, err := Load("../../deployments/vanua.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := contract.NewIndex(d.Configuration(7, nil))
+	addresses := make(map[contract.ServerID]string)
+	for i, s := range d.Simulated(7) {
+		addresses[s.ID] = fmt.Sprintf("127.0.0.1:%d", 20000+i)
+	}
+	c, err := contract.Apply(&contract.Configuration{}, Intent(d.Configuration(7, addresses)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := contract.NewIndex(c)
 	route, err := x.Match(d.Services[0].PrivatePath() + "/page")
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/bench/fleet/links.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"almondstile/contract"
+	"almondstile/platform"
+	"almondstile/standin/netfault"
+	"almondstile/vm"
+)
+
+// VMLink names the link on which other VMs reach a VM: one for requests and
+// one for control messages.
+func VMLink(id vm.ID, control bool) netfault.LinkName {
+	if control {
+		return netfault.LinkName("control/" + id)
+	}
+	return netfault.LinkName("forward/" + id)
+}
+
+// SetVMFault sets a fault on both links to a VM.
+func (f *Fleet) SetVMFault(id vm.ID, d netfault.Direction, fault netfault.Fault) error {
+	for _, control := range []bool{false, true} {
+		link, err := f.Network.Link(VMLink(id, control))
+		if err != nil {
+			return err
+		}
+		link.SetFault(d, fault)
+	}
+	return nil
+}
+
+// SetServerFault sets a fault on the link to a backend server.
+func (f *Fleet) SetServerFault(id contract.ServerID, d netfault.Direction, fault netfault.Fault) error {
+	link, err := f.Network.Link(ServerLink(id))
+	if err != nil {
+		return err
+	}
+	link.SetFault(d, fault)
+	return nil
+}
+
+// ResetServerLink resets all connections to a backend server.
+func (f *Fleet) ResetServerLink(id contract.ServerID) error {
+	link, err := f.Network.Link(ServerLink(id))
+	if err != nil {
+		return err
+	}
+	link.Reset()
+	return nil
+}
+
+// ListVMs puts all VMs on the platform's list of live VMs.
+func (f *Fleet) ListVMs() {
+	var list []platform.ListedVM
+	for _, id := range f.ids {
+		list = append(list, platform.ListedVM{ID: string(id)})
+	}
+	f.Platform.SetVMs(list)
+}
--- /dev/null
+++ b/bench/fleet/operators.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"almondstile/configstore"
+	"almondstile/contract"
+	"almondstile/shard"
+	"almondstile/vm"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+)
+
+// Paths of the operators' listener.
+const (
+	pathReady  = "/ready"
+	pathStatus = "/status"
+	pathPlans  = "/plans"
+)
+
+// ErrBaseChanged says that another operator's plan was accepted first.
+var ErrBaseChanged = errors.New("fleet: the base version changed")
+
+const (
+	pollPause   = 200 * time.Millisecond
+	callTimeout = 10 * time.Second
+	pollTimeout = time.Second
+	// pollers bounds the concurrent calls to the operators' listeners.
+	pollers = 8
+	// confirmAttempts bounds the repetitions after an unknown outcome.
+	confirmAttempts = 10
+)
+
+// Operator acts for an operator at one VM's operators' listener.
+type Operator struct {
+	address string
+	token   string
+}
+
+// Operator returns a client of a VM's operators' listener.
+func (f *Fleet) Operator(id vm.ID) Operator { return Operator{f.Member(id).Operators, f.token()} }
+
+// Plan returns the plan of an intent.
+func (o Operator) Plan(ctx context.Context, intent contract.Intent) (contract.Plan, error) {
+	var plan contract.Plan
+	err := o.call(ctx, callTimeout, http.MethodPost, pathPlans, intent, &plan)
+	return plan, err
+}
+
+// Confirm confirms a plan and repeats that while the outcome is unknown.
+func (o Operator) Confirm(ctx context.Context, planID string) (configstore.Outcome, error) {
+	var outcome configstore.Outcome
+	var err error
+	for range confirmAttempts {
+		err = o.call(ctx, callTimeout, http.MethodPost, pathPlans+"/"+planID+"/confirm", nil, &outcome)
+		if outcome.Kind == configstore.BaseChanged {
+			return outcome, ErrBaseChanged
+		}
+		if err == nil && outcome.Kind == configstore.Accepted {
+			return outcome, nil
+		}
+		if !pause(ctx) {
+			break
+		}
+	}
+	return outcome, errors.CombineErrors(err, errors.Newf("confirm of plan %s: outcome %q", planID, outcome.Kind))
+}
+
+// Change plans an intent and confirms it.
+func (o Operator) Change(ctx context.Context, intent contract.Intent) (configstore.Outcome, error) {
+	plan, err := o.Plan(ctx, intent)
+	if err != nil {
+		return configstore.Outcome{}, err
+	}
+	return o.Confirm(ctx, plan.ID)
+}
+
+// call makes one call; a response of any status whose body fits result is
+// decoded into it.
+func (o Operator) call(ctx context.Context, timeout time.Duration, method, path string, body, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encoding a call to the operators' listener")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+o.token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "operators' listener")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "operators' listener")
+	}
+	if result != nil {
+		_ = json.Unmarshal(text, result) // an error response may have another form
+	}
+	if resp.StatusCode >= 300 {
+		return errors.Newf("operators' listener: %s %s: status %d: %.300s", method, path, resp.StatusCode, text)
+	}
+	return nil
+}
+
+// status is the part of a VM's status that the bench reads.
+type status struct {
+	ConfigurationVersion uint64 `json:"configuration_version"`
+}
+
+// Versions returns the configuration version of each VM that reports one.
+func (f *Fleet) Versions(ctx context.Context) map[vm.ID]uint64 {
+	return each(f, func(id vm.ID) (uint64, bool) {
+		var s status
+		err := f.Operator(id).call(ctx, pollTimeout, http.MethodGet, pathStatus, nil, &s)
+		return s.ConfigurationVersion, err == nil
+	})
+}
+
+// Readiness returns for each VM whether it accepts callers' requests.
+func (f *Fleet) Readiness(ctx context.Context) map[vm.ID]bool {
+	return each(f, func(id vm.ID) (bool, bool) {
+		return f.Operator(id).call(ctx, pollTimeout, http.MethodGet, pathReady, nil, nil) == nil, true
+	})
+}
+
+// each calls fn for all VMs, a few at a time, and collects the results for
+// which fn returns true.
+func each[V any](f *Fleet, fn func(id vm.ID) (V, bool)) map[vm.ID]V {
+	var results shard.Map[vm.ID, V]
+	calls := pool.New().WithMaxGoroutines(pollers)
+	for _, id := range f.ids {
+		calls.Go(func() {
+			if v, ok := fn(id); ok {
+				results.Store(id, v)
+			}
+		})
+	}
+	calls.Wait()
+	out := make(map[vm.ID]V)
+	results.Range(func(id vm.ID, v V) bool { out[id] = v; return true })
+	return out
+}
+
+// waitReady waits until all VMs accept requests.
+func (f *Fleet) waitReady(ctx context.Context) error {
+	return f.waitFor(ctx, "ready", func() int {
+		ready := 0
+		for _, is := range f.Readiness(ctx) {
+			if is {
+				ready++
+			}
+		}
+		return ready
+	})
+}
+
+// waitVersion waits until all VMs have a configuration version.
+func (f *Fleet) waitVersion(ctx context.Context, version uint64) error {
+	return f.waitFor(ctx, "at the first configuration", func() int {
+		current := 0
+		for _, v := range f.Versions(ctx) {
+			if v >= version {
+				current++
+			}
+		}
+		return current
+	})
+}
+
+func (f *Fleet) waitFor(ctx context.Context, what string, count func() int) error {
+	n := 0
+	for {
+		if n = count(); n == len(f.ids) {
+			return nil
+		}
+		for _, id := range f.ids {
+			if f.Member(id).Process.Ended() {
+				return errors.Newf("%s ended while starting; see its log", id)
+			}
+		}
+		if !pause(ctx) {
+			return errors.Wrapf(ctx.Err(), "%d of %d VMs are %s", n, len(f.ids), what)
+		}
+	}
+}
+
+// pause waits between two polls and reports whether ctx is still in force.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(pollPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/bench/load/call.go
+++ b/bench/load/call.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"almondstile/contract"
 	"almondstile/request"
 	"almondstile/vm"
 )
@@ -65,6 +64,3 @@
 
 // RateLimited reports whether the call was rejected for its team's rate.
 func (c Call) RateLimited() bool { return c.Status == 429 }
-
-// OfTeam reports whether the call is regular work of the team.
-func (c Call) OfTeam(team contract.TeamID) bool { return c.Kind == Regular && c.Team == team }
