--- a/bench/fleet/operators.go
+++ b/bench/fleet/operators.go
@@ -119,12 +119,13 @@
 	ConfigurationVersion uint64 `json:"configuration_version"`
 }
 
-// Versions returns the configuration version of each VM that reports one.
+// Versions returns the configuration version of each VM that has one. A VM that
+// has just started has none yet and accepts no requests.
 func (f *Fleet) Versions(ctx context.Context) map[vm.ID]uint64 {
 	return each(f, func(id vm.ID) (uint64, bool) {
 		var s status
 		err := f.Operator(id).call(ctx, pollTimeout, http.MethodGet, pathStatus, nil, &s)
-		return s.ConfigurationVersion, err == nil
+		return s.ConfigurationVersion, err == nil && s.ConfigurationVersion > 0
 	})
 }
 
