--- a/contract/document.go
+++ b/contract/document.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 
 	"almondstile/zone"
 
@@ -110,11 +111,17 @@
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
-		return []DocumentFault{documentFault(decode, decode.Error())}
+		return []DocumentFault{documentFault(decode, readable(decode))}
 	}
 	return []DocumentFault{{Message: err.Error()}}
 }
 
+// readable leaves out the Go types that the library names after the cause.
+func readable(e *toml.DecodeError) string {
+	message, _, _ := strings.Cut(strings.TrimPrefix(e.Error(), "toml: "), " into struct field ")
+	return message
+}
+
 func documentFault(e *toml.DecodeError, message string) DocumentFault {
 	line, _ := e.Position()
 	key := ""
