--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,32 @@
+package daemon
+
+import (
+	"almondstile/platform"
+	"almondstile/platform/dynamo"
+	"almondstile/platform/s3"
+	"almondstile/platform/vmlist"
+	"almondstile/settings"
+)
+
+// Platform is the set of platform services that a daemon uses.
+type Platform struct {
+	Table   platform.Table
+	Objects platform.ObjectStore
+	VMs     platform.VMList
+}
+
+// Connect returns clients of the platform services that the settings name. It
+// sends nothing yet.
+func Connect(p *settings.Platform) Platform {
+	return Platform{
+		Table: dynamo.New(dynamo.Options{
+			Endpoint: p.TableEndpoint, Region: p.Region, Table: p.Table,
+			AccessKey: p.AccessKey, SecretKey: string(p.SecretKey), CallTimeout: p.Timeout(),
+		}),
+		Objects: s3.New(s3.Options{
+			Endpoint: p.ObjectEndpoint, Region: p.Region, Bucket: p.Bucket,
+			AccessKey: p.AccessKey, SecretKey: string(p.SecretKey), CallTimeout: p.Timeout(),
+		}),
+		VMs: vmlist.New(vmlist.Options{URL: p.VMListURL, CallTimeout: p.Timeout()}),
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -8,6 +8,7 @@
 	"almondstile/contract"
 	"almondstile/entry"
 	"almondstile/logging"
+	"almondstile/outlier"
 	"almondstile/request"
 	"almondstile/upstream"
 	"almondstile/vm"
@@ -27,16 +28,15 @@
 	Refuses(ctx context.Context, server *contract.Server) bool
 }
 
-// Quarantine refuses requests that crashed servers.
+// Quarantine rejects requests that crashed servers.
 type Quarantine interface {
-	// Quarantined reports whether the request must not run.
-	Quarantined(now time.Time, req *request.Request) bool
-	// Crashed tells the service's home and the other owners that the request
-	// was running when its server crashed. It returns when they know, or when
-	// the context ends.
-	Crashed(ctx context.Context, req *request.Request)
-	// Succeeded notes that the request ran to its end.
-	Succeeded(now time.Time, req *request.Request)
+	Rejects(now time.Time, req *request.Request) bool
+}
+
+// CrashReporter tells the service's home and the other owners of a crash. It
+// returns when they know, or with an error if some may not.
+type CrashReporter interface {
+	Crashed(ctx context.Context, crash outlier.Crash) error
 }
 
 // Parts are what an Owner needs.
@@ -46,6 +46,7 @@
 	Servers    *backend.Servers
 	Exchanger  Exchanger
 	Quarantine Quarantine
+	Crashes    CrashReporter
 	Clock      func() time.Time
 	Log        logging.Logger
 }
@@ -92,7 +93,7 @@
 		return request.ReasonLeaving
 	case req.Team != "" && !index.KeyValid(req.Key, req.Team):
 		return request.ReasonBadKey
-	case o.parts.Quarantine.Quarantined(now, req):
+	case o.parts.Quarantine.Rejects(now, req):
 		return request.ReasonQuarantined
 	case !now.Before(req.Deadline):
 		return request.ReasonDeadline
@@ -116,15 +117,26 @@
 		sample.Outcome = backend.Crash
 		exchange.Result.Reason = request.ReasonCrash
 	}
-	switch sample.Outcome {
-	case backend.Crash:
-		o.parts.Quarantine.Crashed(ctx, req)
-	case backend.OK:
-		o.parts.Quarantine.Succeeded(o.parts.Clock(), req)
+	if sample.Outcome == backend.Crash {
+		o.reportCrash(ctx, req)
 	}
 	return exchange.Result
 }
 
+// reportCrash makes the crash known before the caller gets its response and may
+// send the request again. The caller's going away does not stop it.
+func (o *Owner) reportCrash(ctx context.Context, req *request.Request) {
+	crash := outlier.Crash{
+		Service: req.Service, Server: req.Server,
+		// A request that is repeated at another server is another crash there.
+		RequestID:   req.ID + "@" + string(req.Server),
+		Fingerprint: request.FingerprintOf(req),
+	}
+	if err := o.parts.Crashes.Crashed(context.WithoutCancel(ctx), crash); err != nil {
+		o.parts.Log.WithError(err).WithField("server", req.Server).Warn("A crash was not reported to all owners.")
+	}
+}
+
 // firstServerError is the lowest status that blames the server.
 const firstServerError = 500
 
