settings: report a missing secret file once

A secret file that could not be read was reported a second time as a secret that is too short or empty.

--- a/settings/load.go
+++ b/settings/load.go
@@ -193,6 +193,7 @@
 	data, err := l.readFile(file)
 	if err != nil {
 		l.add(key+"_file", file, "must name a readable file: "+err.Error())
+		l.seen[key] = true // the missing secret is no fault of its own
 		return ""
 	}
 	return Secret(strings.TrimSpace(string(data)))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -66,6 +66,10 @@
 			}
 		}
 	}
+	noFile := func(string) ([]byte, error) { return nil, os.ErrNotExist }
+	if _, faults := parse("x", []byte(example(t)), noFile); len(faults) != 2 {
+		t.Errorf("two missing secret files: %v", faults)
+	}
 	if _, faults := Load(filepath.Join(dir, "none")); len(faults) != 1 || !strings.HasSuffix(faults[0].File, "none") {
 		t.Errorf("missing file: %v", faults)
 	}
