--- /dev/null
+++ b/cli/client.go
@@ -0,0 +1,177 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"almondstile/configstore"
+	"almondstile/contract"
+	"almondstile/operator"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxReplyBytes bounds what is read of a reply. The status of a fleet of the
+// target scale has a few megabytes.
+const maxReplyBytes = 64 << 20
+
+// tokenVariable names the environment variable that may hold the token itself.
+// There is no option for it: other users of the machine can see options.
+const tokenVariable = "ALMONDSTILE_TOKEN"
+
+// globalOptions are common to all commands.
+type globalOptions struct {
+	OperatorURL string        `long:"operator-url" env:"ALMONDSTILE_OPERATOR_URL" default:"http://127.0.0.1:8083" description:"URL of a VM's operators' listener"`
+	TokenFile   string        `long:"token-file" env:"ALMONDSTILE_TOKEN_FILE" description:"file with the bearer token; without it the variable ALMONDSTILE_TOKEN is used"`
+	Timeout     time.Duration `long:"timeout" default:"20s" description:"time limit of one call"`
+	JSON        bool          `long:"json" description:"print JSON"`
+
+	stdin  io.Reader
+	stdout io.Writer
+}
+
+func (g *globalOptions) printJSON(value any) error {
+	encoder := json.NewEncoder(g.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// apiError is an error body of the API.
+type apiError struct {
+	status int
+	detail operator.ErrorDetail
+}
+
+func (e *apiError) Error() string { return e.detail.Message }
+
+// errNoReply says that a request may have been carried out.
+var errNoReply = errors.New("no complete reply from the VM")
+
+func (g *globalOptions) token() (string, error) {
+	if g.TokenFile == "" {
+		if token := os.Getenv(tokenVariable); token != "" {
+			return token, nil
+		}
+		return "", usageError("a token is needed: set --token-file or %s", tokenVariable)
+	}
+	data, err := os.ReadFile(g.TokenFile)
+	if err != nil {
+		return "", usageError("--token-file: %v", err)
+	}
+	return strings.TrimSpace(string(data)), nil
+}
+
+// call sends one request and decodes the reply into result.
+func (g *globalOptions) call(method, path, contentType string, body []byte, result any) error {
+	token, err := g.token()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(g.OperatorURL, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return usageError("--operator-url: %v", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	if contentType != "" {
+		request.Header.Set("Content-Type", contentType)
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			return err // nothing was sent
+		}
+		return errors.Mark(err, errNoReply)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(reply.Body, maxReplyBytes))
+	if err != nil {
+		return errors.Mark(err, errNoReply)
+	}
+	return decodeReply(reply.StatusCode, data, result)
+}
+
+func decodeReply(status int, data []byte, result any) error {
+	if status < 300 {
+		return errors.Mark(errors.Wrap(json.Unmarshal(data, result), "decoding the reply"), errNoReply)
+	}
+	var body operator.ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
+		return errors.Mark(errors.Newf("HTTP status %d without an error body", status), errNoReply)
+	}
+	return &apiError{status, body.Error}
+}
+
+func (g *globalOptions) plan(contentType string, body []byte) (configstore.StoredPlan, error) {
+	var plan configstore.StoredPlan
+	return plan, g.call(http.MethodPost, "/v1/plans", contentType, body, &plan)
+}
+
+func (g *globalOptions) planIntent(intent contract.Intent) (configstore.StoredPlan, error) {
+	body, err := json.Marshal(intent)
+	if err != nil {
+		return configstore.StoredPlan{}, err
+	}
+	return g.plan("application/json", body)
+}
+
+// confirm confirms a plan. Without a complete reply the outcome is unknown.
+func (g *globalOptions) confirm(id string) (configstore.Outcome, error) {
+	var outcome configstore.Outcome
+	err := g.call(http.MethodPost, "/v1/plans/"+url.PathEscape(id)+"/confirm", "", nil, &outcome)
+	var api *apiError
+	unknown := errors.Is(err, errNoReply) || errors.As(err, &api) &&
+		(api.detail.Code == operator.CodeOutcomeUnknown || api.detail.Code == operator.CodeInternal)
+	if unknown {
+		err = &ExitError{ExitOutcomeUnknown, errors.Wrapf(err, "outcome unknown, ask again with \"almondstile confirm %s\"", id)}
+	}
+	return outcome, err
+}
+
+func (g *globalOptions) status() (operator.Status, error) {
+	var status operator.Status
+	return status, g.call(http.MethodGet, "/v1/status", "", nil, &status)
+}
+
+// errorOutput is the JSON form of an error.
+func errorOutput(err error) operator.ErrorBody {
+	var api *apiError
+	if errors.As(err, &api) {
+		return operator.ErrorBody{Error: api.detail}
+	}
+	detail := operator.ErrorDetail{Code: operator.CodeInternal, Message: err.Error()}
+	var exit *ExitError
+	if errors.As(err, &exit) && exit.Code == ExitOutcomeUnknown {
+		detail.Code = operator.CodeOutcomeUnknown
+	}
+	return operator.ErrorBody{Error: detail}
+}
+
+// describe is the form of an error for people.
+func describe(err error) string {
+	var api *apiError
+	if !errors.As(err, &api) {
+		return err.Error()
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s (%s)", err.Error(), api.detail.Code)
+	for i, fault := range api.detail.Faults {
+		if i == maxLines {
+			fmt.Fprintf(&b, "\n  and %d more faults; --json lists all", len(api.detail.Faults)-maxLines)
+			break
+		}
+		fmt.Fprintf(&b, "\n  %s", fault)
+	}
+	return b.String()
+}
