bench: use the operators' API as it is; settings: advertised addresses

Cause: the bench assumed the paths and bodies of the operators' listener. A proxy between VMs needs addresses that differ from those of the listeners.

Change: the bench plans and confirms under /v1/plans and reads the version from /metrics.json. Additive changes elsewhere: the daemon sets the gauge configuration.version; listen.advertise_forward and listen.advertise_control say which addresses other VMs are told, by default those of the listeners.

--- a/bench/fleet/operators.go
+++ b/bench/fleet/operators.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"almondstile/configstore"
 	"almondstile/contract"
+	"almondstile/operator"
 	"almondstile/shard"
 	"almondstile/vm"
 
@@ -19,9 +21,9 @@
 
 // Paths of the operators' listener.
 const (
-	pathReady  = "/ready"
-	pathStatus = "/status"
-	pathPlans  = "/plans"
+	pathReady   = "/ready"
+	pathMetrics = "/metrics.json"
+	pathPlans   = "/v1/plans"
 )
 
 // ErrBaseChanged says that another operator's plan was accepted first.
@@ -48,28 +50,30 @@
 
 // Plan returns the plan of an intent.
 func (o Operator) Plan(ctx context.Context, intent contract.Intent) (contract.Plan, error) {
-	var plan contract.Plan
-	err := o.call(ctx, callTimeout, http.MethodPost, pathPlans, intent, &plan)
-	return plan, err
+	var stored configstore.StoredPlan
+	err := o.call(ctx, callTimeout, http.MethodPost, pathPlans, intent, &stored)
+	return stored.Plan, err
 }
 
-// Confirm confirms a plan and repeats that while the outcome is unknown.
+// Confirm confirms a plan and repeats that while the outcome is unknown or the
+// store unavailable, which never applies the plan twice.
 func (o Operator) Confirm(ctx context.Context, planID string) (configstore.Outcome, error) {
 	var outcome configstore.Outcome
 	var err error
 	for range confirmAttempts {
 		err = o.call(ctx, callTimeout, http.MethodPost, pathPlans+"/"+planID+"/confirm", nil, &outcome)
-		if outcome.Kind == configstore.BaseChanged {
-			return outcome, ErrBaseChanged
-		}
-		if err == nil && outcome.Kind == configstore.Accepted {
+		var failed *callError
+		switch {
+		case err == nil:
 			return outcome, nil
+		case errors.As(err, &failed) && failed.code == operator.CodeBaseChanged:
+			return outcome, ErrBaseChanged
 		}
 		if !pause(ctx) {
 			break
 		}
 	}
-	return outcome, errors.CombineErrors(err, errors.Newf("confirm of plan %s: outcome %q", planID, outcome.Kind))
+	return outcome, errors.Wrapf(err, "confirm of plan %s", planID)
 }
 
 // Change plans an intent and confirms it.
@@ -105,27 +109,45 @@
 	if err != nil {
 		return errors.Wrap(err, "operators' listener")
 	}
-	if result != nil {
-		_ = json.Unmarshal(text, result) // an error response may have another form
-	}
 	if resp.StatusCode >= 300 {
-		return errors.Newf("operators' listener: %s %s: status %d: %.300s", method, path, resp.StatusCode, text)
+		var body operator.ErrorBody
+		_ = json.Unmarshal(text, &body) // /ready has another body
+		return &callError{method + " " + path, resp.StatusCode, body.Error.Code, string(text)}
+	}
+	if result == nil {
+		return nil
 	}
-	return nil
+	return errors.Wrap(json.Unmarshal(text, result), "operators' listener")
+}
+
+// callError is a response that is not a success.
+type callError struct {
+	what   string
+	status int
+	code   operator.ErrorCode
+	body   string
+}
+
+func (e *callError) Error() string {
+	return fmt.Sprintf("operators' listener: %s: status %d: %.500s", e.what, e.status, e.body)
 }
 
-// status is the part of a VM's status that the bench reads.
-type status struct {
-	ConfigurationVersion uint64 `json:"configuration_version"`
+// gauges is the part of a VM's metrics that the bench reads. The status would
+// make each VM ask all others.
+type gauges struct {
+	ConfigurationVersion struct {
+		Value uint64 `json:"value"`
+	} `json:"configuration.version"`
 }
 
 // Versions returns the configuration version of each VM that has one. A VM that
 // has just started has none yet and accepts no requests.
 func (f *Fleet) Versions(ctx context.Context) map[vm.ID]uint64 {
 	return each(f, func(id vm.ID) (uint64, bool) {
-		var s status
-		err := f.Operator(id).call(ctx, pollTimeout, http.MethodGet, pathStatus, nil, &s)
-		return s.ConfigurationVersion, err == nil && s.ConfigurationVersion > 0
+		var g gauges
+		err := f.Operator(id).call(ctx, pollTimeout, http.MethodGet, pathMetrics, nil, &g)
+		version := g.ConfigurationVersion.Value
+		return version, err == nil && version > 0
 	})
 }
 
--- a/bench/fleet/settings.go
+++ b/bench/fleet/settings.go
@@ -32,6 +32,7 @@
 		VM: map[string]string{"id": string(m.ID), "zone": string(m.Zone)},
 		Listen: map[string]string{
 			"callers": m.Callers, "operator": m.Operators, "forward": m.Forward, "control": m.Control,
+			"advertise_forward": m.ForwardVia, "advertise_control": m.ControlVia,
 		},
 		Security: securitySettings{
 			PeerSecret: f.secret,
--- a/bench/run.go
+++ b/bench/run.go
@@ -28,7 +28,7 @@
 	// servers start cold.
 	settleTime = 8 * time.Second
 	// versionInterval is the pace at which the VMs' versions are read.
-	versionInterval = 500 * time.Millisecond
+	versionInterval = time.Second
 )
 
 // Run is one run of an experiment. Its history is written by the goroutine of
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -79,8 +80,8 @@
 		links: &link.Links{}, traffic: &link.Traffic{},
 		self: vm.VM{
 			ID: s.VM.ID, Zone: s.VM.Zone, Incarnation: uuid.NewString(),
-			ForwardAddress: sockets.forward.Addr().String(),
-			ControlAddress: sockets.control.Addr().String(),
+			ForwardAddress: cmp.Or(s.Listen.AdvertiseForward, sockets.forward.Addr().String()),
+			ControlAddress: cmp.Or(s.Listen.AdvertiseControl, sockets.control.Addr().String()),
 		},
 	}
 	d.buildFleet(p)
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -134,6 +134,7 @@
 			return
 		case index := <-configurations:
 			d.fleet.SetConfigVersion(index.Version())
+			d.metrics.Gauge("configuration.version", int64(index.Version()))
 		case list := <-lists:
 			d.handOver(ctx, list)
 			refreshed = time.Time{}
--- a/settings/check.go
+++ b/settings/check.go
@@ -27,6 +27,7 @@
 	l.name("vm.id", string(s.VM.ID))
 	l.name("vm.zone", string(s.VM.Zone))
 	l.checkListen(&s.Listen)
+	l.checkAdvertised(&s.Listen)
 	l.checkSecurity(&s.Security)
 	l.checkPlatform(&s.Platform)
 	l.checkLimits(&s.Limits)
@@ -73,6 +74,20 @@
 	}
 }
 
+// checkAdvertised checks addresses that other VMs connect to and that need not
+// be this VM's own.
+func (l *loader) checkAdvertised(s *Listen) {
+	for _, a := range []struct{ key, value string }{
+		{"listen.advertise_forward", s.AdvertiseForward},
+		{"listen.advertise_control", s.AdvertiseControl},
+	} {
+		address, err := netip.ParseAddrPort(a.value)
+		if a.value != "" && (err != nil || address.Port() == 0 || address.Addr().IsUnspecified()) {
+			l.add(a.key, a.value, "must be empty or one IP address and port, for instance 10.0.0.7:8081")
+		}
+	}
+}
+
 func (l *loader) checkSecurity(s *Security) {
 	s.PeerSecret = l.secret("security.peer_secret", s.PeerSecret, s.PeerSecretFile)
 	if len([]rune(s.PeerSecret.Reveal())) < minPeerSecretChars {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,6 +32,11 @@
 	Forward  string `toml:"forward" json:"forward"`
 	Control  string `toml:"control" json:"control"`
 	Operator string `toml:"operator" json:"operator"`
+	// AdvertiseForward and AdvertiseControl are the addresses that other VMs are
+	// told, if they reach this VM over an address translation; by default those
+	// of the listeners.
+	AdvertiseForward string `toml:"advertise_forward" json:"advertise_forward"`
+	AdvertiseControl string `toml:"advertise_control" json:"advertise_control"`
 }
 
 // Security holds the secret that VMs share and the operators' tokens.
