--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -126,7 +126,7 @@
 func (d *Daemon) buildQuota(p Platform) {
 	d.buckets = quota.NewHomes(d.fleet, d.follower, time.Now)
 	d.tokens = quota.NewTokens(d.self, d.fleet, d.caller, time.Now)
-	d.claims = claim.New(p.Table, d.self, time.Now, d.log.Part("claim"))
+	d.claims = claim.New(d.self, p.Table, time.Now)
 }
 
 func (d *Daemon) buildRequestPath() {
@@ -137,7 +137,7 @@
 	d.forwardServer = forward.NewServer(d.self.ID, d.secret(), d.links, d.fleet, d.owner, d.forwardClient,
 		forward.Options{MaxMessageBytes: limits.BodyBytes + envelopeBytes, IdleTimeout: forwardIdle}, d.log.Part("forward"))
 	dispatcher := entry.NewDispatcher(entry.Parts{
-		Source: d.follower, Members: readiness{d}, Tokens: d.tokens, Claims: claims{d.claims},
+		Source: d.follower, Members: readiness{d}, Tokens: d.tokens, Claims: claims{d.claims, d.log.Part("claim")},
 		Forwarder: d.forwardClient, Links: d.links, Observer: d.metrics, Clock: time.Now,
 	})
 	d.front = httpfront.New(dispatcher, httpfront.Options{
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -64,7 +64,7 @@
 	wg.Go(func() { d.fleet.Run(ctx) })
 	wg.Go(func() { d.reporter.Run(ctx) })
 	wg.Go(func() { d.tokens.Run(ctx) })
-	wg.Go(func() { d.claims.Run(ctx) })
+	wg.Go(func() { d.claims.Run(ctx, claimSweeper{d.fleet}, d.claimSweepFailed) })
 	wg.Go(func() { d.followChanges(ctx) })
 	wg.Go(func() { d.sweep(ctx) })
 	d.serveListener(ctx, wg, "forward", func() error { return d.forwardServer.Serve(d.sockets.forward) })
--- a/entry/httpfront/response.go
+++ b/entry/httpfront/response.go
@@ -75,6 +75,12 @@
 
 // statusOf maps a result without a response to a status.
 func statusOf(result request.Result) int {
+	switch result.Reason {
+	case request.ReasonKeyReused:
+		return fasthttp.StatusUnprocessableEntity
+	case request.ReasonDuplicate, request.ReasonInProgress:
+		return fasthttp.StatusConflict
+	}
 	if result.Outcome == request.Unknown {
 		if result.Reason == request.ReasonDeadline {
 			return fasthttp.StatusGatewayTimeout
@@ -94,10 +100,6 @@
 		return fasthttp.StatusRequestEntityTooLarge
 	case request.ReasonRate:
 		return fasthttp.StatusTooManyRequests
-	case request.ReasonConflict:
-		return fasthttp.StatusUnprocessableEntity
-	case request.ReasonDuplicate:
-		return fasthttp.StatusConflict
 	default:
 		return fasthttp.StatusServiceUnavailable
 	}
@@ -127,8 +129,9 @@
 	request.ReasonResponseTooLarge: "The backend server's response is larger than the limit.",
 	request.ReasonCrash:            "The backend server crashed.",
 	request.ReasonStoreAway:        "Idempotency keys cannot be recorded at the moment.",
-	request.ReasonDuplicate:        "A request with this idempotency key is running, or ran and its response is not known.",
-	request.ReasonConflict:         "The idempotency key was used for another request.",
+	request.ReasonDuplicate:        "A request with this idempotency key was sent before and its response is not known.",
+	request.ReasonInProgress:       "A request with this idempotency key is still running.",
+	request.ReasonKeyReused:        "The idempotency key was used for another request.",
 	request.ReasonNotReady:         "This VM does not serve requests at the moment.",
 	request.ReasonCanceled:         "The caller closed the connection.",
 	request.ReasonOverloaded:       "This VM is overloaded.",
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -51,6 +51,8 @@
 	ServerOwner RoleKind = "server"
 	TeamHome    RoleKind = "team"
 	ServiceHome RoleKind = "service"
+	// ClaimSweeper expires old idempotency claims; its name is empty.
+	ClaimSweeper RoleKind = "claim-sweeper"
 )
 
 // Role is one duty that exactly one VM of a member list holds.
