contract: refuse JSON changes that lack a field

A JSON intent {"change":"set-zone-out","with":{"id":"a"}} was taken as a return of the zone, and a missing floor_share as a floor of 0. Each field of a change must now be present; the TOML form checked this already.

configstore: log only the start and the end of a store outage. An outage may last for hours, and each VM logged a warning every second.

--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -65,6 +65,7 @@
 	wakeCatchUp chan struct{}
 	subscribers shard.Map[string, chan *contract.Index]
 	nextID      atomic.Uint64
+	failing     atomic.Bool // the last read from the store failed
 	heard       shard.Map[vm.ID, VMVersion]
 }
 
@@ -157,10 +158,18 @@
 // this VM has no configuration yet, it asks peers.
 func (f *Follower) poll(ctx context.Context) {
 	err := f.pull(ctx)
-	if err == nil || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return
+	}
+	// An outage may last for hours, so only its start and its end are logged.
+	if failed := f.failing.Swap(err != nil); err != nil && !failed {
+		f.log.WithError(err).Warn("configuration cannot be read from the store")
+	} else if err == nil && failed {
+		f.log.Info("configuration is read from the store again")
+	}
+	if err == nil {
 		return
 	}
-	f.log.WithError(err).Warn("configuration not read from the store")
 	if !f.Loaded() {
 		f.askPeers(ctx)
 	}
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+// Guards against JSON changes whose missing values are taken as zero, and
+// against changes and fields that this version does not know.
+func TestIntentJSONIsStrict(t *testing.T) {
+	for _, change := range []string{
+		`{"change":"set-zone-out","with":{"id":"a"}}`, `{"change":"set-zone-out","with":{"id":"a","out":null}}`,
+		`{"change":"set-service","with":{"id":"s"}}`,
+		`{"change":"set-zone-out","with":{"id":"a","out":true,"x":1}}`, `{"change":"other","with":{}}`,
+		`{"change":"withdraw-key","with":null}`, `{"change":"withdraw-key"}`,
+	} {
+		var i Intent
+		if err := json.Unmarshal([]byte(`{"changes":[`+change+`]}`), &i); err == nil {
+			t.Errorf("%s was accepted as %+v", change, i)
+		}
+	}
+}
+
 // Guards against plans that hide their effect on capacity, keys and teams.
 func TestPlanShowsEffect(t *testing.T) {
 	c := base(t)
@@ -245,14 +261,15 @@
 	})
 }
 
-// Guards against panics on, and against acceptance of, malformed documents.
+// Guards against panics on, and against acceptance of, malformed intents.
 func FuzzParseIntent(f *testing.F) {
 	f.Add([]byte(baseDocument))
 	f.Add([]byte("[remove]\nkeys = [\"k1\"]\n"))
 	f.Add([]byte("[[teams]]\nid = \"x\"\nrate_per_second = nan\n"))
+	f.Add([]byte(`{"changes":[{"change":"set-zone-out","with":{"id":"a","out":true}}]}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		intent, err := ParseIntent(text)
-		if err != nil {
+		if err != nil && json.Unmarshal(text, &intent) != nil {
 			return
 		}
 		result, err := Apply(base(t), intent)
--- a/contract/intent.go
+++ b/contract/intent.go
@@ -107,9 +107,28 @@
 	if !ok {
 		return nil, errors.Newf("contract: unknown change %q", r.Change)
 	}
+	if err := requireFields(t, r.With); err != nil {
+		return nil, errors.Wrapf(err, "decoding change %s", r.Change)
+	}
 	value := reflect.New(t)
 	if err := unmarshalStrict(r.With, value.Interface()); err != nil {
 		return nil, errors.Wrapf(err, "decoding change %s", r.Change)
 	}
 	return value.Elem().Interface().(Change), nil
 }
+
+// requireFields refuses a change that lacks a field. A missing "out" would
+// return a zone, and a missing "floor_share" would remove a floor.
+func requireFields(t reflect.Type, data json.RawMessage) error {
+	var present map[string]json.RawMessage
+	if err := json.Unmarshal(data, &present); err != nil {
+		return err
+	}
+	for i := range t.NumField() {
+		name := t.Field(i).Tag.Get("json")
+		if value := string(present[name]); value == "" || value == "null" {
+			return errors.Newf("the field %q is missing", name)
+		}
+	}
+	return nil
+}
