--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -92,7 +91,7 @@
 	return d, nil
 }
 
-func (d *Daemon) secret() link.Secret { return link.Secret(d.settings.Security.PeerSecret) }
+func (d *Daemon) secret() link.Secret { return link.Secret(d.settings.Security.PeerSecret.Reveal()) }
 
 // buildFleet builds what agrees with the other VMs: links, member list,
 // configuration.
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"almondstile/backend"
@@ -62,16 +63,19 @@
 		}
 	}
 	status := operator.ServiceStatus{ID: s.ID}
-	terms, _ := outlier.TermsOf(index, s.ID)
-	status.FloorSlots = terms.FloorSlots()
+	inService := 0
 	for i := range s.Servers {
 		server := f.server(index, &s.Servers[i], states, now)
 		status.TotalSlots += server.Slots
+		if index.TakesNewWork(&s.Servers[i]) {
+			inService += server.Slots
+		}
 		if server.State == operator.ServerServing {
 			status.HealthySlots += server.Slots
 		}
 		status.Servers = append(status.Servers, server)
 	}
+	status.FloorSlots = int(math.Ceil(s.FloorShare * float64(inService)))
 	return status
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -21,11 +21,11 @@
 	return Platform{
 		Table: dynamo.New(dynamo.Options{
 			Endpoint: p.TableEndpoint, Region: p.Region, Table: p.Table,
-			AccessKey: p.AccessKey, SecretKey: string(p.SecretKey), CallTimeout: p.Timeout(),
+			AccessKey: p.AccessKey, SecretKey: p.SecretKey.Reveal(), CallTimeout: p.Timeout(),
 		}),
 		Objects: s3.New(s3.Options{
 			Endpoint: p.ObjectEndpoint, Region: p.Region, Bucket: p.Bucket,
-			AccessKey: p.AccessKey, SecretKey: string(p.SecretKey), CallTimeout: p.Timeout(),
+			AccessKey: p.AccessKey, SecretKey: p.SecretKey.Reveal(), CallTimeout: p.Timeout(),
 		}),
 		VMs: vmlist.New(vmlist.Options{URL: p.VMListURL, CallTimeout: p.Timeout()}),
 	}
--- a/demo/checks.go
+++ b/demo/checks.go
@@ -78,7 +78,7 @@
 
 // answered reports whether a call got the whole response to its own request.
 func answered(c call, g got) bool {
-	return g.status == 200 && g.outcome == "answered" && bytes.Equal(g.body, backendsim.Answer(c.operation, len(g.body))) && len(g.body) > 0
+	return g.status == 200 && g.outcome == "answered" && bytes.Equal(g.body, backendsim.Answer(c.operation, answerBytes))
 }
 
 func rejected(g got, status int, reason string) bool {
@@ -153,9 +153,14 @@
 	return detail, answered(c, first) && answered(c, second) && ran == 1
 }
 
-// checkRate sends ten requests at once for a team with a burst of 3.
-func checkRate(_ context.Context, f *fleet) (string, bool) {
-	const sent, burst = 10, 3
+// checkRate sends ten requests at once for a team with a rate of 2 a second and
+// a burst of 3, after its bucket has had the time to fill.
+func checkRate(ctx context.Context, f *fleet) (string, bool) {
+	const sent, burst, rate = 10, 3, 2
+	select {
+	case <-time.After(burst * time.Second / rate):
+	case <-ctx.Done():
+	}
 	admitted, limited := 0, 0
 	results := pool.NewWithResults[got]()
 	for i := range sent {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -21,6 +21,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 )
 
 // The demo's teams, routes and keys.
@@ -33,6 +34,7 @@
 	serversPerService = 6
 	slots             = 3
 	medianMicros      = 3000
+	answerBytes       = 512
 )
 
 var zones = []zone.ID{"scot-central-a", "scot-central-b", "scot-central-c"}
@@ -76,7 +78,10 @@
 	if err := f.apply(ctx, intent); err != nil {
 		return nil, err
 	}
-	return f, f.awaitReady(ctx)
+	if err := f.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	return f, f.awaitBuckets(ctx)
 }
 
 // close ends the VMs gracefully, then the stand-ins.
@@ -114,25 +119,24 @@
 func (f *fleet) startBackends() (contract.Intent, error) {
 	intent := contract.NewIntent()
 	for _, z := range zones {
-		intent.Changes = append(intent.Changes, contract.SetZone{Zone: zone.AvailabilityZone{ID: z, Region: "scot-central"}})
+		intent.Changes = append(intent.Changes, contract.SetZone{ID: z, Region: "scot-central"})
 	}
 	for n, service := range []contract.ServiceID{stockService, loanService} {
-		terms := contract.Service{ID: service, FloorShare: 0.5}
+		intent.Changes = append(intent.Changes, contract.SetService{ID: service, FloorShare: 0.5})
 		for i := range serversPerService {
 			id := contract.ServerID(fmt.Sprintf("%s-%d", service, i+1))
 			server, err := f.backends.Start(backendsim.Config{
 				ID: id, Seed: uint64(n*serversPerService + i + 1), Slots: slots, ColdSlots: 1, StartWarm: true,
-				MedianMicros: medianMicros, Sigma: 0.3, Secrets: []string{f.counterKey, f.bookingKey},
+				MedianMicros: medianMicros, Sigma: 0.3, AnswerBytes: answerBytes, Secrets: []string{f.counterKey, f.bookingKey},
 			})
 			if err != nil {
 				return intent, errors.Wrapf(err, "starting the backend server %s", id)
 			}
-			terms.Servers = append(terms.Servers, contract.Server{
+			intent.Changes = append(intent.Changes, contract.SetServer{Service: service, Server: contract.Server{
 				ID: id, Zone: zones[i%len(zones)], Address: server.Address(),
 				Slots: slots, ColdSlots: 1, Connections: 330,
-			})
+			}})
 		}
-		intent.Changes = append(intent.Changes, contract.SetService{Service: terms})
 	}
 	f.addTeams(&intent)
 	return intent, nil
@@ -143,8 +147,8 @@
 	intent.Changes = append(intent.Changes,
 		contract.SetTeam{Team: contract.Team{ID: counterTeam, RatePerSecond: 200, Burst: 200, Weight: 2}},
 		contract.SetTeam{Team: contract.Team{ID: bookingTeam, RatePerSecond: 2, Burst: 3, Weight: 1}},
-		contract.IssueKey{Key: contract.Key{ID: "counter-key", Team: counterTeam, SecretHash: contract.HashSecret(f.counterKey)}},
-		contract.IssueKey{Key: contract.Key{ID: "booking-key", Team: bookingTeam, SecretHash: contract.HashSecret(f.bookingKey)}},
+		contract.IssueKey{ID: "counter-key", Team: counterTeam, SecretHash: contract.HashSecret(f.counterKey)},
+		contract.IssueKey{ID: "booking-key", Team: bookingTeam, SecretHash: contract.HashSecret(f.bookingKey)},
 		contract.SetRoute{Route: contract.Route{ID: "stock", PathPrefix: "/stock", Service: stockService, Teams: both,
 			IdempotentMethods: []string{"GET", "HEAD"}, TimeoutMillis: 2000}},
 		contract.SetRoute{Route: contract.Route{ID: "loans", PathPrefix: "/loans", Service: loanService,
@@ -189,6 +193,19 @@
 	})
 }
 
+// awaitBuckets waits until each team's home lends tokens: a new home first lets
+// the loans of a former one expire.
+func (f *fleet) awaitBuckets(ctx context.Context) error {
+	return f.await(ctx, "each team's requests are admitted", func() bool {
+		for _, credential := range []string{f.counter(), f.booking()} {
+			if f.send(0, get("/stock/hut-7", credential)).status != fasthttp.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 const pollInterval = 50 * time.Millisecond
 
 // await polls until the condition holds or the context ends.
