--- /dev/null
+++ b/quota/allowance.go
@@ -0,0 +1,153 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"almondstile/contract"
+)
+
+const (
+	// demandMemory is the time constant of the demand estimate. It is long
+	// enough that the burst of a small team does not look like lasting demand.
+	demandMemory = time.Second
+	// targetHold is the time for which the held tokens should last.
+	targetHold = 100 * time.Millisecond
+	// idleReturn is the age at which an unfinished loan goes back. Tokens that
+	// lie idle here are missing at the other VMs.
+	idleReturn = 200 * time.Millisecond
+	// maxRefusalMemory bounds the time for which a refusal is answered without
+	// asking the home, because returns may free tokens before they are due.
+	maxRefusalMemory = 100 * time.Millisecond
+)
+
+// heldLoan is a loan at its holder.
+type heldLoan struct {
+	id         string
+	sent       time.Time
+	validUntil time.Time
+	used       int
+	left       int
+}
+
+// Allowance holds a team's tokens on loan at an entry VM. Its times are
+// readings of this VM's monotonic clock.
+type Allowance struct {
+	demandPerSecond float64
+	demandAt        time.Time
+	loans           []heldLoan // oldest first, each with tokens left
+	refusedUntil    time.Time
+	retryAt         time.Time
+	noPrefetchUntil time.Time
+}
+
+// Observe counts one request in the demand estimate.
+func (a *Allowance) Observe(now time.Time) {
+	a.demandPerSecond = a.demand(now) + 1/demandMemory.Seconds()
+	a.demandAt = now
+}
+
+func (a *Allowance) demand(now time.Time) float64 {
+	if a.demandPerSecond == 0 {
+		return 0
+	}
+	return a.demandPerSecond * math.Exp(-now.Sub(a.demandAt).Seconds()/demandMemory.Seconds())
+}
+
+// Use uses one held token. If that finishes a loan, the loan's return is
+// appended to closed and must be sent to the home at once.
+func (a *Allowance) Use(now time.Time, team contract.TeamID, closed []LoanReturn) (bool, []LoanReturn) {
+	a.dropExpired(now)
+	if len(a.loans) == 0 {
+		return false, closed
+	}
+	l := &a.loans[0]
+	l.left--
+	l.used++
+	if l.left == 0 {
+		closed = append(closed, LoanReturn{Team: team, LoanID: l.id, Used: l.used})
+		a.dropFirst()
+	}
+	return true, closed
+}
+
+// Want returns the size of the next take for the requests that wait now: what
+// they need, and what will be needed in the next 100 ms beyond the held tokens.
+func (a *Allowance) Want(now time.Time, waiting int) (needed, wanted int) {
+	ahead := int(a.demand(now)*targetHold.Seconds()) - a.held()
+	return waiting, waiting + max(ahead, 0)
+}
+
+// Low reports whether tokens should be taken ahead of need: less than half of
+// what the demand uses in 100 ms is held, and no recent take fell short.
+func (a *Allowance) Low(now time.Time) bool {
+	target := int(a.demand(now) * targetHold.Seconds())
+	return target >= 1 && 2*a.held() < target && !now.Before(a.noPrefetchUntil)
+}
+
+// Add adds a granted loan. Its validity counts from when the take was sent,
+// which is before the home granted it.
+func (a *Allowance) Add(id string, sent time.Time, tokens int, validFor time.Duration) {
+	if tokens > 0 {
+		a.loans = append(a.loans, heldLoan{
+			id:         id,
+			sent:       sent,
+			validUntil: sent.Add(min(validFor, LoanValidity)),
+			left:       tokens,
+		})
+	}
+}
+
+// DelayPrefetch remembers that the home had less than was wanted.
+func (a *Allowance) DelayPrefetch(now time.Time) {
+	a.noPrefetchUntil = now.Add(targetHold)
+}
+
+// Refuse remembers that the home has no token for the given time.
+func (a *Allowance) Refuse(now time.Time, retryAfter time.Duration) {
+	a.retryAt = now.Add(retryAfter)
+	a.refusedUntil = now.Add(min(retryAfter, maxRefusalMemory))
+}
+
+// Refused reports whether a recent refusal still holds, and the time until the
+// next token is due.
+func (a *Allowance) Refused(now time.Time) (retryAfter time.Duration, refused bool) {
+	return a.retryAt.Sub(now), now.Before(a.refusedUntil)
+}
+
+// CloseIdle appends the returns of the loans that were not used up in time.
+func (a *Allowance) CloseIdle(now time.Time, team contract.TeamID, closed []LoanReturn) []LoanReturn {
+	a.dropExpired(now)
+	for len(a.loans) > 0 && now.Sub(a.loans[0].sent) >= idleReturn {
+		closed = append(closed, LoanReturn{Team: team, LoanID: a.loans[0].id, Used: a.loans[0].used})
+		a.dropFirst()
+	}
+	return closed
+}
+
+// Idle reports whether nothing is held and nothing was asked for the time.
+func (a *Allowance) Idle(now time.Time, after time.Duration) bool {
+	return len(a.loans) == 0 && now.Sub(a.demandAt) >= after
+}
+
+func (a *Allowance) held() int {
+	sum := 0
+	for i := range a.loans {
+		sum += a.loans[i].left
+	}
+	return sum
+}
+
+func (a *Allowance) dropExpired(now time.Time) {
+	for len(a.loans) > 0 && !now.Before(a.loans[0].validUntil) {
+		a.dropFirst()
+	}
+}
+
+func (a *Allowance) dropFirst() {
+	a.loans[0] = heldLoan{}
+	a.loans = a.loans[1:]
+	if len(a.loans) == 0 {
+		a.loans = nil
+	}
+}
