--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,85 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"almondstile/request"
+
+	"pgregory.net/rapid"
+)
+
+// Guards P10 and the deadline: a repeat of a request that may have run, of an
+// answered one, past the deadline or without end.
+func TestDecideNeverRepeatsWhatMayHaveRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		result := request.Result{
+			Outcome: rapid.SampledFrom([]request.Outcome{request.Answered, request.NotRun, request.Unknown}).Draw(t, "outcome"),
+			Reason: rapid.SampledFrom([]request.Reason{
+				request.ReasonConnect, request.ReasonBusy, request.ReasonEjected, request.ReasonNotOwner, request.ReasonShed,
+				request.ReasonLeaving, request.ReasonRate, request.ReasonQuarantined, request.ReasonDeadline, request.ReasonLostResponse,
+				request.ReasonTruncated, request.ReasonCrash, request.ReasonStoreAway, request.ReasonDuplicate,
+			}).Draw(t, "reason"),
+		}
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		attempt := rapid.IntRange(1, 10).Draw(t, "attempt")
+		left := time.Duration(rapid.IntRange(-5, 200).Draw(t, "left_ms")) * time.Millisecond
+		if Decide(result, idempotent, attempt, left) == Stop {
+			return
+		}
+		redirect := result.Reason == request.ReasonNotOwner || result.Reason == request.ReasonEjected
+		if result.Outcome == request.Answered || result.Outcome == request.Unknown && !idempotent || left <= 0 ||
+			attempt >= maxAttempts && !(redirect && result.Outcome == request.NotRun) || attempt >= maxAttemptsWithRedirects {
+			t.Fatalf("%+v, idempotent %v, attempt %d, %v left is tried again", result, idempotent, attempt, left)
+		}
+	})
+}
+
+// Guards against giving up although another server may do better, and against
+// trying again where every server gives the same answer.
+func TestDecideByReason(t *testing.T) {
+	for reason, want := range map[request.Reason]Decision{
+		request.ReasonConnect: Retry, request.ReasonBusy: Retry, request.ReasonShed: Retry, request.ReasonLeaving: Retry,
+		request.ReasonNotOwner: Redirect, request.ReasonEjected: Redirect,
+		request.ReasonQuarantined: Stop, request.ReasonRate: Stop, request.ReasonStoreAway: Stop,
+	} {
+		if got := Decide(request.Rejected(reason), false, 1, time.Second); got != want {
+			t.Errorf("not run, %s: %d, want %d", reason, got, want)
+		}
+	}
+	if Decide(request.Lost(request.ReasonTruncated), true, 2, time.Second) != Retry {
+		t.Error("an idempotent request with a truncated response was given up")
+	}
+	if Decide(request.Lost(request.ReasonCrash), true, 1, time.Second) != Stop {
+		t.Error("a request that crashed a server was sent to the next one")
+	}
+}
+
+// Guards against retries that multiply the load on a failing service: at most
+// 20% of the recent successes plus 3, for each service by itself.
+func TestBudgetLimitsRetries(t *testing.T) {
+	var b Budgets
+	now := time.Unix(1000, 0)
+	spend := func() (n int) {
+		for b.Spend(now, "a") {
+			n++
+		}
+		return n
+	}
+	if n := spend(); n != 3 {
+		t.Fatalf("%d retries without a success", n)
+	}
+	for range 100 {
+		b.Succeeded(now, "a")
+	}
+	if n := spend(); n != 20 {
+		t.Fatalf("%d retries for 100 successes", n)
+	}
+	if !b.Spend(now, "b") {
+		t.Fatal("another service has no budget")
+	}
+	now = now.Add(time.Hour)
+	if n := spend(); n != 3 {
+		t.Fatalf("%d retries long after all successes", n)
+	}
+}
