--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -276,7 +276,7 @@
 			}
 			return result
 		}
-		expect(loan("3", "key"), request.Unknown, ReasonInProgress)
+		expect(loan("3", "key"), request.Unknown, request.ReasonInProgress)
 		time.Sleep(2 * time.Second)
 		expect(loan("4", "key"), request.Unknown, request.ReasonDuplicate)
 		header := []request.Field{{Name: "Set-Cookie", Value: "s"}, {Name: "Content-Type", Value: "text/plain"}}
@@ -290,7 +290,7 @@
 		}
 		other := loan("6", "key")
 		other.Body = []byte("other")
-		expect(other, request.NotRun, ReasonKeyReused)
+		expect(other, request.NotRun, request.ReasonKeyReused)
 		done.Body = make([]byte, MaxReplayBytes+1)
 		if err := big.Finish(ctx, done); err != nil {
 			t.Fatal(err)
--- a/claim/row.go
+++ b/claim/row.go
@@ -23,14 +23,6 @@
 	maxReplayHeaderBytes = 8 << 10
 )
 
-// Reasons that only claims give.
-const (
-	// ReasonKeyReused rejects another request with the key of an earlier one.
-	ReasonKeyReused request.Reason = "idempotency-key-reused"
-	// ReasonInProgress says that an earlier request with the key still runs.
-	ReasonInProgress request.Reason = "in-progress"
-)
-
 type state string
 
 const (
@@ -100,11 +92,11 @@
 func (r row) answer(now time.Time, fingerprint string) request.Result {
 	switch {
 	case r.Fingerprint != fingerprint:
-		return request.Rejected(ReasonKeyReused)
+		return request.Rejected(request.ReasonKeyReused)
 	case r.State == stateDone && r.Response != nil:
 		return r.Response.replay()
 	case r.State == stateOpen && now.UnixMilli() < r.OpenUntilMillis:
-		result := request.Lost(ReasonInProgress)
+		result := request.Lost(request.ReasonInProgress)
 		result.RetryAfter = time.Duration(r.OpenUntilMillis-now.UnixMilli()) * time.Millisecond
 		return result
 	default:
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -9,6 +9,7 @@
 	"almondstile/link"
 	"almondstile/quota"
 	"almondstile/request"
+	"almondstile/retry"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -71,7 +72,7 @@
 type Dispatcher struct {
 	parts    Parts
 	selector *selector
-	retries  *retries
+	budgets  retry.Budgets
 }
 
 // NewDispatcher returns a dispatcher.
@@ -79,7 +80,6 @@
 	return &Dispatcher{
 		parts:    parts,
 		selector: newSelector(parts.Members, parts.Links),
-		retries:  newRetries(),
 	}
 }
 
@@ -190,12 +190,29 @@
 		tried[choice.server.ID] = true
 		req.Server = choice.server.ID
 		last = d.send(ctx, choice, req)
-		if !d.retries.allow(req, last, attempts+1, req.Deadline.Sub(d.parts.Clock())) {
+		if !d.mayRepeat(req, last, attempts+1) {
 			return last, attempts + 1
 		}
 	}
 }
 
+// mayRepeat decides whether another attempt follows, and charges the service's
+// retry budget for it.
+func (d *Dispatcher) mayRepeat(req *request.Request, last request.Result, attempts int) bool {
+	now := d.parts.Clock()
+	if last.Outcome == request.Answered {
+		d.budgets.Succeeded(now, req.Service)
+	}
+	switch retry.Decide(last, req.Idempotent, attempts, req.Deadline.Sub(now)) {
+	case retry.Redirect:
+		return true
+	case retry.Retry:
+		return d.budgets.Spend(now, req.Service)
+	default:
+		return false
+	}
+}
+
 func (d *Dispatcher) send(ctx context.Context, c choice, req *request.Request) request.Result {
 	d.selector.started(c.server.ID)
 	defer d.selector.finished(c.server.ID)
