--- a/bench/fleet/operators.go
+++ b/bench/fleet/operators.go
@@ -20,8 +20,8 @@
 // Paths of the operators' listener.
 const (
 	pathReady  = "/ready"
-	pathStatus = "/status"
-	pathPlans  = "/plans"
+	pathStatus = "/v1/status"
+	pathPlans  = "/v1/plans"
 )
 
 // ErrBaseChanged says that another operator's plan was accepted first.
