bench: count quiet gaps only inside the period; save the records

Change: the search stops at the period's end, with a test; each run saves its calls and executions as JSON lines so that findings can be traced.

--- a/bench/check/check_test.go
+++ b/bench/check/check_test.go
@@ -189,6 +189,9 @@
 	if !found || took < 1900*time.Millisecond || took > 2*time.Second {
 		t.Fatalf("found %t after %s", found, took)
 	}
+	if _, found := h.Detection("s0", at(0), at(3)); found {
+		t.Fatal("a gap after the period counts")
+	}
 	if _, found := h.Detection("s1", at(2), at(10)); found {
 		t.Fatal("a server with traffic counts as detected")
 	}
--- a/bench/check/measures.go
+++ b/bench/check/measures.go
@@ -30,16 +30,19 @@
 // last request before a quiet gap, or false if there was no gap by until.
 func (h *History) Detection(id contract.ServerID, begin, until time.Time) (time.Duration, bool) {
 	last := begin
-	for _, at := range append(h.starts(id), until) {
+	for _, at := range h.starts(id) {
 		if at.Before(begin) {
 			continue
 		}
+		if at.After(until) {
+			break
+		}
 		if at.Sub(last) >= quietGap {
 			return last.Sub(begin), true
 		}
 		last = at
 	}
-	return 0, false
+	return last.Sub(begin), until.Sub(last) >= quietGap
 }
 
 // QuietServers returns the servers of a service that had a quiet gap between
--- a/bench/exp_servers.go
+++ b/bench/exp_servers.go
@@ -66,8 +66,8 @@
 	},
 }
 
-// firstServiceOnly sends the first service its share of the load as idempotent
-// calls, and nothing to the others.
+// firstServiceOnly sends the first service its share of the usual load, and
+// nothing to the others.
 func firstServiceOnly(r *Run, p *load.Profile) {
 	total := 0
 	for _, s := range r.Deployment.Services {
--- a/bench/load/timetable.go
+++ b/bench/load/timetable.go
@@ -34,7 +34,7 @@
 	Kind       Kind
 	Team       contract.TeamID // empty if the call carries no valid key
 	Key        contract.KeyID
-	Credential string
+	Credential string `json:"-"` // not for the saved records
 	Service    contract.ServiceID
 	Method     string
 	Path       string
--- a/bench/run.go
+++ b/bench/run.go
@@ -83,7 +83,7 @@
 	for _, f := range r.findings() {
 		rep.print(e.Name, o, f)
 	}
-	return nil
+	return saveRecords(o, e.Name, &r.history)
 }
 
 // play sends the load while the steps and the reading of versions go on.
