entry: ask for a free slot before waiting in a queue

Cause: an entry VM knows the servers' load only from its own replies, so a request waited in one server's queue while others had free slots. Change: up to three servers are asked without queueing; replies carry the server's own load.

--- a/backend/server.go
+++ b/backend/server.go
@@ -115,6 +115,10 @@
 		t.reject(request.ReasonDeadline)
 		return
 	}
+	if t.noQueue && s.inFlight+s.queue.length >= s.limit(o) {
+		t.reject(request.ReasonNoSlot)
+		return
+	}
 	if rejected := s.queue.push(t, o); rejected != nil {
 		rejected.reject(request.ReasonBusy)
 	}
--- a/backend/state.go
+++ b/backend/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"time"
 
 	"almondstile/contract"
 
@@ -40,24 +41,30 @@
 func EncodeStates(states []ServerState) []byte {
 	b := []byte{stateVersion}
 	for _, s := range states {
-		b = binary.AppendUvarint(b, uint64(len(s.Server)))
-		b = append(b, s.Server...)
-		var flags byte
-		if s.Ejected {
-			flags |= flagEjected
-		}
-		if s.LowWeight {
-			flags |= flagLowWeight
-		}
-		if s.Warm {
-			flags |= flagWarm
-		}
-		load := min(max(s.Load, 0), maxLoad)
-		b = binary.AppendUvarint(append(b, flags), uint64(math.Round(load*loadUnit)))
+		b = appendState(b, s)
 	}
 	return b
 }
 
+// appendState adds the state of one server. A later state of a server replaces
+// an earlier one when the decoded states are taken in order.
+func appendState(b []byte, s ServerState) []byte {
+	b = binary.AppendUvarint(b, uint64(len(s.Server)))
+	b = append(b, s.Server...)
+	var flags byte
+	if s.Ejected {
+		flags |= flagEjected
+	}
+	if s.LowWeight {
+		flags |= flagLowWeight
+	}
+	if s.Warm {
+		flags |= flagWarm
+	}
+	load := min(max(s.Load, 0), maxLoad)
+	return binary.AppendUvarint(append(b, flags), uint64(math.Round(load*loadUnit)))
+}
+
 // DecodeStates reverses EncodeStates. Nothing encoded means nothing known.
 func DecodeStates(b []byte) ([]ServerState, error) {
 	if len(b) == 0 {
@@ -101,3 +108,21 @@
 	b, _ := s.states.Load(service)
 	return b
 }
+
+// ServiceStateWith returns the encoded state of the service with the newest
+// state of one owned server, which is more recent than the service home's view.
+func (s *Servers) ServiceStateWith(now time.Time, service contract.ServiceID, id contract.ServerID) []byte {
+	known := s.ServiceState(service)
+	own, ok := s.Status(now, id)
+	if !ok {
+		return known
+	}
+	b := make([]byte, 0, len(known)+len(id)+8)
+	if b = append(b, known...); len(b) == 0 {
+		b = append(b, stateVersion)
+	}
+	return appendState(b, ServerState{
+		Server: id, Ejected: own.Standing == Ejected, LowWeight: own.Standing == LowWeight,
+		Warm: own.Warm, Load: own.Load(),
+	})
+}
--- a/backend/ticket.go
+++ b/backend/ticket.go
@@ -29,6 +29,7 @@
 	team     contract.TeamID
 	weight   int
 	deadline time.Time
+	noQueue  bool
 	state    ticketState
 	// decided has room for the single decision, so that deciding never blocks.
 	decided chan Decision
@@ -40,6 +41,7 @@
 		team:     r.Team,
 		weight:   max(1, r.Weight),
 		deadline: r.Deadline,
+		noQueue:  r.NoQueue,
 		decided:  make(chan Decision, 1),
 	}
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -177,25 +177,53 @@
 	return &rejected
 }
 
-// attempt sends the request to servers until one attempt settles it.
+// maxFullServers is the number of servers without a free slot that a request
+// asks before it waits in a queue. Each ask costs a hop; more of them seldom
+// find a slot that the first ones did not.
+const maxFullServers = 3
+
+// attempt sends the request to servers until one attempt settles it. As long as
+// a server may have a free slot, it does not wait in the queue of another one.
 func (d *Dispatcher) attempt(ctx context.Context, req *request.Request) (request.Result, int) {
-	tried := make(map[contract.ServerID]bool)
+	tried, full := make(map[contract.ServerID]bool), make(map[contract.ServerID]bool)
 	last := request.Rejected(request.ReasonNoServer)
 	for attempts := 0; ; attempts++ {
-		now := d.parts.Clock()
-		choice, ok := d.selector.choose(d.parts.Source.Index(), req.Service, tried, now)
+		c, ok := d.next(req, tried, full)
 		if !ok {
 			return last, attempts
 		}
-		tried[choice.server.ID] = true
-		req.Server = choice.server.ID
-		last = d.send(ctx, choice, req)
+		tried[c.server.ID] = true
+		last = d.send(ctx, c, req)
+		if last.Outcome == request.NotRun && last.Reason == request.ReasonNoSlot {
+			full[c.server.ID] = true
+		}
 		if !d.mayRepeat(req, last, attempts+1) {
 			return last, attempts + 1
 		}
 	}
 }
 
+// next selects the server of the next attempt and decides whether the request
+// may wait there. Servers that had no free slot may be waited for when no other
+// server is left or enough of them were asked.
+func (d *Dispatcher) next(req *request.Request, tried, full map[contract.ServerID]bool) (choice, bool) {
+	index, now := d.parts.Source.Index(), d.parts.Clock()
+	if len(full) < maxFullServers {
+		if c, ok := d.selector.choose(index, req.Service, tried, now); ok {
+			req.Server, req.NoQueue = c.server.ID, true
+			return c, true
+		}
+	}
+	for id := range full {
+		delete(tried, id)
+	}
+	c, ok := d.selector.choose(index, req.Service, tried, now)
+	if ok {
+		req.Server, req.NoQueue = c.server.ID, false
+	}
+	return c, ok
+}
+
 // mayRepeat decides whether another attempt follows, and charges the service's
 // retry budget for it.
 func (d *Dispatcher) mayRepeat(req *request.Request, last request.Result, attempts int) bool {
--- a/forward/message.go
+++ b/forward/message.go
@@ -45,6 +45,7 @@
 	Target     string             `json:"target"`
 	Header     []request.Field    `json:"header,omitempty"`
 	Idempotent bool               `json:"idempotent,omitempty"`
+	NoQueue    bool               `json:"no_queue,omitempty"`
 	// Relayed messages are not relayed again.
 	Relayed bool `json:"relayed,omitempty"`
 }
@@ -104,8 +105,8 @@
 		ID: e.ID, Route: e.Route, Service: e.Service, Server: e.Server,
 		Team: e.Team, Key: e.Key, Weight: e.Weight,
 		Method: e.Method, Target: e.Target, Header: e.Header, Body: body,
-		Idempotent: e.Idempotent,
-		Deadline:   now.Add(time.Duration(e.LeftMicros) * time.Microsecond),
+		Idempotent: e.Idempotent, NoQueue: e.NoQueue,
+		Deadline: now.Add(time.Duration(e.LeftMicros) * time.Microsecond),
 	}
 }
 
@@ -116,7 +117,7 @@
 		ID:         req.ID, Route: req.Route, Service: req.Service, Server: req.Server,
 		Team: req.Team, Key: req.Key, Weight: req.Weight,
 		Method: req.Method, Target: req.Target, Header: req.Header,
-		Idempotent: req.Idempotent, Relayed: relayed,
+		Idempotent: req.Idempotent, NoQueue: req.NoQueue, Relayed: relayed,
 	}
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -69,7 +69,7 @@
 			o.parts.Log.WithField("panic", p).Error("Running a request panicked.")
 			result = request.Lost(request.ReasonInternal)
 		}
-		result.ServiceState = o.parts.Servers.ServiceState(req.Service)
+		result.ServiceState = o.parts.Servers.ServiceStateWith(o.parts.Clock(), req.Service, req.Server)
 	}()
 	if reason := o.check(req); reason != request.ReasonNone {
 		return request.Rejected(reason)
--- a/request/request.go
+++ b/request/request.go
@@ -33,6 +33,9 @@
 	Deadline time.Time
 	// Server is the backend server of this attempt.
 	Server contract.ServerID
+	// NoQueue asks the server's owner to reject the attempt at once if no slot
+	// is free, because another server may have one.
+	NoQueue bool
 }
 
 // Outcome says whether a request took effect.
@@ -62,6 +65,7 @@
 	ReasonTooLarge         Reason = "too-large"
 	ReasonRate             Reason = "rate-limited"
 	ReasonNoServer         Reason = "no-server"
+	ReasonNoSlot           Reason = "no-free-slot"
 	ReasonBusy             Reason = "busy"
 	ReasonDeadline         Reason = "deadline"
 	ReasonEjected          Reason = "ejected"
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -55,7 +55,7 @@
 // afterNotRun tells the reasons that another server may not share.
 func afterNotRun(reason request.Reason) Decision {
 	switch reason {
-	case request.ReasonNotOwner, request.ReasonEjected:
+	case request.ReasonNotOwner, request.ReasonEjected, request.ReasonNoSlot:
 		return Redirect
 	case request.ReasonConnect, request.ReasonBusy, request.ReasonShed, request.ReasonLeaving:
 		return Retry
