entry: never say "not run" after an attempt that may have run

Cause: an idempotent request whose first attempt lost its response was repeated, and when the repeat was rejected, the caller got the repeat's "not run" although the first attempt may have run. Change: the result of the attempt that may have run stands. Responses with a status from 500 on are repeated on idempotent routes, within the retry budget, and the last one is returned if no server does better. Ruled out: a wrong classification in httpconn (its tests pass).

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -187,22 +187,36 @@
 func (d *Dispatcher) attempt(ctx context.Context, req *request.Request) (request.Result, int) {
 	tried, full := make(map[contract.ServerID]bool), make(map[contract.ServerID]bool)
 	last := request.Rejected(request.ReasonNoServer)
+	var ran *request.Result // the newest result of an attempt that may have run
 	for attempts := 0; ; attempts++ {
 		c, ok := d.next(req, tried, full)
 		if !ok {
-			return last, attempts
+			return settle(last, ran), attempts
 		}
 		tried[c.server.ID] = true
 		last = d.send(ctx, c, req)
+		if last.Outcome != request.NotRun {
+			ran = &request.Result{}
+			*ran = last
+		}
 		if last.Outcome == request.NotRun && last.Reason == request.ReasonNoSlot {
 			full[c.server.ID] = true
 		}
 		if !d.mayRepeat(req, last, attempts+1) {
-			return last, attempts + 1
+			return settle(last, ran), attempts + 1
 		}
 	}
 }
 
+// settle returns the result of the whole request. If an attempt may have run,
+// the rejection of a later one does not mean that the request did not run.
+func settle(last request.Result, ran *request.Result) request.Result {
+	if last.Outcome == request.NotRun && ran != nil {
+		return *ran
+	}
+	return last
+}
+
 // next selects the server of the next attempt and decides whether the request
 // may wait there. Servers that had no free slot may be waited for when no other
 // server is left or enough of them were asked.
@@ -228,7 +242,7 @@
 // retry budget for it.
 func (d *Dispatcher) mayRepeat(req *request.Request, last request.Result, attempts int) bool {
 	now := d.parts.Clock()
-	if last.Outcome == request.Answered {
+	if last.Outcome == request.Answered && last.Status < retry.FirstServerError {
 		d.budgets.Succeeded(now, req.Service)
 	}
 	switch retry.Decide(last, req.Idempotent, attempts, req.Deadline.Sub(now)) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -10,6 +10,7 @@
 	"almondstile/logging"
 	"almondstile/outlier"
 	"almondstile/request"
+	"almondstile/retry"
 	"almondstile/upstream"
 	"almondstile/vm"
 )
@@ -137,14 +138,11 @@
 	}
 }
 
-// firstServerError is the lowest status that blames the server.
-const firstServerError = 500
-
 // judge turns an exchange into evidence about its server.
 func judge(e upstream.Exchange) backend.Sample {
 	sample := backend.Sample{Latency: e.Latency, Instance: e.Instance}
 	switch {
-	case e.Result.Outcome == request.Answered && e.Result.Status >= firstServerError:
+	case e.Result.Outcome == request.Answered && e.Result.Status >= retry.FirstServerError:
 		sample.Outcome = backend.ErrorStatus
 	case e.Result.Outcome == request.Answered:
 		sample.Outcome = backend.OK
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -16,6 +16,9 @@
 	// minTimeLeft is the time below which another attempt is pointless: one
 	// hop between zones and back takes about 3 ms.
 	minTimeLeft = 5 * time.Millisecond
+	// FirstServerError is the lowest status that blames the server rather than
+	// the request, so that another server may answer better.
+	FirstServerError = 500
 )
 
 // Decision says what follows a failed attempt.
@@ -37,6 +40,10 @@
 	switch result.Outcome {
 	case request.NotRun:
 		decision = afterNotRun(result.Reason)
+	case request.Answered:
+		if idempotent && result.Status >= FirstServerError {
+			decision = Retry
+		}
 	case request.Unknown:
 		if idempotent && mayRepeat(result.Reason) {
 			decision = Retry
