--- a/owner/owner.go
+++ b/owner/owner.go
@@ -10,6 +10,7 @@
 	"almondstile/logging"
 	"almondstile/outlier"
 	"almondstile/request"
+	"almondstile/retry"
 	"almondstile/upstream"
 	"almondstile/vm"
 )
@@ -69,7 +70,7 @@
 			o.parts.Log.WithField("panic", p).Error("Running a request panicked.")
 			result = request.Lost(request.ReasonInternal)
 		}
-		result.ServiceState = o.parts.Servers.ServiceState(req.Service)
+		result.ServiceState = o.parts.Servers.ServiceStateWith(o.parts.Clock(), req.Service, req.Server)
 	}()
 	if reason := o.check(req); reason != request.ReasonNone {
 		return request.Rejected(reason)
@@ -137,14 +138,11 @@
 	}
 }
 
-// firstServerError is the lowest status that blames the server.
-const firstServerError = 500
-
 // judge turns an exchange into evidence about its server.
 func judge(e upstream.Exchange) backend.Sample {
 	sample := backend.Sample{Latency: e.Latency, Instance: e.Instance}
 	switch {
-	case e.Result.Outcome == request.Answered && e.Result.Status >= firstServerError:
+	case e.Result.Outcome == request.Answered && e.Result.Status >= retry.FirstServerError:
 		sample.Outcome = backend.ErrorStatus
 	case e.Result.Outcome == request.Answered:
 		sample.Outcome = backend.OK
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -16,6 +16,9 @@
 	// minTimeLeft is the time below which another attempt is pointless: one
 	// hop between zones and back takes about 3 ms.
 	minTimeLeft = 5 * time.Millisecond
+	// FirstServerError is the lowest status that blames the server rather than
+	// the request, so that another server may answer better.
+	FirstServerError = 500
 )
 
 // Decision says what follows a failed attempt.
@@ -37,6 +40,10 @@
 	switch result.Outcome {
 	case request.NotRun:
 		decision = afterNotRun(result.Reason)
+	case request.Answered:
+		if idempotent && result.Status >= FirstServerError {
+			decision = Retry
+		}
 	case request.Unknown:
 		if idempotent && mayRepeat(result.Reason) {
 			decision = Retry
@@ -55,7 +62,7 @@
 // afterNotRun tells the reasons that another server may not share.
 func afterNotRun(reason request.Reason) Decision {
 	switch reason {
-	case request.ReasonNotOwner, request.ReasonEjected:
+	case request.ReasonNotOwner, request.ReasonEjected, request.ReasonNoSlot:
 		return Redirect
 	case request.ReasonConnect, request.ReasonBusy, request.ReasonShed, request.ReasonLeaving:
 		return Retry
