entry: bound the requests under way in all and per team

Cause: a team with slow requests could hold all of a VM's memory and sockets. Change: two limits in the settings; a request over them is rejected as not run. Measured: the unit tests of entry and settings pass; not measured under load.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,6 +138,7 @@
 	dispatcher := entry.NewDispatcher(entry.Parts{
 		Source: d.follower, Members: readiness{d}, Tokens: d.tokens, Claims: claims{d.claims, d.log.Part("claim")},
 		Forwarder: d.forwardClient, Links: d.links, Observer: d.metrics, Clock: time.Now,
+		Limits: entry.Limits{Requests: limits.Requests, RequestsPerTeam: limits.RequestsPerTeam},
 	})
 	d.front = httpfront.New(dispatcher, httpfront.Options{
 		MaxHeaderBytes: limits.HeaderBytes, MaxBodyBytes: limits.BodyBytes, MaxConnections: limits.Connections,
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -65,6 +65,7 @@
 	Forwarder Forwarder
 	Links     *link.Links
 	Observer  Observer
+	Limits    Limits
 	Clock     func() time.Time
 }
 
@@ -73,6 +74,7 @@
 	parts    Parts
 	selector *selector
 	budgets  retry.Budgets
+	inFlight inFlight
 }
 
 // NewDispatcher returns a dispatcher.
@@ -80,6 +82,7 @@
 	return &Dispatcher{
 		parts:    parts,
 		selector: newSelector(parts.Members, parts.Links),
+		inFlight: inFlight{limits: parts.Limits},
 	}
 }
 
@@ -101,6 +104,10 @@
 	if err != nil {
 		return request.Rejected(reasonOf(err)), 0
 	}
+	if !d.inFlight.enter(req.Team) {
+		return request.Rejected(request.ReasonOverloaded), 0
+	}
+	defer d.inFlight.leave(req.Team)
 	req.Deadline = in.Arrived.Add(route.Timeout())
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
--- a/entry/dispatcher_test.go
+++ b/entry/dispatcher_test.go
@@ -131,3 +131,23 @@
 		t.Errorf("over the rate: got %+v after %d attempts", got, len(s.attempts))
 	}
 }
+
+// Guards against one team's slow requests using up the VM for the others.
+func TestRequestsUnderWayAreBoundedPerTeam(t *testing.T) {
+	f := inFlight{limits: Limits{Requests: 5, RequestsPerTeam: 3}}
+	for i := range 4 {
+		if got, want := f.enter("slow"), i < 3; got != want {
+			t.Errorf("request %d of the slow team: admitted %v", i, got)
+		}
+	}
+	if !f.enter("other") || !f.enter("other") {
+		t.Error("the other team is rejected although it is within its limit")
+	}
+	if f.enter("third") {
+		t.Error("a request over the limit of the VM is admitted")
+	}
+	f.leave("slow")
+	if !f.enter("slow") || f.enter("third") {
+		t.Error("a place that was left is not the next request's")
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -136,6 +136,8 @@
 	l.inRange("limits.write_timeout_ms", s.WriteTimeoutMillis, 10, day)
 	l.inRange("limits.idle_timeout_ms", s.IdleTimeoutMillis, 10, day)
 	l.inRange("limits.queue_length", s.QueueLength, 0, 100_000)
+	l.inRange("limits.requests", s.Requests, 1, 1_000_000)
+	l.inRange("limits.requests_per_team", s.RequestsPerTeam, 1, 1_000_000)
 }
 
 // typeOf describes the type that the settings have at a key.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,6 +92,10 @@
 	WriteTimeoutMillis int `toml:"write_timeout_ms" json:"write_timeout_ms"` // 10000
 	IdleTimeoutMillis  int `toml:"idle_timeout_ms" json:"idle_timeout_ms"`   // 60000
 	QueueLength        int `toml:"queue_length" json:"queue_length"`         // 64, per backend server
+	// Requests and RequestsPerTeam bound the requests under way on this VM, in
+	// all (2048) and of one team (512).
+	Requests        int `toml:"requests" json:"requests"`
+	RequestsPerTeam int `toml:"requests_per_team" json:"requests_per_team"`
 }
 
 // ReadTimeout bounds the reading of one request.
@@ -133,6 +137,8 @@
 			WriteTimeoutMillis: 10_000,
 			IdleTimeoutMillis:  60_000,
 			QueueLength:        64,
+			Requests:           2048,
+			RequestsPerTeam:    512,
 		},
 		Log:      Log{Level: "info"},
 		Shutdown: Shutdown{LimitMillis: 30_000},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -91,6 +91,7 @@
 		`bucket = "almondstile"`:              `bukket = "misspelled-secret"`,
 		`timeout_ms = 2000`:                   `timeout_ms = "2s"`,
 		`queue_length = 64`:                   `queue_length = -1`,
+		`requests_per_team = 512`:             `requests_per_team = 0`,
 		`vm_list_url = "http://`:              `vm_list_url = "http://user:url-password@`,
 		`level = "info"`:                      `level = "loud"`,
 		`limit_ms = 30000`:                    `limit_ms = 1.5`,
@@ -119,7 +120,7 @@
 	want := []string{"vm.id", "vm.incarnation", "vm.zone", "listen.callers", "listen.forward", "listen.operator",
 		"security.peer_secret", "security.operators[0].role", "security.operators[0].token_sha256",
 		"platform.secret_key", "platform.bukket", "platform.bucket", "platform.timeout_ms", "platform.vm_list_url",
-		"limits.queue_length", "log.level", "shutdown.limit_ms"}
+		"limits.queue_length", "limits.requests_per_team", "log.level", "shutdown.limit_ms"}
 	for _, key := range want {
 		if keys[key] != 1 {
 			t.Errorf("%d faults for %s, want 1", keys[key], key)
