daemon: use the membership with leases

Change: the thin member list is replaced by sessions, leases and safe takeover; a VM whose ID another process took shuts down. On a planned stop the buckets are handed over before the VM leaves the list.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,7 +35,11 @@
 	sockets  *listeners
 	stopping atomic.Bool
 
-	fleet    *membership.Fleet
+	fleet *membership.Fleet
+	// gone is closed when the VM is off the member list for good; its error is
+	// set before.
+	gone     chan struct{}
+	goneErr  error
 	follower *configstore.Follower
 	planner  *configstore.Planner
 
@@ -74,7 +78,7 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: s, log: log, sockets: sockets, metrics: telemetry.New(),
+		settings: s, log: log, gone: make(chan struct{}), sockets: sockets, metrics: telemetry.New(),
 		links: &link.Links{}, traffic: &link.Traffic{},
 		self: vm.VM{
 			ID: s.VM.ID, Zone: s.VM.Zone, Incarnation: uuid.NewString(),
@@ -98,7 +102,13 @@
 func (d *Daemon) buildFleet(p Platform) {
 	d.control = link.NewServer(d.self.ID, d.secret(), d.links, d.traffic, d.log.Part("link"))
 	d.caller = link.NewClient(d.self, d.secret(), d.links, d.control, d.traffic)
-	d.fleet = membership.NewFleet(d.self, p.Table, d.caller, d.log.Part("membership"), membership.Options{})
+	d.fleet = membership.NewFleet(membership.Config{
+		Self: d.self, Table: p.Table, Caller: d.caller, Log: d.log.Part("membership"),
+		ConfigVersion: func() uint64 { return d.follower.Index().Version() },
+		OnPeer: func(peer vm.VM, heartbeat membership.Heartbeat) {
+			d.follower.Heard(peer, heartbeat.ConfigVersion, time.Now())
+		},
+	})
 	d.follower = configstore.NewFollower(p.Table, p.Objects, d.caller, peers{d.fleet}, d.log.Part("config"), configstore.Options{})
 	d.planner = configstore.NewPlanner(p.Table, p.Objects, d.follower, d.log.Part("config"))
 }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -38,8 +38,12 @@
 	d.serve(background, &wg)
 	log.WithField("callers", d.CallersAddress()).WithField("operator", d.OperatorAddress()).Info("Started.")
 
-	<-stop.Done()
-	log.Info("Shutting down.")
+	select {
+	case <-stop.Done():
+		log.Info("Shutting down.")
+	case <-d.gone:
+		log.WithError(d.goneErr).Error("Shutting down, because this VM cannot stay a member.")
+	}
 	d.stopping.Store(true)
 	limit, cancelLimit := context.WithTimeout(context.Background(), d.settings.Shutdown.Limit())
 	defer cancelLimit()
@@ -54,14 +58,17 @@
 		return errors.Mark(err, ErrShutdownLimit)
 	}
 	log.Info("Stopped.")
-	return nil
+	return d.goneErr
 }
 
 // serve starts all goroutines.
 func (d *Daemon) serve(ctx context.Context, wg *conc.WaitGroup) {
 	wg.Go(func() { d.control.Serve(ctx, d.sockets.control) })
 	wg.Go(func() { d.follower.Run(ctx) })
-	wg.Go(func() { d.fleet.Run(ctx) })
+	wg.Go(func() {
+		defer close(d.gone)
+		d.goneErr = d.fleet.Run(ctx)
+	})
 	wg.Go(func() { d.reporter.Run(ctx) })
 	wg.Go(func() { d.tokens.Run(ctx) })
 	wg.Go(func() { d.claims.Run(ctx, claimSweeper{d.fleet}, d.claimSweepFailed) })
@@ -87,17 +94,28 @@
 		return err
 	}
 	d.handOver(ctx, d.listWithoutSelf())
-	if err := d.fleet.Leave(ctx); err != nil {
-		// The session lease expires by itself; other VMs take over later.
-		d.log.Part("membership").WithError(err).Warn("Leaving the member list failed.")
-	}
-	d.owner.Sync(time.Now())
+	d.leave(ctx)
 	if err := d.forwardServer.Shutdown(ctx); err != nil {
 		return err
 	}
 	return d.operators.Shutdown(ctx)
 }
 
+// leaveTimeout bounds the departure from the member list. After that the session
+// lease expires by itself and other VMs take over, some seconds later.
+const leaveTimeout = 5 * time.Second
+
+func (d *Daemon) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	d.fleet.Leave()
+	select {
+	case <-d.gone:
+	case <-ctx.Done():
+		d.log.Part("membership").Warn("Leaving the member list failed; the lease expires by itself.")
+	}
+}
+
 // listWithoutSelf is the member list that leaving will produce.
 func (d *Daemon) listWithoutSelf() vm.MemberList {
 	list := d.fleet.List()
@@ -121,8 +139,7 @@
 
 // followChanges brings new configurations and member lists into force.
 func (d *Daemon) followChanges(ctx context.Context) {
-	lists, unsubscribeLists := d.fleet.Subscribe()
-	defer unsubscribeLists()
+	lists := d.fleet.Subscribe()
 	configurations, unsubscribeConfigurations := d.follower.Subscribe()
 	defer unsubscribeConfigurations()
 	ticker := time.NewTicker(syncInterval)
@@ -132,8 +149,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case index := <-configurations:
-			d.fleet.SetConfigVersion(index.Version())
+		case <-configurations:
 		case list := <-lists:
 			d.handOver(ctx, list)
 			refreshed = time.Time{}
