--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -25,6 +25,9 @@
 	Profile func(r *Run, p *load.Profile)
 	// Steps returns the timetable of faults, in order of time.
 	Steps func(r *Run) []Step
+	// Uncovered lists promises that every other experiment covers and that this
+	// one's load gives no evidence for.
+	Uncovered []string
 	// Findings checks what the experiment is about, besides the promises that
 	// every experiment covers.
 	Findings func(r *Run, h *check.History) []check.Finding
--- a/bench/records.go
+++ b/bench/records.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"almondstile/bench/check"
+	"almondstile/bench/load"
 
 	"github.com/cockroachdb/errors"
 )
@@ -38,3 +40,18 @@
 	}
 	return errors.Wrap(buffered.Flush(), "saving records")
 }
+
+// outcomes describes how often calls ended in each way.
+func outcomes(calls []load.Call) []string {
+	counts := make(map[string]int)
+	for _, c := range calls {
+		counts[fmt.Sprintf("%s: status %d %s %s %s", c.Kind, c.Status, c.Outcome, c.Reason, c.Failure)]++
+	}
+	lines := make([]string, 0, len(counts))
+	for what, n := range counts {
+		lines = append(lines, fmt.Sprintf("%6d %s", n, what))
+	}
+	slices.Sort(lines)
+	slices.Reverse(lines)
+	return lines
+}
--- a/bench/run.go
+++ b/bench/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"time"
 
 	"almondstile/bench/check"
@@ -84,6 +85,9 @@
 	for _, f := range r.findings() {
 		rep.print(e.Name, o, f)
 	}
+	for _, l := range outcomes(r.history.Calls) {
+		r.note("%s", l)
+	}
 	return saveRecords(o, e.Name, &r.history)
 }
 
@@ -217,6 +221,7 @@
 	h.Executions = r.Fleet.Servers.Executions(nil)
 	h.Configuration = r.Deployment.Configuration(r.Options.Seed, r.Fleet.Addresses)
 	out := []check.Finding{h.P2(), h.P3(), h.P5(), h.P6(), h.P8(), h.P9(), h.P10()}
+	out = slices.DeleteFunc(out, func(f check.Finding) bool { return slices.Contains(r.Experiment.Uncovered, f.Name) })
 	if r.Experiment.Findings != nil {
 		out = append(out, r.Experiment.Findings(r, h)...)
 	}
