quota: report each use, recall idle tokens, hold tokens of mid-size teams

Cause: with bursts of a large team (rate 3,000, burst 600, half the burst arriving at once over 48 VMs), 698 of 14,391 requests inside the rate were refused. The used part of a loan blocked the refill until the loan was closed, and tokens taken ahead lay idle on other VMs. Teams below 10 requests/s on a VM held no token, so each of their requests waited for a call.

Change: each use is reported at once and frees its room in the bucket. A home that is short of tokens recalls loans that are open for more than 4 ms. This allows at least one token to be held from a demand of 4 requests/s on, and unused loans to stay 500 ms. A refusal lasts at least 5 ms at the entry VM, so that a team over its rate causes at most 200 calls/s for each VM. Buckets with many records find them by a map.

--- a/quota/allowance.go
+++ b/quota/allowance.go
@@ -13,12 +13,20 @@
 	demandMemory = time.Second
 	// targetHold is the time for which the held tokens should last.
 	targetHold = 100 * time.Millisecond
-	// idleReturn is the age at which an unfinished loan goes back. Tokens that
-	// lie idle here are missing at the other VMs.
-	idleReturn = 200 * time.Millisecond
+	// minHoldDemand is the demand from which at least one token is held. It is
+	// probably used before idleReturn.
+	minHoldDemand = 4.0
+	// idleReturn is the age at which an unfinished loan goes back. Until then,
+	// the home recalls it if it is short of tokens.
+	idleReturn = 500 * time.Millisecond
+	// prefetchPause is the time without taking ahead after the home had less
+	// than was wanted or recalled what was held.
+	prefetchPause = 200 * time.Millisecond
 	// maxRefusalMemory bounds the time for which a refusal is answered without
 	// asking the home, because returns may free tokens before they are due.
 	maxRefusalMemory = 100 * time.Millisecond
+	// minRefusalMemory bounds the calls that a team over its rate causes.
+	minRefusalMemory = 5 * time.Millisecond
 )
 
 // heldLoan is a loan at its holder.
@@ -54,35 +62,43 @@
 	return a.demandPerSecond * math.Exp(-now.Sub(a.demandAt).Seconds()/demandMemory.Seconds())
 }
 
-// Use uses one held token. If that finishes a loan, the loan's return is
-// appended to closed and must be sent to the home at once.
-func (a *Allowance) Use(now time.Time, team contract.TeamID, closed []LoanReturn) (bool, []LoanReturn) {
+// Use uses one held token and returns the report of it, which must be sent to
+// the home at once: until then, the bucket cannot refill to its burst.
+func (a *Allowance) Use(now time.Time, team contract.TeamID) (report LoanReturn, ok bool) {
 	a.dropExpired(now)
 	if len(a.loans) == 0 {
-		return false, closed
+		return LoanReturn{}, false
 	}
 	l := &a.loans[0]
 	l.left--
 	l.used++
+	report = LoanReturn{Team: team, LoanID: l.id, Used: l.used, Left: l.left}
 	if l.left == 0 {
-		closed = append(closed, LoanReturn{Team: team, LoanID: l.id, Used: l.used})
 		a.dropFirst()
 	}
-	return true, closed
+	return report, true
 }
 
 // Want returns the size of the next take for the requests that wait now: what
 // they need, and what will be needed in the next 100 ms beyond the held tokens.
 func (a *Allowance) Want(now time.Time, waiting int) (needed, wanted int) {
-	ahead := int(a.demand(now)*targetHold.Seconds()) - a.held()
-	return waiting, waiting + max(ahead, 0)
+	return waiting, waiting + max(a.target(now)-a.held(), 0)
 }
 
-// Low reports whether tokens should be taken ahead of need: less than half of
-// what the demand uses in 100 ms is held, and no recent take fell short.
+// Low reports whether tokens should be taken ahead of need: at most half of the
+// target is held, and no recent take fell short.
 func (a *Allowance) Low(now time.Time) bool {
-	target := int(a.demand(now) * targetHold.Seconds())
-	return target >= 1 && 2*a.held() < target && !now.Before(a.noPrefetchUntil)
+	target := a.target(now)
+	return target >= 1 && 2*a.held() <= target && !now.Before(a.noPrefetchUntil)
+}
+
+// target returns the number of tokens to hold.
+func (a *Allowance) target(now time.Time) int {
+	demand := a.demand(now)
+	if demand < minHoldDemand {
+		return 0
+	}
+	return max(int(demand*targetHold.Seconds()), 1)
 }
 
 // Add adds a granted loan. Its validity counts from when the take was sent,
@@ -100,11 +116,12 @@
 
 // DelayPrefetch remembers that the home had less than was wanted.
 func (a *Allowance) DelayPrefetch(now time.Time) {
-	a.noPrefetchUntil = now.Add(targetHold)
+	a.noPrefetchUntil = now.Add(prefetchPause)
 }
 
 // Refuse remembers that the home has no token for the given time.
 func (a *Allowance) Refuse(now time.Time, retryAfter time.Duration) {
+	retryAfter = max(retryAfter, minRefusalMemory)
 	a.retryAt = now.Add(retryAfter)
 	a.refusedUntil = now.Add(min(retryAfter, maxRefusalMemory))
 }
@@ -117,8 +134,17 @@
 
 // CloseIdle appends the returns of the loans that were not used up in time.
 func (a *Allowance) CloseIdle(now time.Time, team contract.TeamID, closed []LoanReturn) []LoanReturn {
+	return a.close(now, team, closed, idleReturn)
+}
+
+// CloseAll returns the returns of all loans.
+func (a *Allowance) CloseAll(now time.Time, team contract.TeamID) []LoanReturn {
+	return a.close(now, team, nil, 0)
+}
+
+func (a *Allowance) close(now time.Time, team contract.TeamID, closed []LoanReturn, age time.Duration) []LoanReturn {
 	a.dropExpired(now)
-	for len(a.loans) > 0 && now.Sub(a.loans[0].sent) >= idleReturn {
+	for len(a.loans) > 0 && now.Sub(a.loans[0].sent) >= age {
 		closed = append(closed, LoanReturn{Team: team, LoanID: a.loans[0].id, Used: a.loans[0].used})
 		a.dropFirst()
 	}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -2,14 +2,28 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"almondstile/vm"
 )
 
-// prefetchShare is the part of the level that one take may hold ahead of need.
-// Without it, a few VMs would hold a small burst while others are refused.
-const prefetchShare = 16
+const (
+	// maxScannedLoans is the number of records that are searched without a map.
+	// Most teams have fewer, and a map would double the size of their state.
+	maxScannedLoans = 16
+	// prefetchShare is the part of the level that one take may hold ahead of
+	// need. Small bursts are never lent ahead.
+	prefetchShare = 16
+	// recallAge is the age from which an open loan is worth recalling. Younger
+	// ones are mostly used up, with their return under way.
+	recallAge = 4 * time.Millisecond
+	// recallPause is the time between two recalls of a team's loans.
+	recallPause = 8 * time.Millisecond
+	// recallTime is what a recall and the returns that it causes take. A
+	// request that is short of tokens asks again after this time.
+	recallTime = 5 * time.Millisecond
+)
 
 // roundDown keeps the rounding errors of many small refills from adding up to
 // a token that the rate does not allow.
@@ -25,7 +39,7 @@
 // that a repeated take gets the same reply.
 type loan struct {
 	id      string
-	hash    uint64 // of id; makes the search among thousands of records cheap
+	holder  vm.ID // empty if it came with a handover
 	reply   TakeReply
 	open    int // tokens that the holder may still use
 	expires time.Time
@@ -38,7 +52,11 @@
 	level  float64
 	at     time.Time // the time up to which the level was refilled
 	onLoan int
-	loans  []loan // in order of expiry
+	loans  []*loan // in order of expiry
+	// byID finds the loans by their IDs while there are many of them.
+	byID map[string]*loan
+	// recalledAt is the time of the last recall.
+	recalledAt time.Time
 }
 
 // NewBucket returns a bucket that was empty at the given time.
@@ -63,16 +81,14 @@
 
 // Take lends tokens: what is needed now as far as the level reaches, and what
 // is wanted beyond that only out of a small share of the level.
-func (b *Bucket) Take(now time.Time, id string, needed, wanted int) TakeReply {
+func (b *Bucket) Take(now time.Time, id string, holder vm.ID, needed, wanted int) TakeReply {
 	b.refill(now)
 	if l := b.find(id); l != nil {
 		return l.reply
 	}
 	needed = max(needed, 0)
 	granted := min(needed, int(b.level))
-	if ahead := min(wanted-needed, int((b.level-float64(granted))/prefetchShare)); ahead > 0 {
-		granted += ahead
-	}
+	granted += max(min(wanted-needed, int((b.level-float64(granted))/prefetchShare)), 0)
 	reply := TakeReply{Status: StatusRefused}
 	if granted > 0 {
 		reply = TakeReply{Status: StatusGranted, Granted: granted, ValidForMillis: LoanValidity.Milliseconds()}
@@ -82,26 +98,51 @@
 	if granted < needed {
 		reply.RetryAfterMillis = ceilMillis(b.nextToken(now))
 	}
-	b.record(loan{id: id, reply: reply, open: granted, expires: now.Add(reclaimAfter)})
+	b.record(loan{id: id, holder: holder, reply: reply, open: granted, expires: now.Add(reclaimAfter)})
 	return reply
 }
 
-// Return closes a loan and takes back what was not used. A return of an
-// unknown loan is remembered, so that a take that arrives after its return
-// lends nothing. A loan that has expired credits nothing.
-func (b *Bucket) Return(now time.Time, id string, used int) {
+// Return books a report about a loan: what was used no longer counts as on
+// loan, and a closed loan gives back what was not used. A return of an unknown
+// loan is remembered, so that a take that arrives after its return lends
+// nothing. A loan that has expired credits nothing.
+func (b *Bucket) Return(now time.Time, id string, used, left int) {
 	b.refill(now)
 	l := b.find(id)
 	if l == nil {
 		b.record(loan{id: id, reply: TakeReply{Status: StatusRefused}, expires: now.Add(reclaimAfter)})
 		return
 	}
-	b.level += float64(max(l.open-max(used, 0), 0))
-	b.onLoan -= l.open
-	l.open = 0
+	open := min(l.open, max(left, 0))
+	if open == 0 {
+		b.level += float64(min(l.open, max(l.reply.Granted-max(used, 0), 0)))
+	}
+	b.onLoan -= l.open - open
+	l.open = open
 	b.limit()
 }
 
+// Recall returns the holders of loans that probably lie idle. They are asked to
+// return them because a request found too few tokens.
+func (b *Bucket) Recall(now time.Time) (holders []vm.ID) {
+	if now.Sub(b.recalledAt) < recallPause {
+		return nil
+	}
+	for _, l := range b.loans {
+		idle := l.open > 0 && now.Add(reclaimAfter-recallAge).After(l.expires)
+		if idle && l.holder != "" && !slices.Contains(holders, l.holder) {
+			holders = append(holders, l.holder)
+		}
+	}
+	if len(holders) > 0 {
+		b.recalledAt = now
+	}
+	return holders
+}
+
+// Recalling reports whether the returns of a recall are still expected.
+func (b *Bucket) Recalling(now time.Time) bool { return now.Sub(b.recalledAt) < recallTime }
+
 // nextToken returns the time until one token is due by refill. If loans leave
 // no room for it, one of them must be closed first, which usually takes a few
 // milliseconds; the time to refill a token from then on is a fair estimate.
@@ -126,11 +167,12 @@
 	for len(b.loans) > 0 && !b.loans[0].expires.After(now) {
 		b.advance(b.loans[0].expires)
 		b.onLoan -= b.loans[0].open
-		b.loans[0] = loan{}
+		delete(b.byID, b.loans[0].id)
+		b.loans[0] = nil
 		b.loans = b.loans[1:]
 	}
 	if len(b.loans) == 0 {
-		b.loans = nil
+		b.loans, b.byID = nil, nil
 	}
 	b.advance(now)
 }
@@ -149,10 +191,12 @@
 }
 
 func (b *Bucket) find(id string) *loan {
-	hash := xxhash.Sum64String(id)
-	for i := len(b.loans) - 1; i >= 0; i-- {
-		if b.loans[i].hash == hash && b.loans[i].id == id {
-			return &b.loans[i]
+	if b.byID != nil {
+		return b.byID[id]
+	}
+	for _, l := range b.loans {
+		if l.id == id {
+			return l
 		}
 	}
 	return nil
@@ -161,14 +205,19 @@
 // record inserts the loan in order of expiry; concurrent takes may come with
 // slightly older clock readings.
 func (b *Bucket) record(l loan) {
-	l.hash = xxhash.Sum64String(l.id)
 	i := len(b.loans)
 	for i > 0 && b.loans[i-1].expires.After(l.expires) {
 		i--
 	}
-	b.loans = append(b.loans, loan{})
-	copy(b.loans[i+1:], b.loans[i:])
-	b.loans[i] = l
+	b.loans = slices.Insert(b.loans, i, &l)
+	if b.byID != nil {
+		b.byID[l.id] = &l
+	} else if len(b.loans) > maxScannedLoans {
+		b.byID = make(map[string]*loan, 2*len(b.loans))
+		for _, known := range b.loans {
+			b.byID[known.id] = known
+		}
+	}
 }
 
 func ceilMillis(d time.Duration) int64 {
@@ -180,7 +229,9 @@
 	b.refill(now)
 	for _, l := range b.loans {
 		if l.open > 0 {
-			loans = append(loans, HandoverLoan{ID: l.id, Tokens: l.open, RemainingMillis: ceilMillis(l.expires.Sub(now))})
+			loans = append(loans, HandoverLoan{
+				ID: l.id, Granted: l.reply.Granted, Open: l.open, RemainingMillis: ceilMillis(l.expires.Sub(now)),
+			})
 		}
 	}
 	return b.level, loans
@@ -193,11 +244,11 @@
 	b := &Bucket{terms: terms, level: h.Level, at: at}
 	for _, l := range h.Loans {
 		remaining := time.Duration(l.RemainingMillis) * time.Millisecond
-		b.onLoan += l.Tokens
+		b.onLoan += l.Open
 		b.record(loan{
 			id:      l.ID,
-			reply:   TakeReply{Status: StatusGranted, Granted: l.Tokens, ValidForMillis: LoanValidity.Milliseconds()},
-			open:    l.Tokens,
+			reply:   TakeReply{Status: StatusGranted, Granted: l.Granted, ValidForMillis: LoanValidity.Milliseconds()},
+			open:    l.Open,
 			expires: at.Add(remaining + remaining/10),
 		})
 	}
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -10,10 +10,14 @@
 // rate × t).
 //
 // Three consequences:
-//   - An entry VM reports a used-up loan at once, because the bucket cannot
-//     refill to its burst before it knows.
+//   - An entry VM reports each use at once, because the bucket cannot refill to
+//     its burst before it knows.
 //   - Tokens of a loan that expired without a report are presumed used: only
 //     the room that they occupied is restored, not the tokens.
 //   - A new home without a handover must assume that a whole burst is still on
 //     loan from its predecessor. It refills only after these loans have expired.
+//
+// Tokens that lie idle on one VM are missing on the others. Small bursts are
+// therefore never lent ahead of need; of large ones a share is, and the home
+// recalls it when a request finds too few tokens.
 package quota
--- a/quota/exact_test.go
+++ b/quota/exact_test.go
@@ -104,9 +104,8 @@
 	e := f.entries[from]
 	local := e.clock(f.now)
 	e.allowance.Observe(local)
-	ok, closed := e.allowance.Use(local, simTeam, nil)
-	f.send(closed)
-	if ok {
+	if report, ok := e.allowance.Use(local, simTeam); ok {
+		f.send([]LoanReturn{report})
 		f.admit(t)
 		return
 	}
@@ -134,7 +133,7 @@
 		held, ok := home.role(now, simTeam)
 		terms, _ := home.terms(simTeam)
 		finish := func() {
-			reply := home.lend(now, held, terms, r)
+			reply, _ := home.lend(now, held, terms, "", r)
 			f.network = append(f.network, func() {
 				if !answered {
 					e.allowance.Add(r.RequestID, sent, reply.Granted, reply.validFor())
@@ -225,6 +224,9 @@
 	case "idle":
 		e := f.entries[f.random.IntN(2)]
 		f.send(e.allowance.CloseIdle(e.clock(f.now), simTeam, nil))
+		if f.random.IntN(2) == 0 { // a recall
+			f.send(e.allowance.CloseAll(e.clock(f.now), simTeam))
+		}
 	case "deliver":
 		for range pick(f, []int{1, 2, 40}) {
 			f.deliver()
@@ -249,7 +251,7 @@
 		f := &simFleet{random: rand.New(rand.NewPCG(seed, 1)), now: epoch, version: 1}
 		f.setTerms(20, 10)
 		for i := range 3 {
-			f.homes = append(f.homes, NewHomes(simMember{f, i}, f, nil))
+			f.homes = append(f.homes, NewHomes(simMember{f, i}, f, nil, nil))
 		}
 		for range 2 {
 			f.entries = append(f.entries, &simEntry{drift: rapid.Float64Range(0.9, 1.1).Draw(t, "drift")})
@@ -274,23 +276,23 @@
 	f := &simFleet{now: epoch, since: epoch, version: 1}
 	f.setTerms(0.001, 10)
 	for i := range 2 {
-		f.homes = append(f.homes, NewHomes(simMember{f, i}, f, nil))
+		f.homes = append(f.homes, NewHomes(simMember{f, i}, f, nil, nil))
 	}
 	f.now = f.now.Add(10_003 * time.Second)
-	f.homes[0].Take(f.now, TakeRequest{RequestID: "1", Team: simTeam, Needed: 4})
+	f.homes[0].Take(f.now, "e", TakeRequest{RequestID: "1", Team: simTeam, Needed: 4})
 	next := vm.MemberList{Version: 2, VMs: []vm.VM{{ID: "1"}}}
 	given := HandoverRequest{Buckets: f.homes[0].Handover(f.now, next, "0")["1"]}
-	if r := f.homes[0].Take(f.now, TakeRequest{RequestID: "2", Team: simTeam, Needed: 1}); r.Status != StatusNotHome {
+	if r := f.homes[0].Take(f.now, "e", TakeRequest{RequestID: "2", Team: simTeam, Needed: 1}); r.Status != StatusNotHome {
 		t.Fatalf("the giver still lends: %+v", r)
 	}
 	f.homes[1].Receive(f.now, given)
 	f.version, f.holder, f.since = 2, 1, f.now
 	f.homes[1].Return(f.now, ReturnRequest{Returns: []LoanReturn{{Team: simTeam, LoanID: "1", Used: 1}}})
-	if r := f.homes[1].Take(f.now, TakeRequest{RequestID: "3", Team: simTeam, Needed: 10}); r.Granted != 9 {
+	if r := f.homes[1].Take(f.now, "e", TakeRequest{RequestID: "3", Team: simTeam, Needed: 10}); r.Granted != 9 {
 		t.Fatalf("the next home lent %d of 9 tokens", r.Granted)
 	}
 	f.homes[1].Receive(f.now, given)
-	if r := f.homes[1].Take(f.now, TakeRequest{RequestID: "4", Team: simTeam, Needed: 10}); r.Granted != 0 {
+	if r := f.homes[1].Take(f.now, "e", TakeRequest{RequestID: "4", Team: simTeam, Needed: 10}); r.Granted != 0 {
 		t.Fatalf("a repeated handover brought %d tokens", r.Granted)
 	}
 }
--- a/quota/handover.go
+++ b/quota/handover.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"almondstile/contract"
-	"almondstile/link"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -60,7 +59,7 @@
 
 // SendHandover hands over all buckets whose home changes with the list next.
 // A bucket whose message is lost starts empty at its next home.
-func (h *Homes) SendHandover(ctx context.Context, caller link.Caller, next vm.MemberList, self vm.ID) error {
+func (h *Homes) SendHandover(ctx context.Context, next vm.MemberList, self vm.ID) error {
 	calls := pool.New().WithErrors().WithMaxGoroutines(maxHandoverCalls)
 	for id, buckets := range h.Handover(h.clock(), next, self) {
 		to, ok := next.Find(id)
@@ -68,7 +67,7 @@
 			continue
 		}
 		calls.Go(func() error {
-			err := caller.Call(ctx, to, MethodHandover, HandoverRequest{Buckets: buckets}, &HandoverReply{})
+			err := h.caller.Call(ctx, to, MethodHandover, HandoverRequest{Buckets: buckets}, &HandoverReply{})
 			return errors.Wrapf(err, "handing over %d buckets to %s", len(buckets), id)
 		})
 	}
@@ -77,7 +76,8 @@
 
 // Refresh notes under which member list this VM still acts for each bucket,
 // which a later handover depends on. It also forgets teams that no longer
-// exist. Call it after each change of the member list and about each second.
+// exist. Run calls it each second; call it also after each change of the member
+// list.
 func (h *Homes) Refresh(now time.Time) {
 	var teams []contract.TeamID
 	h.teams.Range(func(team contract.TeamID, e *home) bool {
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -10,6 +10,7 @@
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 )
 
 // Members tells which roles this VM holds.
@@ -35,7 +36,9 @@
 type Homes struct {
 	members   Members
 	contracts Contracts
+	caller    link.Caller
 	clock     func() time.Time
+	calls     conc.WaitGroup // recalls in flight
 	teams     shard.Map[contract.TeamID, *home]
 }
 
@@ -64,17 +67,17 @@
 
 // NewHomes returns the home side of all teams. The clock is time.Now outside
 // of tests.
-func NewHomes(members Members, contracts Contracts, clock func() time.Time) *Homes {
-	return &Homes{members: members, contracts: contracts, clock: clock}
+func NewHomes(members Members, contracts Contracts, caller link.Caller, clock func() time.Time) *Homes {
+	return &Homes{members: members, contracts: contracts, caller: caller, clock: clock}
 }
 
 // Register makes the homes answer control messages.
 func (h *Homes) Register(mux Mux) {
-	mux.Handle(MethodTake, link.Handle(func(_ context.Context, _ vm.ID, r TakeRequest) (TakeReply, error) {
+	mux.Handle(MethodTake, link.Handle(func(_ context.Context, from vm.ID, r TakeRequest) (TakeReply, error) {
 		if r.RequestID == "" {
 			return TakeReply{}, errors.New("quota: the take has no request ID")
 		}
-		return h.Take(h.clock(), r), nil
+		return h.Take(h.clock(), from, r), nil
 	}))
 	mux.Handle(MethodReturn, link.Handle(func(_ context.Context, _ vm.ID, r ReturnRequest) (ReturnReply, error) {
 		h.Return(h.clock(), r)
@@ -102,7 +105,7 @@
 // Take lends tokens. The clock reading is the caller's from before the role is
 // checked: a loan is valid from when its holder sent the take, so a pause at
 // any later point only shortens the loan.
-func (h *Homes) Take(now time.Time, r TakeRequest) TakeReply {
+func (h *Homes) Take(now time.Time, from vm.ID, r TakeRequest) TakeReply {
 	held, ok := h.role(now, r.Team)
 	if !ok {
 		return TakeReply{Status: StatusNotHome}
@@ -111,24 +114,33 @@
 	if !ok {
 		return TakeReply{Status: StatusUnknownTeam}
 	}
-	return h.lend(now, held, terms, r)
+	reply, idle := h.lend(now, held, terms, from, r)
+	h.recall(r.Team, idle)
+	return reply
 }
 
-func (h *Homes) lend(now time.Time, held role, terms Terms, r TakeRequest) TakeReply {
-	reply := TakeReply{Status: StatusNotHome}
+// lend also returns the holders whose idle tokens the request is short of.
+func (h *Homes) lend(now time.Time, held role, terms Terms, from vm.ID, r TakeRequest) (reply TakeReply, idle []vm.ID) {
+	reply.Status = StatusNotHome
 	h.teams.Do(r.Team, newHome, func(e *home) {
 		if !e.enter(now, held, terms) {
 			return
 		}
-		reply = e.bucket.Take(now, r.RequestID, r.Needed, r.Wanted)
+		reply = e.bucket.Take(now, r.RequestID, from, r.Needed, r.Wanted)
 		if reply.Granted > 0 {
 			e.lentVersion = max(e.lentVersion, held.after)
 		}
+		if reply.Granted < r.Needed {
+			idle = e.bucket.Recall(now)
+			if e.bucket.Recalling(now) {
+				reply.RetryAfterMillis = min(reply.RetryAfterMillis, recallTime.Milliseconds())
+			}
+		}
 	})
-	return reply
+	return reply, idle
 }
 
-// Return closes loans. A return for a role that this VM does not hold is
+// Return books reports about loans. A return for a role that this VM does not hold is
 // ignored: the tokens count as used.
 func (h *Homes) Return(now time.Time, r ReturnRequest) {
 	for _, returned := range r.Returns {
@@ -139,7 +151,7 @@
 		}
 		h.teams.Do(returned.Team, newHome, func(e *home) {
 			if e.enter(now, held, terms) {
-				e.bucket.Return(now, returned.LoanID, returned.Used)
+				e.bucket.Return(now, returned.LoanID, returned.Used, returned.Left)
 			}
 		})
 	}
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -13,6 +13,7 @@
 const (
 	MethodTake     = "quota.take"
 	MethodReturn   = "quota.return"
+	MethodRecall   = "quota.recall"
 	MethodHandover = "quota.handover"
 )
 
@@ -65,14 +66,17 @@
 	return time.Duration(r.RetryAfterMillis) * time.Millisecond
 }
 
-// LoanReturn closes a loan. The tokens that were not used go back.
+// LoanReturn reports how much of a loan was used. A loan with nothing left is
+// closed, and its tokens that were not used go back. Reports of one loan may
+// arrive in any order and more than once.
 type LoanReturn struct {
 	Team   contract.TeamID `json:"team"`
 	LoanID string          `json:"loan_id"`
 	Used   int             `json:"used"`
+	Left   int             `json:"left,omitempty"`
 }
 
-// ReturnRequest carries the closed loans of teams with the same home.
+// ReturnRequest carries the reports for teams with the same home.
 type ReturnRequest struct {
 	Returns []LoanReturn `json:"returns"`
 }
@@ -80,6 +84,15 @@
 // ReturnReply acknowledges a ReturnRequest.
 type ReturnReply struct{}
 
+// RecallRequest asks an entry VM to return a team's unused tokens, because the
+// home had to refuse a request while they lie idle.
+type RecallRequest struct {
+	Team contract.TeamID `json:"team"`
+}
+
+// RecallReply acknowledges a RecallRequest.
+type RecallReply struct{}
+
 // Handover carries a bucket from a home that has stopped acting to the next.
 type Handover struct {
 	Team contract.TeamID `json:"team"`
@@ -94,7 +107,8 @@
 // HandoverLoan is a loan that may still be used.
 type HandoverLoan struct {
 	ID              string `json:"id"`
-	Tokens          int    `json:"tokens"`
+	Granted         int    `json:"granted"`
+	Open            int    `json:"open"`
 	RemainingMillis int64  `json:"remaining_ms"`
 }
 
--- a/quota/returns.go
+++ b/quota/returns.go
@@ -5,20 +5,37 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/link"
 	"almondstile/vm"
 )
 
-// maxReturnsPerCall bounds the size of one message.
-const maxReturnsPerCall = 256
+const (
+	// maxReturnsPerCall bounds the size of one message.
+	maxReturnsPerCall = 256
+	// refreshInterval is the time between two notes of the member list version.
+	// A version that passes in between costs the handover, not the bound.
+	refreshInterval = time.Second
+)
 
-// outbox collects the returns for one home while a message to it is in flight,
+// outbox collects the reports for one home while a message to it is in flight,
 // so that a busy pair of VMs sends few messages.
 type outbox struct {
 	pending []LoanReturn
 	sending bool
 }
 
-// giveBack sends returns to the current homes of their teams.
+// add appends a report. Of two reports of the same loan, only the one with less
+// left counts; they may come in any order.
+func (o *outbox) add(r LoanReturn) {
+	n := len(o.pending)
+	if n == 0 || o.pending[n-1].LoanID != r.LoanID {
+		o.pending = append(o.pending, r)
+	} else if r.Left < o.pending[n-1].Left {
+		o.pending[n-1] = r
+	}
+}
+
+// giveBack sends reports to the current homes of their teams.
 func (t *Tokens) giveBack(closed []LoanReturn) {
 	if len(closed) == 0 {
 		return
@@ -31,7 +48,7 @@
 		}
 		start := false
 		t.returns.Do(home.ID, func() *outbox { return &outbox{} }, func(o *outbox) {
-			o.pending = append(o.pending, r)
+			o.add(r)
 			start = !o.sending
 			o.sending = true
 		})
@@ -65,6 +82,60 @@
 	}
 }
 
+// recall asks the holders of idle tokens to return them. A recall that is lost
+// only delays the return.
+func (h *Homes) recall(team contract.TeamID, holders []vm.ID) {
+	list := h.members.List()
+	for _, id := range holders {
+		holder, ok := list.Find(id)
+		if !ok {
+			continue
+		}
+		h.calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			_ = h.caller.Call(ctx, holder, MethodRecall, RecallRequest{Team: team}, &RecallReply{})
+		})
+	}
+}
+
+// Run refreshes the buckets each second until the context ends. Then it waits
+// for the calls in flight, each of which is bounded by its timeout. Take must
+// not be called after the context has ended.
+func (h *Homes) Run(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.Refresh(h.clock())
+		case <-ctx.Done():
+			h.calls.Wait()
+			return
+		}
+	}
+}
+
+// Register makes the entry side answer the homes' control messages.
+func (t *Tokens) Register(mux Mux) {
+	mux.Handle(MethodRecall, link.Handle(func(_ context.Context, _ vm.ID, r RecallRequest) (RecallReply, error) {
+		t.Recall(t.clock(), r.Team)
+		return RecallReply{}, nil
+	}))
+}
+
+// Recall returns the team's tokens unless requests wait for them here too.
+func (t *Tokens) Recall(now time.Time, team contract.TeamID) {
+	var closed []LoanReturn
+	t.teams.DoExisting(team, func(e *allotment) {
+		if e.waiting == 0 {
+			closed = e.allowance.CloseAll(now, team)
+			e.allowance.DelayPrefetch(now)
+		}
+	})
+	t.giveBack(closed)
+}
+
 // Run returns idle tokens and drops the state of idle teams until the context
 // ends. Then it returns all tokens that are held and waits for the calls in
 // flight, each of which is bounded by its timeout.
--- a/quota/tokens.go
+++ b/quota/tokens.go
@@ -89,8 +89,8 @@
 	refused    bool
 	retryAfter time.Duration
 	wait       *flight
-	launch     *flight // a new flight that the caller must start
-	closed     []LoanReturn
+	launch     *flight    // a new flight that the caller must start
+	report     LoanReturn // if granted
 }
 
 // Take admits one request of the team. It returns a *RejectedError if the team
@@ -135,7 +135,7 @@
 
 // attempt runs under the team's lock.
 func (t *Tokens) attempt(e *allotment, team contract.TeamID, now time.Time) (a attempt) {
-	if a.granted, a.closed = e.allowance.Use(now, team, nil); a.granted {
+	if a.report, a.granted = e.allowance.Use(now, team); a.granted {
 		e.waiting--
 		if e.flight == nil && e.allowance.Low(now) {
 			a.launch = t.newFlight(e, now)
@@ -165,7 +165,9 @@
 
 // follow starts what an attempt asked for, outside of the lock.
 func (t *Tokens) follow(team contract.TeamID, a attempt) {
-	t.giveBack(a.closed)
+	if a.granted {
+		t.giveBack([]LoanReturn{a.report})
+	}
 	if a.launch != nil {
 		t.calls.Go(func() { t.fly(team, a.launch) })
 	}
--- a/quota/tokens_test.go
+++ b/quota/tokens_test.go
@@ -27,8 +27,7 @@
 	handlers map[vm.ID]map[string]link.Handler
 	tokens   []*Tokens
 	homes    []*Homes
-	takes    atomic.Int64
-	returns  atomic.Int64
+	count    map[string]*atomic.Int64
 	fault    atomic.Pointer[func() error] // runs before each call
 }
 
@@ -48,11 +47,7 @@
 func (n testNode) Handle(method string, handler link.Handler) { n.handlers[n.id][method] = handler }
 
 func (n testNode) Call(ctx context.Context, to vm.VM, method string, params, result any) error {
-	if method == MethodTake {
-		n.takes.Add(1)
-	} else {
-		n.returns.Add(1)
-	}
+	n.count[method].Add(1)
 	if fault := n.fault.Load(); fault != nil {
 		if err := (*fault)(); err != nil {
 			return err
@@ -80,6 +75,7 @@
 		since:    time.Now(),
 		index:    contract.NewIndex(&contract.Configuration{Teams: teams}),
 		handlers: make(map[vm.ID]map[string]link.Handler),
+		count:    map[string]*atomic.Int64{MethodTake: {}, MethodReturn: {}, MethodRecall: {}},
 	}
 	f.list.Version = 1
 	for i := range vms {
@@ -88,10 +84,12 @@
 	for _, v := range f.list.VMs {
 		node := testNode{f, v.ID}
 		f.handlers[v.ID] = make(map[string]link.Handler)
-		homes := NewHomes(node, node, time.Now)
+		homes := NewHomes(node, node, node, time.Now)
 		homes.Register(node)
 		f.homes = append(f.homes, homes)
-		f.tokens = append(f.tokens, NewTokens(v, node, node, time.Now))
+		tokens := NewTokens(v, node, node, time.Now)
+		tokens.Register(node)
+		f.tokens = append(f.tokens, tokens)
 	}
 	return f
 }
@@ -100,21 +98,33 @@
 func (f *testFleet) run() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
-	for _, tokens := range f.tokens {
-		wg.Go(func() { tokens.Run(ctx) })
+	for i := range f.tokens {
+		wg.Go(func() { f.tokens[i].Run(ctx) })
+		wg.Go(func() { f.homes[i].Run(ctx) })
 	}
 	return func() { cancel(); wg.Wait() }
 }
 
-// smallTeams sends the traffic of small teams that stay inside rate 2, burst 3
-// as seen by an ideal bucket, and counts the refused requests.
-func smallTeams(t *testing.T, seed uint64, arrive func(r *rand.Rand) time.Duration, place func(r *rand.Rand, n int) int) {
-	const teams, vms, length = 60, 48, 40 * time.Second
-	var sent, refused atomic.Int64
+// traffic describes teams that stay inside their rate and burst, as seen by an
+// ideal bucket.
+type traffic struct {
+	teams  int
+	rate   float64
+	burst  int
+	length time.Duration
+	batch  float64 // mean number of requests that arrive together
+	arrive func(r *rand.Rand) time.Duration
+	place  func(r *rand.Rand, n int) int
+}
+
+// send sends the traffic over 48 VMs and counts the refused requests.
+func (load traffic) send(t *testing.T, seed uint64) {
+	const vms = 48
+	var sent, refused, local atomic.Int64
 	synctest.Test(t, func(t *testing.T) {
 		var bought []contract.Team
-		for i := range teams {
-			bought = append(bought, contract.Team{ID: contract.TeamID(fmt.Sprint("team", i)), RatePerSecond: 2, Burst: 3})
+		for i := range load.teams {
+			bought = append(bought, contract.Team{ID: contract.TeamID(fmt.Sprint("team", i)), RatePerSecond: load.rate, Burst: load.burst})
 		}
 		f := newTestFleet(vms, bought...)
 		stop := f.run()
@@ -123,22 +133,26 @@
 		for i, team := range bought {
 			callers.Go(func() {
 				random := rand.New(rand.NewPCG(seed, uint64(i)))
-				level, at, end := 3.0, time.Now(), time.Now().Add(length)
+				level, at, end := float64(load.burst), time.Now(), time.Now().Add(load.length)
 				var requests conc.WaitGroup
 				for n := 0; time.Now().Before(end); n++ {
-					time.Sleep(arrive(random))
-					level = min(3, level+2*time.Since(at).Seconds())
+					time.Sleep(load.arrive(random))
+					level = min(float64(load.burst), level+load.rate*time.Since(at).Seconds())
 					at = time.Now()
 					for ; level >= 1; n++ {
 						level--
-						from := f.tokens[(place(random, n)+i)%vms]
+						from := f.tokens[(load.place(random, n)+i)%vms]
 						requests.Go(func() {
 							sent.Add(1)
-							if _, err := from.Take(context.Background(), team.ID); err != nil {
+							grant, err := from.Take(context.Background(), team.ID)
+							if err != nil {
 								refused.Add(1)
 							}
+							if grant.Local {
+								local.Add(1)
+							}
 						})
-						if random.IntN(3) > 0 {
+						if random.Float64()*load.batch < 1 {
 							break
 						}
 					}
@@ -148,8 +162,8 @@
 		}
 		callers.Wait()
 		stop()
-		t.Logf("seed %d: %d of %d requests inside the rate refused; %d takes, %d return messages",
-			seed, refused.Load(), sent.Load(), f.takes.Load(), f.returns.Load())
+		t.Logf("seed %d: %d of %d requests inside the rate refused, %d local; %d takes, %d return and %d recall messages",
+			seed, refused.Load(), sent.Load(), local.Load(), f.count[MethodTake].Load(), f.count[MethodReturn].Load(), f.count[MethodRecall].Load())
 	})
 	if refused.Load()*1000 > sent.Load() {
 		t.Fatalf("%d of %d requests inside the rate refused, the bound is 0.1%%", refused.Load(), sent.Load())
@@ -171,7 +185,28 @@
 	}
 	for i, when := range []string{"even", "random", "bursts"} {
 		for j, where := range []string{"spread", "one VM", "moving"} {
-			t.Run(when+"/"+where, func(t *testing.T) { smallTeams(t, uint64(3*i+j), arrivals[i], places[j]) })
+			t.Run(when+"/"+where, func(t *testing.T) {
+				traffic{30, 2, 3, 40 * time.Second, 1.5, arrivals[i], places[j]}.send(t, uint64(3*i+j))
+			})
+		}
+	}
+}
+
+// Guards the same bound for a few large teams, whose tokens are taken ahead.
+func TestLargeTeamsInsideTheirRateAreServed(t *testing.T) {
+	place := func(r *rand.Rand, _ int) int { return r.IntN(48) }
+	seed := uint64(10)
+	for _, rate := range []float64{50, 400, 3000} {
+		for _, burst := range []float64{rate / 20, rate / 5} {
+			for _, batch := range []float64{1.5, burst / 2} {
+				arrive := func(r *rand.Rand) time.Duration {
+					return time.Duration(r.ExpFloat64() * float64(time.Second) / rate * batch / 0.7)
+				}
+				t.Run(fmt.Sprint(rate, "/", burst, "/", batch), func(t *testing.T) {
+					traffic{1, rate, int(burst), 3 * time.Second, batch, arrive, place}.send(t, seed)
+				})
+				seed++
+			}
 		}
 	}
 }
@@ -198,8 +233,8 @@
 			})
 		}
 		wg.Wait()
-		if granted.Load() != 20 || rejected.Load() != 30 || f.takes.Load() > 3 {
-			t.Fatalf("%d granted, %d rejected, %d calls", granted.Load(), rejected.Load(), f.takes.Load())
+		if granted.Load() != 20 || rejected.Load() != 30 || f.count[MethodTake].Load() > 3 {
+			t.Fatalf("%d granted, %d rejected, %d calls", granted.Load(), rejected.Load(), f.count[MethodTake].Load())
 		}
 	})
 }
@@ -213,8 +248,8 @@
 		defer stop()
 		time.Sleep(10 * time.Second)
 		f.setFault(func() error { return link.ErrUnreachable })
-		if _, err := f.tokens[0].Take(context.Background(), "a"); !errors.Is(err, ErrHomeUnreachable) || f.takes.Load() != 2 {
-			t.Fatalf("unreachable home: %v after %d calls", err, f.takes.Load())
+		if _, err := f.tokens[0].Take(context.Background(), "a"); !errors.Is(err, ErrHomeUnreachable) || f.count[MethodTake].Load() != 2 {
+			t.Fatalf("unreachable home: %v after %d calls", err, f.count[MethodTake].Load())
 		}
 		var calls atomic.Int64
 		f.setFault(func() error {
