cli: exit with code 2 when check finds faults

The README gives code 2 for wrong settings, and serve exits with it, but check exited with 1 like a refused command. TestExitCodes held the wrong code in its two cases for check; they now require 2 and the new text, which no longer reads "1 faults".

Before the change TestExitCodes fails on both cases, with it ./cli passes.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -126,8 +126,8 @@
 		{"status --unknown", nil, ExitUsage, "unknown flag"},
 		{"status --token-file /nonexistent", nil, ExitUsage, "token-file"},
 		{"key issue --help", nil, ExitOK, "Exit codes: 0 done"},
-		{"check --settings /nonexistent", nil, ExitFailed, "1 faults"},
-		{"check --settings /nonexistent --json", nil, ExitFailed, `"faults"`},
+		{"check --settings /nonexistent", nil, ExitUsage, "faults in /nonexistent: 1"},
+		{"check --settings /nonexistent --json", nil, ExitUsage, `"faults"`},
 	}
 	for _, c := range cases {
 		code, stdout, stderr := runWith(t, &fakeVM{confirm: c.confirm}, strings.Fields(c.args)...)
--- a/cli/print.go
+++ b/cli/print.go
@@ -185,7 +185,8 @@
 		}
 	}
 	if len(faults) > 0 {
-		return errors.Mark(errors.Newf("%s: %d faults", file, len(faults)), errPrinted)
+		err := errors.Newf("faults in %s: %d", file, len(faults))
+		return &ExitError{ExitUsage, errors.Mark(err, errPrinted)}
 	}
 	if !g.JSON {
 		line(g.stdout, "%s: no faults", file)
--- a/cli/run.go
+++ b/cli/run.go
@@ -17,7 +17,7 @@
 	ExitOutcomeUnknown = 3
 )
 
-const exitCodesHelp = "Exit codes: 0 done; 1 failed or refused; 2 wrong usage; " +
+const exitCodesHelp = "Exit codes: 0 done; 1 failed or refused; 2 wrong usage or settings; " +
 	"3 outcome unknown: ask again, a repeated confirm never applies a plan twice."
 
 // Command is one command of the command line.
