settings: name no key in faults of a whole file

A malformed or unreadable settings file was reported as "vm.toml: = (not shown): must be a TOML document", with an empty key and a placeholder for a value that does not exist. Such faults are now the file's name and what is wrong with it.

TestFaultOfWholeFile fails before the change; ./settings passes with it.

--- a/settings/load.go
+++ b/settings/load.go
@@ -14,13 +14,17 @@
 // Fault is one thing wrong with the settings.
 type Fault struct {
 	File string `json:"file"`
-	Key  string `json:"key"`
+	// Key is empty if the fault is in the file as a whole.
+	Key string `json:"key"`
 	// Value is what was found, or a placeholder for a secret.
 	Value   string `json:"value"`
 	Allowed string `json:"allowed"`
 }
 
 func (f Fault) String() string {
+	if f.Key == "" { // the fault is in the file as a whole
+		return f.File + ": " + f.Allowed
+	}
 	return fmt.Sprintf("%s: %s = %s: %s", f.File, f.Key, f.Value, f.Allowed)
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -131,6 +131,20 @@
 	}
 }
 
+// Guards against faults of a whole file that read "vm.toml:  = (not shown): ...".
+func TestFaultOfWholeFile(t *testing.T) {
+	_, malformed := parse("vm.toml", []byte("[vm]\nid =\n"), secretFiles)
+	_, missing := Load("/nonexistent/vm.toml")
+	for start, faults := range map[string][]Fault{
+		"vm.toml: must be a TOML document; line 2":               malformed,
+		"/nonexistent/vm.toml: the file must be readable: open ": missing,
+	} {
+		if len(faults) != 1 || !strings.HasPrefix(faults[0].String(), start) {
+			t.Errorf("faults %v do not start with %q", faults, start)
+		}
+	}
+}
+
 // Guards against an endless loop or a panic on malformed settings, and against
 // settings that are returned together with faults or without a peer secret.
 func FuzzParse(f *testing.F) {
