integration: test the binary with real processes

Until now the commands and the daemon were tested in one process only, so exit codes, settings files, signals and ports had no test with the built binary.

--- /dev/null
+++ b/integration/shutdown_test.go
@@ -0,0 +1,123 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"almondstile/contract"
+
+	"github.com/sourcegraph/conc/pool"
+)
+
+const (
+	// loadPause gives about 20 requests a second on each of four connections,
+	// less than half of the team's rate.
+	loadPause = 50 * time.Millisecond
+	// loadAfter is the number of requests on each connection after the VM ended.
+	loadAfter = 40
+	// loadLimit bounds the load if the VM does not end.
+	loadLimit = 1500
+)
+
+// stopUnderLoad stops a VM by SIGTERM while callers use the other VMs, and
+// returns what the callers got.
+func (w *work) stopUnderLoad(t *testing.T, stopped int) []got {
+	t.Helper()
+	var ended atomic.Bool
+	load := pool.NewWithResults[[]got]()
+	for n := range w.vms {
+		if n == stopped {
+			continue
+		}
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			load.Go(func() []got { return w.load(n, method, &ended) })
+		}
+	}
+	process := w.vms[stopped].process
+	graceful := process.Stop(stopGrace)
+	ended.Store(true)
+	var results []got
+	for _, some := range load.Wait() {
+		results = append(results, some...)
+	}
+	if !graceful || process.ExitCode() != 0 {
+		t.Errorf("%s ended by itself: %v; exit code %d", w.vms[stopped].id, graceful, process.ExitCode())
+	}
+	if text := logTail(w.vms[stopped].log); !strings.Contains(text, "daemon: Stopped.") {
+		t.Errorf("the log does not say that the VM stopped: %s", text)
+	}
+	return results
+}
+
+// load sends requests one after another through the n-th VM until some time
+// after the stopping VM has ended.
+func (w *work) load(n int, method string, ended *atomic.Bool) (results []got) {
+	c := newCaller()
+	defer c.close()
+	for after := 0; after < loadAfter && len(results) < loadLimit; {
+		if ended.Load() {
+			after++
+		}
+		results = append(results, c.send(method, w.url(n, "/loans/1"), w.credentials["glencoe-hire"]))
+		time.Sleep(loadPause)
+	}
+	return results
+}
+
+// Guards against a planned stop that loses requests of callers at other VMs:
+// an error, an unknown outcome, a false "not run" or a request that ran twice.
+func gracefulShutdown(t *testing.T, w *work) {
+	results := w.stopUnderLoad(t, 2)
+	runs := make(map[string]int)
+	for _, e := range w.Servers.Executions(nil) {
+		runs[e.OperationID]++
+	}
+	answered := 0
+	for _, g := range results {
+		ran := runs[g.operation]
+		switch {
+		case g.answered():
+			answered++
+			if g.method == http.MethodPost && ran != 1 {
+				t.Errorf("a POST request ran %d times", ran)
+			}
+		case g.outcome != "not-run" || ran > 0:
+			t.Errorf("a request that ran %d times: %s", ran, g)
+		}
+	}
+	t.Logf("%d of %d requests answered, the others not run", answered, len(results))
+}
+
+// Guards against a planned stop that rejects requests inside a team's rate. It
+// stops the home of the team, which has most to hand over.
+func TestPlannedStopRejectsNobody(t *testing.T) {
+	w := &work{startFleet(t), make(map[contract.TeamID]string), make(map[contract.TeamID]string)}
+	firstConfiguration(t, w)
+	keyIssue(t, w)
+	callersAreAnswered(t, w)
+	home := -1
+	for _, team := range w.status(t, 0).Teams {
+		for n, v := range w.vms {
+			if team.ID == "glencoe-hire" && string(team.Home) == v.id {
+				home = n
+			}
+		}
+	}
+	if home < 0 {
+		t.Fatal("the status names no home of the team")
+	}
+	results := w.stopUnderLoad(t, home)
+	rejected := make(map[string]int)
+	for _, g := range results {
+		if !g.answered() {
+			rejected[fmt.Sprintf("%s: %s", g.method, g)]++
+		}
+	}
+	for what, times := range rejected {
+		t.Errorf("%d of %d requests got no answer: %s", times, len(results), what)
+	}
+}
