--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -133,7 +133,7 @@
 }
 
 func (d *Daemon) buildQuota(p Platform) {
-	d.buckets = quota.NewHomes(d.fleet, d.follower, time.Now)
+	d.buckets = quota.NewHomes(d.fleet, d.follower, d.caller, time.Now)
 	d.tokens = quota.NewTokens(d.self, d.fleet, d.caller, time.Now)
 	d.claims = claim.New(d.self, p.Table, time.Now)
 }
@@ -160,6 +160,7 @@
 	d.control.Handle(membership.HeartbeatMethod, d.fleet.Handler())
 	d.control.Handle(configstore.MethodDeltas, d.follower.DeltasHandler())
 	d.buckets.Register(d.control)
+	d.tokens.Register(d.control)
 	for method, handler := range d.reporter.Handlers() {
 		d.control.Handle(method, handler)
 	}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -132,7 +132,7 @@
 func (d *Daemon) handOver(ctx context.Context, next vm.MemberList) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	if err := d.buckets.SendHandover(ctx, d.caller, next, d.self.ID); err != nil {
+	if err := d.buckets.SendHandover(ctx, next, d.self.ID); err != nil {
 		d.log.Part("quota").WithError(err).Warn("Some buckets were not handed over; they start empty.")
 	}
 }
