quota: split the rate of larger teams over several homes

Cause: after the crash of the home of the largest team, all of its requests were rejected until the next home may act (about 8 s with its wait for old loans). Ruled out: longer loans (a loan of 8 s of rate is above the burst), a standby with a copy of the bucket (a replicated store of our own), a shorter lease (false expiries under load). Change: a team has up to four homes, chosen when it is added and then fixed, because VMs that count differently while a change spreads would admit more than the rate; each home has an exact share, and an entry VM tries the other buckets when its preferred one is empty or unreachable.

--- a/cli/print.go
+++ b/cli/print.go
@@ -142,8 +142,8 @@
 		return cmp.Compare(b.RejectedPerSecond, a.RejectedPerSecond)
 	})
 	section(w, "Teams, most rejections first", teams, func(t operator.TeamStatus) string {
-		return fmt.Sprintf("%s\thome %s\trate %v\tburst %d\tadmitted %.1f/s\trejected %.1f/s",
-			t.ID, t.Home, t.RatePerSecond, t.Burst, t.AdmittedPerSecond, t.RejectedPerSecond)
+		return fmt.Sprintf("%s\thomes %v\trate %v\tburst %d\tadmitted %.1f/s\trejected %.1f/s",
+			t.ID, t.Homes, t.RatePerSecond, t.Burst, t.AdmittedPerSecond, t.RejectedPerSecond)
 	})
 }
 
--- a/contract/change.go
+++ b/contract/change.go
@@ -170,7 +170,38 @@
 
 func (c RemoveServer) apply(d *draft) { d.servers.remove(&d.faultList, string(c.ID)) }
 
-func (c SetTeam) apply(d *draft)    { d.teams.put(c.Team) }
+func (c SetTeam) apply(d *draft) {
+	t := c.Team
+	old := d.teams.get(string(t.ID))
+	switch {
+	case t.Homes == 0 && old != nil:
+		t.Homes = old.Homes
+	case t.Homes == 0:
+		t.Homes = homesFor(t.Burst)
+	case old != nil && t.Homes != old.Homes:
+		d.add(at("teams", string(t.ID), "homes"), t.Homes,
+			fmt.Sprintf("must stay %d as long as the team exists", old.Homes))
+		return
+	}
+	d.teams.put(t)
+}
+
+const (
+	maxHomes = 16
+	// usualHomes keeps three quarters of a team's rate when one home is lost,
+	// which is above the share of their rates that teams use.
+	usualHomes = 4
+	// minBurstPerHome keeps the split from costing a team its burst: a bucket
+	// that is full while the others are not refills no more.
+	minBurstPerHome = 10
+)
+
+// homesFor chooses the number of homes of a new team. Small teams have one: a
+// burst of 3 split over several homes would refuse requests inside the rate.
+func homesFor(burst int) int {
+	return min(max(burst/minBurstPerHome, 1), usualHomes)
+}
+
 func (c RemoveTeam) apply(d *draft) { d.teams.remove(&d.faultList, string(c.ID)) }
 
 func (c IssueKey) apply(d *draft) {
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -26,6 +26,11 @@
 	// together: at most Burst + RatePerSecond × t in any t seconds.
 	RatePerSecond float64 `json:"rate_per_second" toml:"rate_per_second"`
 	Burst         int     `json:"burst" toml:"burst"`
+	// Homes is the number of VMs among which the rate and burst are split, so
+	// that the loss of one does not stop the whole team. 0 leaves the choice to
+	// almondstile; it cannot change later, because VMs that count differently
+	// would admit more than the rate.
+	Homes int `json:"homes" toml:"homes"`
 	// Weight is the team's share of the slots when a server is short of them.
 	Weight int `json:"weight" toml:"weight"`
 }
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -165,18 +165,18 @@
 	c := base(t)
 	plan, err := NewPlan("p", c, NewIntent(
 		SetZoneOut{"a", true}, WithdrawKey{"k1"},
-		SetTeam{Team{"walkers", 50, 10, 2}},
+		SetTeam{Team{ID: "walkers", RatePerSecond: 50, Burst: 10, Weight: 2}},
 		SetRoute{Route{ID: "loans", PathPrefix: "/l", Service: "loandesk", TimeoutMillis: 1000}},
 	), time.Time{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	walkers := Team{"walkers", 100, 20, 1}
+	walkers := Team{ID: "walkers", RatePerSecond: 100, Burst: 20, Homes: 2, Weight: 1}
 	want := Effect{
 		Services: []ServiceEffect{{ID: "loandesk", SlotsBefore: 6, SlotsAfter: 3, FloorSlots: 3}},
 		Zones:    []ZoneEffect{{ID: "a", Kind: Changed, OutAfter: true}},
 		Teams: []TeamEffect{{ID: "walkers", Kind: Changed, Before: walkers,
-			After: Team{"walkers", 50, 10, 2}, RoutesLost: []RouteID{"loans"}}},
+			After: Team{ID: "walkers", RatePerSecond: 50, Burst: 10, Homes: 2, Weight: 2}, RoutesLost: []RouteID{"loans"}}},
 		Keys:     []KeyEffect{{"k1", "walkers", Withdrawn}},
 		Routes:   []RouteEffect{{"loans", Changed, []string{"path_prefix", "teams"}}},
 		Warnings: []string{"no team may use route loans"},
@@ -319,3 +319,26 @@
 		}
 	})
 }
+
+// Guards against VMs that split a team's rate differently while a change of the
+// number of its homes spreads: together they would admit more than the rate.
+func TestHomesOfATeamStay(t *testing.T) {
+	c := base(t)
+	for burst, want := range map[int]int{1: 1, 19: 1, 20: 2, 1000: usualHomes} {
+		next, err := Apply(c, NewIntent(SetTeam{Team{ID: "new", RatePerSecond: 1, Burst: burst, Weight: 1}}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := NewIndex(next).Team("new").Homes; got != want {
+			t.Errorf("burst %d: %d homes, want %d", burst, got, want)
+		}
+		grown, err := Apply(next, NewIntent(SetTeam{Team{ID: "new", RatePerSecond: 1, Burst: 500, Weight: 1}}))
+		if err != nil || NewIndex(grown).Team("new").Homes != want {
+			t.Errorf("burst %d: the homes changed with the burst, error %v", burst, err)
+		}
+		var invalid *InvalidError
+		if _, err := Apply(next, NewIntent(SetTeam{Team{ID: "new", RatePerSecond: 1, Burst: 500, Homes: want + 1, Weight: 1}})); !errors.As(err, &invalid) {
+			t.Errorf("burst %d: another number of homes gave %v", burst, err)
+		}
+	}
+}
--- a/contract/validate.go
+++ b/contract/validate.go
@@ -106,6 +106,7 @@
 	}
 	inRange(&v.faultList, at("teams", id, "burst"), t.Burst, 1, maxBurst)
 	inRange(&v.faultList, at("teams", id, "weight"), t.Weight, 1, maxWeight)
+	inRange(&v.faultList, at("teams", id, "homes"), t.Homes, 0, min(maxHomes, max(1, t.Burst)))
 }
 
 func (v *validator) service(s *Service) {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -46,8 +46,10 @@
 	}
 	for _, t := range index.Configuration().Teams {
 		team := operator.TeamStatus{ID: t.ID, RatePerSecond: t.RatePerSecond, Burst: t.Burst}
-		if home, ok := list.Holder(quota.Role(t.ID)); ok {
-			team.Home = home.ID
+		for _, bucket := range quota.Buckets(&t) {
+			if home, ok := list.Holder(quota.Role(bucket)); ok {
+				team.Homes = append(team.Homes, home.ID)
+			}
 		}
 		status.Teams = append(status.Teams, team)
 	}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -17,9 +17,8 @@
 const (
 	// syncInterval bounds how long a missed event can delay a change. Leaving
 	// servers and zones out must take effect within 3 s.
-	syncInterval    = 250 * time.Millisecond
-	refreshInterval = 1 * time.Second
-	sweepInterval   = 5 * time.Second
+	syncInterval  = 250 * time.Millisecond
+	sweepInterval = 5 * time.Second
 	// handoverTimeout bounds handing buckets over to their next homes.
 	handoverTimeout = 1 * time.Second
 	// readyGrace is how long the VM serves on after it reports that it is not
@@ -71,6 +70,7 @@
 	})
 	wg.Go(func() { d.reporter.Run(ctx) })
 	wg.Go(func() { d.tokens.Run(ctx) })
+	wg.Go(func() { d.buckets.Run(ctx) })
 	wg.Go(func() { d.claims.Run(ctx, claimSweeper{d.fleet}, d.claimSweepFailed) })
 	wg.Go(func() { d.followChanges(ctx) })
 	wg.Go(func() { d.sweep(ctx) })
@@ -144,7 +144,6 @@
 	defer unsubscribeConfigurations()
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
-	refreshed := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -152,15 +151,10 @@
 		case <-configurations:
 		case list := <-lists:
 			d.handOver(ctx, list)
-			refreshed = time.Time{}
+			d.buckets.Refresh(time.Now())
 		case <-ticker.C:
 		}
-		now := time.Now()
-		d.owner.Sync(now)
-		if now.Sub(refreshed) >= refreshInterval {
-			d.buckets.Refresh(now)
-			refreshed = now
-		}
+		d.owner.Sync(time.Now())
 	}
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -30,7 +30,7 @@
 
 // Tokens admits requests within the rate and burst of their team.
 type Tokens interface {
-	Take(ctx context.Context, team contract.TeamID) (quota.Grant, error)
+	Take(ctx context.Context, team *contract.Team) (quota.Grant, error)
 }
 
 // Forwarder hands a request to the VM that owns its backend server, if relay is
@@ -111,7 +111,7 @@
 	req.Deadline = in.Arrived.Add(route.Timeout())
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	if rejected := d.admit(ctx, req.Team); rejected != nil {
+	if rejected := d.admit(ctx, index, req.Team); rejected != nil {
 		return *rejected, 0
 	}
 	ticket, settled := d.claim(ctx, req)
@@ -162,10 +162,15 @@
 }
 
 // admit takes a token of the team. Requests on open routes have no team.
-func (d *Dispatcher) admit(ctx context.Context, team contract.TeamID) *request.Result {
-	if team == "" {
+func (d *Dispatcher) admit(ctx context.Context, index *contract.Index, id contract.TeamID) *request.Result {
+	if id == "" {
 		return nil
 	}
+	team := index.Team(id)
+	if team == nil {
+		rejected := request.Rejected(request.ReasonBadKey)
+		return &rejected
+	}
 	_, err := d.parts.Tokens.Take(ctx, team)
 	if err == nil {
 		return nil
--- a/entry/dispatcher_test.go
+++ b/entry/dispatcher_test.go
@@ -43,7 +43,7 @@
 }
 func (s *script) Self() vm.VM                    { return vm.VM{ID: "vm1", Zone: "a"} }
 func (s *script) Ready(time.Time) (bool, string) { return true, "" }
-func (s *script) Take(context.Context, contract.TeamID) (quota.Grant, error) {
+func (s *script) Take(context.Context, *contract.Team) (quota.Grant, error) {
 	return quota.Grant{}, s.tokenErr
 }
 func (s *script) Forward(_ context.Context, _ vm.VM, _ *vm.VM, req *request.Request) request.Result {
@@ -126,7 +126,7 @@
 		}
 	}
 	s = newScript(status(200))
-	s.tokenErr = &quota.RejectedError{Team: "counter", RetryAfter: time.Second}
+	s.tokenErr = &quota.RejectedError{Bucket: "counter", RetryAfter: time.Second}
 	if got := s.do("GET"); got.Outcome != request.NotRun || got.Reason != request.ReasonRate || got.RetryAfter != time.Second || len(s.attempts) > 0 {
 		t.Errorf("over the rate: got %+v after %d attempts", got, len(s.attempts))
 	}
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"almondstile/contract"
+	"almondstile/vm"
 
 	"github.com/sourcegraph/conc/pool"
 )
@@ -102,7 +104,7 @@
 	home := -1
 	for _, team := range w.status(t, 0).Teams {
 		for n, v := range w.vms {
-			if team.ID == "glencoe-hire" && string(team.Home) == v.id {
+			if team.ID == "glencoe-hire" && slices.Contains(team.Homes, vm.ID(v.id)) {
 				home = n
 			}
 		}
--- a/operator/status.go
+++ b/operator/status.go
@@ -78,7 +78,7 @@
 // TeamStatus is one team that was active lately.
 type TeamStatus struct {
 	ID            contract.TeamID `json:"id"`
-	Home          vm.ID           `json:"home,omitempty"`
+	Homes         []vm.ID         `json:"homes,omitempty"`
 	RatePerSecond float64         `json:"rate_per_second"`
 	Burst         int             `json:"burst"`
 	// AdmittedPerSecond and RejectedPerSecond are this VM's recent rates.
--- a/quota/allowance.go
+++ b/quota/allowance.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"almondstile/contract"
 )
 
 const (
@@ -64,7 +62,7 @@
 
 // Use uses one held token and returns the report of it, which must be sent to
 // the home at once: until then, the bucket cannot refill to its burst.
-func (a *Allowance) Use(now time.Time, team contract.TeamID) (report LoanReturn, ok bool) {
+func (a *Allowance) Use(now time.Time, team BucketID) (report LoanReturn, ok bool) {
 	a.dropExpired(now)
 	if len(a.loans) == 0 {
 		return LoanReturn{}, false
@@ -72,7 +70,7 @@
 	l := &a.loans[0]
 	l.left--
 	l.used++
-	report = LoanReturn{Team: team, LoanID: l.id, Used: l.used, Left: l.left}
+	report = LoanReturn{Bucket: team, LoanID: l.id, Used: l.used, Left: l.left}
 	if l.left == 0 {
 		a.dropFirst()
 	}
@@ -133,19 +131,19 @@
 }
 
 // CloseIdle appends the returns of the loans that were not used up in time.
-func (a *Allowance) CloseIdle(now time.Time, team contract.TeamID, closed []LoanReturn) []LoanReturn {
+func (a *Allowance) CloseIdle(now time.Time, team BucketID, closed []LoanReturn) []LoanReturn {
 	return a.close(now, team, closed, idleReturn)
 }
 
 // CloseAll returns the returns of all loans.
-func (a *Allowance) CloseAll(now time.Time, team contract.TeamID) []LoanReturn {
+func (a *Allowance) CloseAll(now time.Time, team BucketID) []LoanReturn {
 	return a.close(now, team, nil, 0)
 }
 
-func (a *Allowance) close(now time.Time, team contract.TeamID, closed []LoanReturn, age time.Duration) []LoanReturn {
+func (a *Allowance) close(now time.Time, team BucketID, closed []LoanReturn, age time.Duration) []LoanReturn {
 	a.dropExpired(now)
 	for len(a.loans) > 0 && now.Sub(a.loans[0].sent) >= age {
-		closed = append(closed, LoanReturn{Team: team, LoanID: a.loans[0].id, Used: a.loans[0].used})
+		closed = append(closed, LoanReturn{Bucket: team, LoanID: a.loans[0].id, Used: a.loans[0].used})
 		a.dropFirst()
 	}
 	return closed
--- /dev/null
+++ b/quota/bucketid_test.go
@@ -0,0 +1,37 @@
+package quota
+
+import (
+	"math"
+	"testing"
+
+	"almondstile/contract"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a split that admits more, or less, than the team bought: the
+// shares of a team's buckets must add up to its rate and burst.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		team := contract.Team{
+			ID: "walkers", RatePerSecond: rapid.Float64Range(0.1, 1e6).Draw(t, "rate"),
+			Burst: rapid.IntRange(16, 1e6).Draw(t, "burst"), Homes: rapid.IntRange(0, 16).Draw(t, "homes"),
+		}
+		index := contract.NewIndex(&contract.Configuration{Teams: []contract.Team{team}})
+		rate, burst := 0.0, 0
+		for _, id := range Buckets(&team) {
+			terms, ok := termsOf(index, id)
+			if !ok || terms.Burst < 1 {
+				t.Fatalf("bucket %s has terms %+v, %v", id, terms, ok)
+			}
+			rate += terms.RatePerSecond
+			burst += terms.Burst
+		}
+		if burst != team.Burst || math.Abs(rate-team.RatePerSecond) > 1e-9*team.RatePerSecond {
+			t.Fatalf("the shares add up to rate %v, burst %d", rate, burst)
+		}
+		if _, ok := termsOf(index, bucketOf(team.ID, max(1, team.Homes))); ok {
+			t.Fatal("there is a bucket too many")
+		}
+	})
+}
--- a/quota/exact_test.go
+++ b/quota/exact_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 )
 
-const simTeam contract.TeamID = "t"
+const simTeam BucketID = "t"
 
 var epoch = time.Unix(1_000_000, 0)
 
@@ -70,7 +70,7 @@
 	}
 	f.terms = append(f.terms, simTerms{Terms{rate, burst}, epoch.Add(1e6 * time.Hour)})
 	f.index = contract.NewIndex(&contract.Configuration{Teams: []contract.Team{
-		{ID: simTeam, RatePerSecond: rate, Burst: burst},
+		{ID: contract.TeamID(simTeam), RatePerSecond: rate, Burst: burst},
 	}})
 }
 
@@ -116,7 +116,7 @@
 	needed, wanted := e.allowance.Want(local, pick(f, []int{1, 3, 40}))
 	e.takes++
 	f.take(e, TakeRequest{
-		RequestID: fmt.Sprint(from, "/", e.takes), Team: simTeam, Needed: needed,
+		RequestID: fmt.Sprint(from, "/", e.takes), Bucket: simTeam, Needed: needed,
 		Wanted: wanted + pick(f, []int{0, 0, 5, 40}),
 	}, local, pick(f, simFates))
 }
@@ -153,7 +153,7 @@
 	}
 	if fate == 1 {
 		answered = true
-		f.send([]LoanReturn{{Team: simTeam, LoanID: r.RequestID}})
+		f.send([]LoanReturn{{Bucket: simTeam, LoanID: r.RequestID}})
 	}
 }
 
@@ -279,20 +279,20 @@
 		f.homes = append(f.homes, NewHomes(simMember{f, i}, f, nil, nil))
 	}
 	f.now = f.now.Add(10_003 * time.Second)
-	f.homes[0].Take(f.now, "e", TakeRequest{RequestID: "1", Team: simTeam, Needed: 4})
+	f.homes[0].Take(f.now, "e", TakeRequest{RequestID: "1", Bucket: simTeam, Needed: 4})
 	next := vm.MemberList{Version: 2, VMs: []vm.VM{{ID: "1"}}}
 	given := HandoverRequest{Buckets: f.homes[0].Handover(f.now, next, "0")["1"]}
-	if r := f.homes[0].Take(f.now, "e", TakeRequest{RequestID: "2", Team: simTeam, Needed: 1}); r.Status != StatusNotHome {
+	if r := f.homes[0].Take(f.now, "e", TakeRequest{RequestID: "2", Bucket: simTeam, Needed: 1}); r.Status != StatusNotHome {
 		t.Fatalf("the giver still lends: %+v", r)
 	}
 	f.homes[1].Receive(f.now, given)
 	f.version, f.holder, f.since = 2, 1, f.now
-	f.homes[1].Return(f.now, ReturnRequest{Returns: []LoanReturn{{Team: simTeam, LoanID: "1", Used: 1}}})
-	if r := f.homes[1].Take(f.now, "e", TakeRequest{RequestID: "3", Team: simTeam, Needed: 10}); r.Granted != 9 {
+	f.homes[1].Return(f.now, ReturnRequest{Returns: []LoanReturn{{Bucket: simTeam, LoanID: "1", Used: 1}}})
+	if r := f.homes[1].Take(f.now, "e", TakeRequest{RequestID: "3", Bucket: simTeam, Needed: 10}); r.Granted != 9 {
 		t.Fatalf("the next home lent %d of 9 tokens", r.Granted)
 	}
 	f.homes[1].Receive(f.now, given)
-	if r := f.homes[1].Take(f.now, "e", TakeRequest{RequestID: "4", Team: simTeam, Needed: 10}); r.Granted != 0 {
+	if r := f.homes[1].Take(f.now, "e", TakeRequest{RequestID: "4", Bucket: simTeam, Needed: 10}); r.Granted != 0 {
 		t.Fatalf("a repeated handover brought %d tokens", r.Granted)
 	}
 }
--- a/quota/handover.go
+++ b/quota/handover.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"almondstile/contract"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +21,7 @@
 // before next, since otherwise another VM may have lent tokens in between.
 func (h *Homes) Handover(now time.Time, next vm.MemberList, self vm.ID) map[vm.ID][]Handover {
 	out := make(map[vm.ID][]Handover)
-	h.teams.Range(func(team contract.TeamID, e *home) bool {
+	h.teams.Range(func(team BucketID, e *home) bool {
 		to, ok := next.Holder(Role(team))
 		if e.bucket == nil || !ok || to.ID == self {
 			return true
@@ -36,20 +35,20 @@
 }
 
 // give drops the bucket and returns its state, if the next home may use it.
-func (e *home) give(now time.Time, team contract.TeamID, version uint64) (Handover, bool) {
+func (e *home) give(now time.Time, team BucketID, version uint64) (Handover, bool) {
 	bucket := e.bucket
 	e.bucket, e.givenVersion, e.givenAt = nil, max(e.givenVersion, version), now
 	if e.actVersion+1 != version || bucket.starting(now) {
 		return Handover{}, false
 	}
 	level, loans := bucket.export(now)
-	return Handover{Team: team, ListVersion: version, Level: level, Loans: loans}, true
+	return Handover{Bucket: team, ListVersion: version, Level: level, Loans: loans}, true
 }
 
 // Receive keeps handovers until this VM acts as the teams' home.
 func (h *Homes) Receive(now time.Time, r HandoverRequest) {
 	for _, given := range r.Buckets {
-		h.teams.Do(given.Team, newHome, func(e *home) {
+		h.teams.Do(given.Bucket, newHome, func(e *home) {
 			if e.pending == nil || e.pending.ListVersion < given.ListVersion {
 				e.pending = &pendingHandover{Handover: given, receivedAt: now}
 			}
@@ -79,9 +78,9 @@
 // exist. Run calls it each second; call it also after each change of the member
 // list.
 func (h *Homes) Refresh(now time.Time) {
-	var teams []contract.TeamID
-	h.teams.Range(func(team contract.TeamID, e *home) bool {
-		if h.contracts.Index().Team(team) == nil {
+	var teams []BucketID
+	h.teams.Range(func(team BucketID, e *home) bool {
+		if _, known := h.terms(team); !known {
 			return false
 		}
 		if e.bucket != nil {
--- a/quota/homes.go
+++ b/quota/homes.go
@@ -39,7 +39,7 @@
 	caller    link.Caller
 	clock     func() time.Time
 	calls     conc.WaitGroup // recalls in flight
-	teams     shard.Map[contract.TeamID, *home]
+	teams     shard.Map[BucketID, *home]
 }
 
 // home is one team's state at its home VM. It outlives the role, because its
@@ -96,7 +96,7 @@
 	before, after uint64
 }
 
-func (h *Homes) role(now time.Time, team contract.TeamID) (role, bool) {
+func (h *Homes) role(now time.Time, team BucketID) (role, bool) {
 	before := h.members.List().Version
 	since, ok := h.members.MayAct(now, Role(team))
 	return role{since: since, before: before, after: h.members.List().Version}, ok
@@ -106,23 +106,23 @@
 // checked: a loan is valid from when its holder sent the take, so a pause at
 // any later point only shortens the loan.
 func (h *Homes) Take(now time.Time, from vm.ID, r TakeRequest) TakeReply {
-	held, ok := h.role(now, r.Team)
+	held, ok := h.role(now, r.Bucket)
 	if !ok {
 		return TakeReply{Status: StatusNotHome}
 	}
-	terms, ok := h.terms(r.Team)
+	terms, ok := h.terms(r.Bucket)
 	if !ok {
 		return TakeReply{Status: StatusUnknownTeam}
 	}
 	reply, idle := h.lend(now, held, terms, from, r)
-	h.recall(r.Team, idle)
+	h.recall(r.Bucket, idle)
 	return reply
 }
 
 // lend also returns the holders whose idle tokens the request is short of.
 func (h *Homes) lend(now time.Time, held role, terms Terms, from vm.ID, r TakeRequest) (reply TakeReply, idle []vm.ID) {
 	reply.Status = StatusNotHome
-	h.teams.Do(r.Team, newHome, func(e *home) {
+	h.teams.Do(r.Bucket, newHome, func(e *home) {
 		if !e.enter(now, held, terms) {
 			return
 		}
@@ -144,12 +144,12 @@
 // ignored: the tokens count as used.
 func (h *Homes) Return(now time.Time, r ReturnRequest) {
 	for _, returned := range r.Returns {
-		held, ok := h.role(now, returned.Team)
-		terms, known := h.terms(returned.Team)
+		held, ok := h.role(now, returned.Bucket)
+		terms, known := h.terms(returned.Bucket)
 		if !ok || !known {
 			continue
 		}
-		h.teams.Do(returned.Team, newHome, func(e *home) {
+		h.teams.Do(returned.Bucket, newHome, func(e *home) {
 			if e.enter(now, held, terms) {
 				e.bucket.Return(now, returned.LoanID, returned.Used, returned.Left)
 			}
@@ -157,12 +157,8 @@
 	}
 }
 
-func (h *Homes) terms(team contract.TeamID) (Terms, bool) {
-	t := h.contracts.Index().Team(team)
-	if t == nil {
-		return Terms{}, false
-	}
-	return Terms{RatePerSecond: t.RatePerSecond, Burst: t.Burst}, true
+func (h *Homes) terms(team BucketID) (Terms, bool) {
+	return termsOf(h.contracts.Index(), team)
 }
 
 func newHome() *home { return &home{} }
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"almondstile/contract"
-	"almondstile/vm"
-
 	"github.com/cockroachdb/errors"
 )
 
@@ -40,9 +37,9 @@
 // TakeRequest asks a team's home for tokens.
 type TakeRequest struct {
 	// RequestID names the loan. A repeated take has the same ID.
-	RequestID   string          `json:"request_id"`
-	Team        contract.TeamID `json:"team"`
-	ListVersion uint64          `json:"list_version"`
+	RequestID   string   `json:"request_id"`
+	Bucket      BucketID `json:"bucket"`
+	ListVersion uint64   `json:"list_version"`
 	// Needed is the number of requests that wait for a token now.
 	Needed int `json:"needed"`
 	// Wanted is Needed plus the tokens that the demand will use soon.
@@ -70,10 +67,10 @@
 // closed, and its tokens that were not used go back. Reports of one loan may
 // arrive in any order and more than once.
 type LoanReturn struct {
-	Team   contract.TeamID `json:"team"`
-	LoanID string          `json:"loan_id"`
-	Used   int             `json:"used"`
-	Left   int             `json:"left,omitempty"`
+	Bucket BucketID `json:"bucket"`
+	LoanID string   `json:"loan_id"`
+	Used   int      `json:"used"`
+	Left   int      `json:"left,omitempty"`
 }
 
 // ReturnRequest carries the reports for teams with the same home.
@@ -87,7 +84,7 @@
 // RecallRequest asks an entry VM to return a team's unused tokens, because the
 // home had to refuse a request while they lie idle.
 type RecallRequest struct {
-	Team contract.TeamID `json:"team"`
+	Bucket BucketID `json:"bucket"`
 }
 
 // RecallReply acknowledges a RecallRequest.
@@ -95,7 +92,7 @@
 
 // Handover carries a bucket from a home that has stopped acting to the next.
 type Handover struct {
-	Team contract.TeamID `json:"team"`
+	Bucket BucketID `json:"bucket"`
 	// ListVersion is the version of the first member list in which the
 	// receiver holds the role. The receiver ignores the handover under any
 	// other version, since another VM may have been the home in between.
@@ -130,15 +127,10 @@
 
 // RejectedError says that the team has used up its rate and burst.
 type RejectedError struct {
-	Team       contract.TeamID
+	Bucket     BucketID
 	RetryAfter time.Duration
 }
 
 func (e *RejectedError) Error() string {
-	return "quota: team " + string(e.Team) + " is over its rate, next token in " + e.RetryAfter.String()
-}
-
-// Role returns the role of the team's home.
-func Role(team contract.TeamID) vm.Role {
-	return vm.Role{Kind: vm.TeamHome, Name: string(team)}
+	return "quota: team " + string(e.Bucket) + " is over its rate, next token in " + e.RetryAfter.String()
 }
--- a/quota/returns.go
+++ b/quota/returns.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"almondstile/contract"
 	"almondstile/link"
 	"almondstile/vm"
 )
@@ -42,7 +41,7 @@
 	}
 	list := t.members.List()
 	for _, r := range closed {
-		home, ok := list.Holder(Role(r.Team))
+		home, ok := list.Holder(Role(r.Bucket))
 		if !ok {
 			continue
 		}
@@ -84,7 +83,7 @@
 
 // recall asks the holders of idle tokens to return them. A recall that is lost
 // only delays the return.
-func (h *Homes) recall(team contract.TeamID, holders []vm.ID) {
+func (h *Homes) recall(team BucketID, holders []vm.ID) {
 	list := h.members.List()
 	for _, id := range holders {
 		holder, ok := list.Find(id)
@@ -94,7 +93,7 @@
 		h.calls.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 			defer cancel()
-			_ = h.caller.Call(ctx, holder, MethodRecall, RecallRequest{Team: team}, &RecallReply{})
+			_ = h.caller.Call(ctx, holder, MethodRecall, RecallRequest{Bucket: team}, &RecallReply{})
 		})
 	}
 }
@@ -119,13 +118,13 @@
 // Register makes the entry side answer the homes' control messages.
 func (t *Tokens) Register(mux Mux) {
 	mux.Handle(MethodRecall, link.Handle(func(_ context.Context, _ vm.ID, r RecallRequest) (RecallReply, error) {
-		t.Recall(t.clock(), r.Team)
+		t.Recall(t.clock(), r.Bucket)
 		return RecallReply{}, nil
 	}))
 }
 
 // Recall returns the team's tokens unless requests wait for them here too.
-func (t *Tokens) Recall(now time.Time, team contract.TeamID) {
+func (t *Tokens) Recall(now time.Time, team BucketID) {
 	var closed []LoanReturn
 	t.teams.DoExisting(team, func(e *allotment) {
 		if e.waiting == 0 {
@@ -157,7 +156,7 @@
 // sweep closes idle loans and evicts idle teams.
 func (t *Tokens) sweep(now time.Time) {
 	var closed []LoanReturn
-	t.teams.Range(func(team contract.TeamID, e *allotment) bool {
+	t.teams.Range(func(team BucketID, e *allotment) bool {
 		closed = e.allowance.CloseIdle(now, team, closed)
 		return e.waiting > 0 || e.flight != nil || !e.allowance.Idle(now, evictAfter)
 	})
--- a/quota/tokens.go
+++ b/quota/tokens.go
@@ -11,6 +11,7 @@
 	"almondstile/shard"
 	"almondstile/vm"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 )
@@ -48,11 +49,13 @@
 	caller  link.Caller
 	clock   func() time.Time
 	// prefix makes the request IDs of this process unique in the fleet.
-	prefix   string
-	sequence atomic.Uint64
-	teams    shard.Map[contract.TeamID, *allotment]
-	returns  shard.Map[vm.ID, *outbox]
-	calls    conc.WaitGroup
+	prefix string
+	// preference spreads the VMs over the buckets of each team.
+	preference int
+	sequence   atomic.Uint64
+	teams      shard.Map[BucketID, *allotment]
+	returns    shard.Map[vm.ID, *outbox]
+	calls      conc.WaitGroup
 }
 
 // allotment is one team's state at this entry VM.
@@ -79,6 +82,8 @@
 		caller:  caller,
 		clock:   clock,
 		prefix:  string(self.ID) + "/" + self.Incarnation + "/",
+		// Shifted so that it stays positive where an int has 32 bits.
+		preference: int(xxhash.Sum64String(string(self.ID)) >> 40),
 	}
 }
 
@@ -96,7 +101,50 @@
 // Take admits one request of the team. It returns a *RejectedError if the team
 // is over its rate, ErrHomeUnreachable, ErrUnknownTeam or the context's error.
 // It must not be called after the context of Run has ended.
-func (t *Tokens) Take(ctx context.Context, team contract.TeamID) (Grant, error) {
+//
+// Each VM has a preferred bucket of the team, which it borrows ahead from, and
+// tries the others when that one is empty or its home cannot be reached.
+func (t *Tokens) Take(ctx context.Context, team *contract.Team) (Grant, error) {
+	buckets := Buckets(team)
+	last := len(buckets) - 1
+	start := t.clock()
+	var rejected error
+	for i := range buckets {
+		wait := time.Duration(0)
+		if i == last {
+			wait = maxShortWait
+		}
+		local, err := t.take(ctx, buckets[(t.preference+i)%len(buckets)], wait)
+		if err == nil {
+			return Grant{Local: local, Waited: t.clock().Sub(start)}, nil
+		}
+		if ctx.Err() != nil {
+			return Grant{}, err
+		}
+		rejected = sooner(rejected, err)
+	}
+	return Grant{}, rejected
+}
+
+// sooner returns the error that promises the earlier next token. A bucket whose
+// home cannot be reached promises none.
+func sooner(a, b error) error {
+	var first, second *RejectedError
+	if !errors.As(b, &second) {
+		if a == nil {
+			return b
+		}
+		return a
+	}
+	if errors.As(a, &first) && first.RetryAfter <= second.RetryAfter {
+		return a
+	}
+	return b
+}
+
+// take admits one request from a bucket; local says that the token was held on
+// this VM.
+func (t *Tokens) take(ctx context.Context, team BucketID, maxWait time.Duration) (local bool, err error) {
 	start := t.clock()
 	var a attempt
 	t.teams.Do(team, newAllotment, func(e *allotment) {
@@ -106,19 +154,18 @@
 	})
 	t.follow(team, a)
 	if a.granted {
-		return Grant{Local: true}, nil
+		return true, nil
 	}
-	err := t.wait(ctx, team, start, a)
-	return Grant{Waited: t.clock().Sub(start)}, err
+	return false, t.wait(ctx, team, start.Add(maxWait), a)
 }
 
 // wait follows up on the first attempt until the request has its answer. Each
 // round waits for the end of a call, for a timer or for the context.
-func (t *Tokens) wait(ctx context.Context, team contract.TeamID, start time.Time, a attempt) error {
+func (t *Tokens) wait(ctx context.Context, team BucketID, until time.Time, a attempt) error {
 	for !a.granted {
 		var err error
 		if a.refused {
-			err = t.sleep(ctx, team, start, a.retryAfter)
+			err = t.sleep(ctx, team, until, a.retryAfter)
 		} else {
 			err = a.wait.await(ctx)
 		}
@@ -134,7 +181,7 @@
 }
 
 // attempt runs under the team's lock.
-func (t *Tokens) attempt(e *allotment, team contract.TeamID, now time.Time) (a attempt) {
+func (t *Tokens) attempt(e *allotment, team BucketID, now time.Time) (a attempt) {
 	if a.report, a.granted = e.allowance.Use(now, team); a.granted {
 		e.waiting--
 		if e.flight == nil && e.allowance.Low(now) {
@@ -164,7 +211,7 @@
 }
 
 // follow starts what an attempt asked for, outside of the lock.
-func (t *Tokens) follow(team contract.TeamID, a attempt) {
+func (t *Tokens) follow(team BucketID, a attempt) {
 	if a.granted {
 		t.giveBack([]LoanReturn{a.report})
 	}
@@ -173,11 +220,11 @@
 	}
 }
 
-// sleep waits until a token is due, if that is soon enough.
-func (t *Tokens) sleep(ctx context.Context, team contract.TeamID, start time.Time, due time.Duration) error {
+// sleep waits until a token is due, if that is before until.
+func (t *Tokens) sleep(ctx context.Context, team BucketID, until time.Time, due time.Duration) error {
 	due = max(due, 0)
-	if t.clock().Add(due).Sub(start) > maxShortWait {
-		return &RejectedError{Team: team, RetryAfter: due}
+	if t.clock().Add(due).After(until) {
+		return &RejectedError{Bucket: team, RetryAfter: due}
 	}
 	timer := time.NewTimer(due)
 	defer timer.Stop()
@@ -199,8 +246,8 @@
 }
 
 // fly makes the call of one flight and books its result.
-func (t *Tokens) fly(team contract.TeamID, f *flight) {
-	reply, err := t.ask(TakeRequest{RequestID: f.id, Team: team, Needed: f.needed, Wanted: f.wanted})
+func (t *Tokens) fly(team BucketID, f *flight) {
+	reply, err := t.ask(TakeRequest{RequestID: f.id, Bucket: team, Needed: f.needed, Wanted: f.wanted})
 	now := t.clock()
 	t.teams.Do(team, newAllotment, func(e *allotment) {
 		e.flight = nil
@@ -210,7 +257,7 @@
 	})
 	if err != nil {
 		// The home may have lent tokens in a reply that was lost.
-		t.giveBack([]LoanReturn{{Team: team, LoanID: f.id}})
+		t.giveBack([]LoanReturn{{Bucket: team, LoanID: f.id}})
 	}
 	f.err = err
 	close(f.done)
@@ -233,7 +280,7 @@
 	var cause error
 	for range 2 {
 		list := t.members.List()
-		home, ok := list.Holder(Role(r.Team))
+		home, ok := list.Holder(Role(r.Bucket))
 		if !ok {
 			cause = errors.New("the member list is empty")
 			continue
@@ -251,7 +298,7 @@
 			return reply, nil
 		}
 	}
-	return TakeReply{}, errors.Mark(errors.Wrapf(cause, "taking tokens of team %s", r.Team), ErrHomeUnreachable)
+	return TakeReply{}, errors.Mark(errors.Wrapf(cause, "taking tokens of team %s", r.Bucket), ErrHomeUnreachable)
 }
 
 func (t *Tokens) call(home vm.VM, r TakeRequest) (reply TakeReply, err error) {
--- a/quota/tokens_test.go
+++ b/quota/tokens_test.go
@@ -144,7 +144,7 @@
 						from := f.tokens[(load.place(random, n)+i)%vms]
 						requests.Go(func() {
 							sent.Add(1)
-							grant, err := from.Take(context.Background(), team.ID)
+							grant, err := from.Take(context.Background(), &team)
 							if err != nil {
 								refused.Add(1)
 							}
@@ -223,7 +223,7 @@
 		var wg conc.WaitGroup
 		for range 50 {
 			wg.Go(func() {
-				_, err := f.tokens[0].Take(context.Background(), "a")
+				_, err := f.tokens[0].Take(context.Background(), &contract.Team{ID: "a"})
 				var over *RejectedError
 				if err == nil {
 					granted.Add(1)
@@ -248,7 +248,7 @@
 		defer stop()
 		time.Sleep(10 * time.Second)
 		f.setFault(func() error { return link.ErrUnreachable })
-		if _, err := f.tokens[0].Take(context.Background(), "a"); !errors.Is(err, ErrHomeUnreachable) || f.count[MethodTake].Load() != 2 {
+		if _, err := f.tokens[0].Take(context.Background(), &contract.Team{ID: "a"}); !errors.Is(err, ErrHomeUnreachable) || f.count[MethodTake].Load() != 2 {
 			t.Fatalf("unreachable home: %v after %d calls", err, f.count[MethodTake].Load())
 		}
 		var calls atomic.Int64
@@ -258,17 +258,17 @@
 			}
 			return nil
 		})
-		if _, err := f.tokens[0].Take(context.Background(), "a"); err != nil {
+		if _, err := f.tokens[0].Take(context.Background(), &contract.Team{ID: "a"}); err != nil {
 			t.Fatalf("second try: %v", err)
 		}
-		if _, err := f.tokens[0].Take(context.Background(), "b"); !errors.Is(err, ErrUnknownTeam) {
+		if _, err := f.tokens[0].Take(context.Background(), &contract.Team{ID: "b"}); !errors.Is(err, ErrUnknownTeam) {
 			t.Fatalf("unknown team: %v", err)
 		}
 		f.setFault(func() error { time.Sleep(time.Second); return link.ErrNoReply })
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 		defer cancel()
 		begin := time.Now()
-		if _, err := f.tokens[1].Take(ctx, "a"); !errors.Is(err, context.DeadlineExceeded) || time.Since(begin) > 30*time.Millisecond {
+		if _, err := f.tokens[1].Take(ctx, &contract.Team{ID: "a"}); !errors.Is(err, context.DeadlineExceeded) || time.Since(begin) > 30*time.Millisecond {
 			t.Fatalf("deadline: %v after %v", err, time.Since(begin))
 		}
 	})
