--- a/quota/handover.go
+++ b/quota/handover.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"almondstile/contract"
-	"almondstile/link"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -23,7 +21,7 @@
 // before next, since otherwise another VM may have lent tokens in between.
 func (h *Homes) Handover(now time.Time, next vm.MemberList, self vm.ID) map[vm.ID][]Handover {
 	out := make(map[vm.ID][]Handover)
-	h.teams.Range(func(team contract.TeamID, e *home) bool {
+	h.teams.Range(func(team BucketID, e *home) bool {
 		to, ok := next.Holder(Role(team))
 		if e.bucket == nil || !ok || to.ID == self {
 			return true
@@ -37,20 +35,20 @@
 }
 
 // give drops the bucket and returns its state, if the next home may use it.
-func (e *home) give(now time.Time, team contract.TeamID, version uint64) (Handover, bool) {
+func (e *home) give(now time.Time, team BucketID, version uint64) (Handover, bool) {
 	bucket := e.bucket
 	e.bucket, e.givenVersion, e.givenAt = nil, max(e.givenVersion, version), now
 	if e.actVersion+1 != version || bucket.starting(now) {
 		return Handover{}, false
 	}
 	level, loans := bucket.export(now)
-	return Handover{Team: team, ListVersion: version, Level: level, Loans: loans}, true
+	return Handover{Bucket: team, ListVersion: version, Level: level, Loans: loans}, true
 }
 
 // Receive keeps handovers until this VM acts as the teams' home.
 func (h *Homes) Receive(now time.Time, r HandoverRequest) {
 	for _, given := range r.Buckets {
-		h.teams.Do(given.Team, newHome, func(e *home) {
+		h.teams.Do(given.Bucket, newHome, func(e *home) {
 			if e.pending == nil || e.pending.ListVersion < given.ListVersion {
 				e.pending = &pendingHandover{Handover: given, receivedAt: now}
 			}
@@ -60,7 +58,7 @@
 
 // SendHandover hands over all buckets whose home changes with the list next.
 // A bucket whose message is lost starts empty at its next home.
-func (h *Homes) SendHandover(ctx context.Context, caller link.Caller, next vm.MemberList, self vm.ID) error {
+func (h *Homes) SendHandover(ctx context.Context, next vm.MemberList, self vm.ID) error {
 	calls := pool.New().WithErrors().WithMaxGoroutines(maxHandoverCalls)
 	for id, buckets := range h.Handover(h.clock(), next, self) {
 		to, ok := next.Find(id)
@@ -68,7 +66,7 @@
 			continue
 		}
 		calls.Go(func() error {
-			err := caller.Call(ctx, to, MethodHandover, HandoverRequest{Buckets: buckets}, &HandoverReply{})
+			err := h.caller.Call(ctx, to, MethodHandover, HandoverRequest{Buckets: buckets}, &HandoverReply{})
 			return errors.Wrapf(err, "handing over %d buckets to %s", len(buckets), id)
 		})
 	}
@@ -77,11 +75,12 @@
 
 // Refresh notes under which member list this VM still acts for each bucket,
 // which a later handover depends on. It also forgets teams that no longer
-// exist. Call it after each change of the member list and about each second.
+// exist. Run calls it each second; call it also after each change of the member
+// list.
 func (h *Homes) Refresh(now time.Time) {
-	var teams []contract.TeamID
-	h.teams.Range(func(team contract.TeamID, e *home) bool {
-		if h.contracts.Index().Team(team) == nil {
+	var teams []BucketID
+	h.teams.Range(func(team BucketID, e *home) bool {
+		if _, known := h.terms(team); !known {
 			return false
 		}
 		if e.bucket != nil {
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"almondstile/contract"
-	"almondstile/vm"
-
 	"github.com/cockroachdb/errors"
 )
 
@@ -13,6 +10,7 @@
 const (
 	MethodTake     = "quota.take"
 	MethodReturn   = "quota.return"
+	MethodRecall   = "quota.recall"
 	MethodHandover = "quota.handover"
 )
 
@@ -39,9 +37,9 @@
 // TakeRequest asks a team's home for tokens.
 type TakeRequest struct {
 	// RequestID names the loan. A repeated take has the same ID.
-	RequestID   string          `json:"request_id"`
-	Team        contract.TeamID `json:"team"`
-	ListVersion uint64          `json:"list_version"`
+	RequestID   string   `json:"request_id"`
+	Bucket      BucketID `json:"bucket"`
+	ListVersion uint64   `json:"list_version"`
 	// Needed is the number of requests that wait for a token now.
 	Needed int `json:"needed"`
 	// Wanted is Needed plus the tokens that the demand will use soon.
@@ -65,14 +63,17 @@
 	return time.Duration(r.RetryAfterMillis) * time.Millisecond
 }
 
-// LoanReturn closes a loan. The tokens that were not used go back.
+// LoanReturn reports how much of a loan was used. A loan with nothing left is
+// closed, and its tokens that were not used go back. Reports of one loan may
+// arrive in any order and more than once.
 type LoanReturn struct {
-	Team   contract.TeamID `json:"team"`
-	LoanID string          `json:"loan_id"`
-	Used   int             `json:"used"`
+	Bucket BucketID `json:"bucket"`
+	LoanID string   `json:"loan_id"`
+	Used   int      `json:"used"`
+	Left   int      `json:"left,omitempty"`
 }
 
-// ReturnRequest carries the closed loans of teams with the same home.
+// ReturnRequest carries the reports for teams with the same home.
 type ReturnRequest struct {
 	Returns []LoanReturn `json:"returns"`
 }
@@ -80,9 +81,18 @@
 // ReturnReply acknowledges a ReturnRequest.
 type ReturnReply struct{}
 
+// RecallRequest asks an entry VM to return a team's unused tokens, because the
+// home had to refuse a request while they lie idle.
+type RecallRequest struct {
+	Bucket BucketID `json:"bucket"`
+}
+
+// RecallReply acknowledges a RecallRequest.
+type RecallReply struct{}
+
 // Handover carries a bucket from a home that has stopped acting to the next.
 type Handover struct {
-	Team contract.TeamID `json:"team"`
+	Bucket BucketID `json:"bucket"`
 	// ListVersion is the version of the first member list in which the
 	// receiver holds the role. The receiver ignores the handover under any
 	// other version, since another VM may have been the home in between.
@@ -94,7 +104,8 @@
 // HandoverLoan is a loan that may still be used.
 type HandoverLoan struct {
 	ID              string `json:"id"`
-	Tokens          int    `json:"tokens"`
+	Granted         int    `json:"granted"`
+	Open            int    `json:"open"`
 	RemainingMillis int64  `json:"remaining_ms"`
 }
 
@@ -116,15 +127,10 @@
 
 // RejectedError says that the team has used up its rate and burst.
 type RejectedError struct {
-	Team       contract.TeamID
+	Bucket     BucketID
 	RetryAfter time.Duration
 }
 
 func (e *RejectedError) Error() string {
-	return "quota: team " + string(e.Team) + " is over its rate, next token in " + e.RetryAfter.String()
-}
-
-// Role returns the role of the team's home.
-func Role(team contract.TeamID) vm.Role {
-	return vm.Role{Kind: vm.TeamHome, Name: string(team)}
+	return "quota: team " + string(e.Bucket) + " is over its rate, next token in " + e.RetryAfter.String()
 }
