--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -13,7 +13,7 @@
 	for _, name := range []string{
 		"vm-crash", "gray-server", "one-way-partition", "store-away", "key-withdrawal", "noisy-team",
 		"cold-fleet", "poison-request", "lost-answers", "paused-vm", "rolling-restart", "zone-out",
-		"racing-operators", "small-teams", "flapping", "everything", "added-latency", "healthy-noise",
+		"racing-operators", "small-teams", "flapping", "everything", "added-latency", "healthy-noise", "control-cost",
 	} {
 		if _, ok := find(name); !ok {
 			t.Errorf("%s is missing", name)
--- /dev/null
+++ b/bench/exp_control.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"almondstile/bench/check"
+	"almondstile/bench/fleet"
+	"almondstile/bench/load"
+	"almondstile/standin/platformsim"
+)
+
+var controlExperiments = []Experiment{{
+	Name: "control-cost", About: "what control costs each VM and the store while next to no calls are sent",
+	Length: controlLength,
+	// Some calls keep the owners' and homes' messages going.
+	Profile: func(r *Run, p *load.Profile) { p.Scale = quietLoadScale },
+	Steps: func(r *Run) []Step {
+		return []Step{
+			{controlFrom, "first reading", func(ctx context.Context, r *Run) error { r.costs[0] = r.reading(ctx); return nil }},
+			{controlUntil, "second reading", func(ctx context.Context, r *Run) error { r.costs[1] = r.reading(ctx); return nil }},
+		}
+	},
+	Uncovered: []string{"P10"},
+	Findings:  controlCost,
+}}
+
+const (
+	controlFrom    = 15 * time.Second
+	controlUntil   = 75 * time.Second
+	controlLength  = 76 * time.Second
+	quietLoadScale = 0.05
+
+	// Bounds of the target for each VM.
+	controlCPUBound    = 2.2   // percent of a core
+	controlMemoryBound = 128.0 // MB
+	controlBytesBound  = 11.0  // KB a second
+)
+
+// costReading is the cost of all VMs and the load of the store at one time.
+type costReading struct {
+	at    time.Time
+	vms   []fleet.Cost
+	store platformsim.Counters
+}
+
+func (r *Run) reading(ctx context.Context) costReading {
+	reading := costReading{at: time.Now(), store: r.Fleet.Platform.Counters()}
+	costs := r.Fleet.Costs(ctx)
+	for _, id := range r.Fleet.IDs() {
+		reading.vms = append(reading.vms, costs[id])
+	}
+	return reading
+}
+
+// controlCost reports the mean over the VMs, and the largest memory.
+func controlCost(r *Run, _ *check.History) []check.Finding {
+	first, second := r.costs[0], r.costs[1]
+	seconds := second.at.Sub(first.at).Seconds()
+	n := len(second.vms)
+	var cpuMicros, bytes, memory float64
+	for i, v := range second.vms {
+		cpuMicros += float64(v.CPUMicros - first.vms[i].CPUMicros)
+		bytes += float64(v.ControlBytes - first.vms[i].ControlBytes)
+		memory = max(memory, float64(v.ResidentBytes))
+	}
+	each := float64(n) * seconds
+	writes := float64(second.store.Writes-first.store.Writes) / seconds
+	reads := float64(second.store.Reads-first.store.Reads) / seconds
+	return []check.Finding{
+		check.AtMost("control-cpu", "% of a core", cpuMicros/each/1e4, controlCPUBound, n),
+		check.AtMost("control-memory", "MB resident, largest", memory/1e6, controlMemoryBound, n),
+		check.AtMost("control-bytes", "KB/s", bytes/each/1e3, controlBytesBound, n),
+		figure("store-writes", "rows/s, all VMs", writes, n),
+		figure("store-reads", "calls/s, all VMs", reads, n),
+	}
+}
--- a/bench/experiment.go
+++ b/bench/experiment.go
@@ -43,7 +43,7 @@
 // experiments lists all experiments in the order of `bench list`.
 func experiments() []Experiment {
 	return slices.Concat(vmExperiments, serverExperiments, platformExperiments,
-		teamExperiments, combinedExperiments, latencyExperiments)
+		teamExperiments, combinedExperiments, latencyExperiments, controlExperiments)
 }
 
 func find(name string) (Experiment, bool) {
--- a/bench/run.go
+++ b/bench/run.go
@@ -47,7 +47,9 @@
 	history    check.History
 	// direct holds the calls of added-latency that did not go to the fleet.
 	direct []load.Call
-	log    io.Writer
+	// costs holds the two readings of control-cost.
+	costs [2]costReading
+	log   io.Writer
 }
 
 // After returns a time relative to the start of the load.
