--- a/outlier/comparison.go
+++ b/outlier/comparison.go
@@ -15,6 +15,7 @@
 
 // period is the evidence on all servers over one window.
 type period struct {
+	window    time.Duration
 	tallies   map[*subject]tally
 	latencies map[*subject]histogram
 	// lowestMedian is that of the quickest server. A server that is slow
@@ -32,6 +33,7 @@
 		return p
 	}
 	p := &period{
+		window:    window,
 		tallies:   make(map[*subject]tally, len(c.servers)),
 		latencies: make(map[*subject]histogram, len(c.servers)),
 	}
@@ -44,3 +46,15 @@
 	c.periods[window] = p
 	return p
 }
+
+// slowShare returns the median of some servers' shares of requests that took
+// longer than a threshold. It stays low while less than half are slow.
+func (p *period) slowShare(servers []*subject, thresholdMicros float64) float64 {
+	var shares []float64
+	for _, s := range servers {
+		if l := p.latencies[s]; len(l) > 0 {
+			shares = append(shares, float64(l.above(thresholdMicros))/float64(l.count()))
+		}
+	}
+	return middle(shares)
+}
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -39,6 +39,7 @@
 	ablation Ablation
 	decided  time.Time
 	urgent   bool
+	forced   bool
 }
 
 // subject is the home's record of one server.
@@ -51,12 +52,16 @@
 	severity float64
 	// slowness is the result of the last comparison of latencies.
 	slowness float64
+	// compared says that latencies were compared since the last report.
+	compared bool
 	// level is the number of ejections that have not decayed.
 	level        int
 	levelSince   time.Time
 	ejectedUntil time.Time
 	grantedUntil time.Time
-	probes       probes
+	// undelivered says that the owner reported without knowing of its ejection.
+	undelivered bool
+	probes      probes
 }
 
 // NewDetector returns a detector that knows nothing yet.
@@ -77,7 +82,13 @@
 	if !s.fresh(now) || foreign {
 		s.adopt(now, &r)
 	}
-	s.report, s.reported = r, now
+	if !s.compared && s.trusted() {
+		// The others' reports came too close to this one for a decision between.
+		newComparison(now, d.trusted(now), d.ablation).latency(s)
+	}
+	s.report, s.reported, s.compared = r, now, false
+	s.undelivered = s.standing == backend.Ejected && r.standing() != backend.Ejected
+	d.forced = d.forced || s.undelivered
 	switch {
 	case s.standing == backend.Probing && r.standing() == backend.Probing:
 		s.probes.add(&r)
@@ -123,10 +134,10 @@
 	if d.urgent {
 		interval = urgentInterval
 	}
-	if now.Sub(d.decided) < interval {
+	if now.Sub(d.decided) < interval && !d.forced {
 		return
 	}
-	d.decided, d.urgent = now, false
+	d.decided, d.urgent, d.forced = now, false, false
 	d.forget(terms)
 	for _, s := range d.subjects {
 		s.advance(now)
@@ -134,14 +145,28 @@
 	floor := d.floor(now, terms)
 	d.ejectOutliers(now, d.outliers(now), floor)
 	d.judgeProbes(now, floor)
-	// A grant that the floor does not support runs out unless it recovers.
 	for _, s := range d.subjects {
-		if s.standing == backend.Ejected && floor.holds() {
-			s.grantedUntil = now.Add(GrantTime)
+		if s.standing == backend.Ejected {
+			s.renew(now, floor)
 		}
 	}
 }
 
+// renew extends the grant of an ejection that the floor still supports. Other
+// grants run out, and an ejection that is yet to reach its owner is withdrawn:
+// it was decided at another server's report, and the floor may have changed
+// since.
+func (s *subject) renew(now time.Time, floor *floor) {
+	switch {
+	case floor.holds():
+		s.grantedUntil = now.Add(GrantTime)
+	case s.undelivered:
+		s.standing = backend.LowWeight
+		s.level--
+	}
+	s.undelivered = false
+}
+
 // forget drops servers that are no longer part of the service.
 func (d *Detector) forget(terms Terms) {
 	for id := range d.subjects {
@@ -166,16 +191,14 @@
 // first. If most servers are bad or out, the service as a whole is in trouble:
 // then there is no outlier.
 func (d *Detector) outliers(now time.Time) []*subject {
-	var trusted, found []*subject
+	var found []*subject
 	known := 0
 	for _, s := range d.subjects {
 		if s.fresh(now) {
 			known++
-			if s.trusted() {
-				trusted = append(trusted, s)
-			}
 		}
 	}
+	trusted := d.trusted(now)
 	c := newComparison(now, trusted, d.ablation)
 	for _, s := range trusted {
 		if s.severity = c.suspicion(s); s.severity > 0 {
@@ -193,6 +216,17 @@
 	return found
 }
 
+// trusted returns the trusted servers with a fresh report.
+func (d *Detector) trusted(now time.Time) []*subject {
+	var trusted []*subject
+	for _, s := range d.subjects {
+		if s.fresh(now) && s.trusted() {
+			trusted = append(trusted, s)
+		}
+	}
+	return trusted
+}
+
 // clearLowWeight returns servers that are no longer outliers to normal.
 func (d *Detector) clearLowWeight(found []*subject) {
 	for _, s := range d.subjects {
