Let operators discard lost VMs, and drop replaced processes from the steps

When half of the list or more is lost and replaced under other IDs, the rest cannot prove that the lost VMs do not act, and no role ever moves again. Fleet.Discard lets an operator state it; the VMs then count as having left.

A VM that restarted without leaving stayed in the list's steps until two more changes, and VMs that joined meanwhile had to wait for the roles it once held. Watchers now drop such a step as soon as the older lists are out of use.

The Fleet test runs over HTTP with the DynamoDB client instead of in-process.

--- a/membership/change.go
+++ b/membership/change.go
@@ -36,7 +36,7 @@
 	outOfUse := m.outOfUse(now)
 	add := m.arrivals(now)
 	dead, forgotten := m.departed(now)
-	wanted := len(add)+len(dead)+len(forgotten) > 0 || outOfUse && len(l.roster.Steps) >= compactSteps
+	wanted := len(add)+len(dead)+len(forgotten) > 0 || outOfUse && l.roster.wantsCompaction()
 	if !wanted || len(l.roster.Steps) >= maxSteps && !outOfUse {
 		l.proposeAt = time.Time{}
 		return nil
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"almondstile/link"
 	"almondstile/logging"
+	"almondstile/platform/dynamo"
 	"almondstile/shard"
 	"almondstile/standin/platformsim"
 	"almondstile/vm"
@@ -47,6 +49,8 @@
 	t.Parallel()
 	const size = 4
 	sim := platformsim.New()
+	server := httptest.NewServer(sim.Handler())
+	defer server.Close()
 	var network loopback
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -57,7 +61,10 @@
 	for i := range fleets {
 		self := vm.VM{ID: vm.ID(fmt.Sprint("vm", i)), Incarnation: "1"}
 		fleets[i] = NewFleet(Config{
-			Self: self, Table: sim.Client(string(self.ID)), Caller: &network,
+			Self: self, Caller: &network,
+			Table: dynamo.New(dynamo.Options{
+				Endpoint: server.URL, Region: "local", Table: "t", AccessKey: string(self.ID), SecretKey: "s",
+			}),
 			Log: logging.Discard().Part("membership"), ConfigVersion: func() uint64 { return 7 },
 		})
 		network.handlers.Store(self.ID, fleets[i].Handler())
--- a/membership/member_test.go
+++ b/membership/member_test.go
@@ -1,9 +1,14 @@
 package membership
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"almondstile/logging"
+	"almondstile/vm"
+
+	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 )
 
@@ -220,6 +225,34 @@
 	}
 }
 
+// Guards against a fleet that stays without roles after most of its VMs were
+// lost and replaced under other IDs, although an operator discards the lost.
+func TestDiscardEndsTheLossOfTheMajority(t *testing.T) {
+	t.Parallel()
+	s := newSimulation(1, 4)
+	for _, v := range s.vms[:2] {
+		v.start()
+	}
+	s.until(t, 30*time.Second, "all roles have a VM", func() bool { return s.unheld() == 0 })
+	s.run(20 * time.Second)
+	s.vms[0].alive, s.vms[1].alive = false, false
+	s.vms[2].start()
+	s.vms[3].start()
+	s.run(30 * time.Second)
+	if s.unheld() != len(s.roles) {
+		t.Fatal("roles were taken over without proof that the lost VMs cannot act")
+	}
+	fleet := NewFleet(Config{Table: s.platform.Client("operator"), Log: logging.Discard().Part("membership")})
+	lost := []vm.ID{s.vms[0].member.self.ID, s.vms[1].member.self.ID}
+	if err := fleet.Discard(context.Background(), lost); err != nil {
+		t.Fatal(err)
+	}
+	s.until(t, 10*time.Second, "all roles have a VM", func() bool { return s.unheld() == 0 })
+	if err := fleet.Discard(context.Background(), lost); !errors.Is(err, ErrNotListed) {
+		t.Fatalf("discarding again: %v", err)
+	}
+}
+
 // Guards against a graceful departure that leaves roles without a VM for longer
 // than the others need to read the list.
 func TestDepartureMovesRolesAtOnce(t *testing.T) {
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -95,6 +95,16 @@
 	return out
 }
 
+// wantsCompaction reports whether the steps would keep VMs that join from
+// taking their roles by handover: many steps, or a process that was replaced
+// and cannot be asked.
+func (r Roster) wantsCompaction() bool {
+	replaces := func(s Step) bool {
+		return slices.ContainsFunc(s.Added, func(id vm.ID) bool { return slices.Contains(s.Removed, id) })
+	}
+	return len(r.Steps) >= compactSteps || slices.ContainsFunc(r.Steps, replaces)
+}
+
 // compact returns the same list without the steps.
 func (r Roster) compact() Roster {
 	return Roster{List: vm.MemberList{Version: r.List.Version + 1, VMs: r.List.VMs}}
