Lose no request at a planned stop

Cause: a VM that shut down closed keep-alive connections after 1 s, when the balancer could still send on them, and while a home moved (0.9 s to 1.0 s) its team's requests were rejected as not ready. Change: responses of a draining VM close their connections and the VM serves 3 s on; a request whose team's homes cannot be reached waits up to 1.5 s for them. Ruled out: a lost handover of the buckets (none was logged).

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -23,7 +23,8 @@
 	handoverTimeout = 1 * time.Second
 	// readyGrace is how long the VM serves on after it reports that it is not
 	// ready, so that the balancer stops sending callers before connections end.
-	readyGrace = 1 * time.Second
+	// Balancers commonly ask once a second and act on the second answer.
+	readyGrace = 3 * time.Second
 )
 
 // Run serves until stop ends, then shuts down gracefully: first not ready, then
@@ -89,6 +90,7 @@
 
 // shutdown ends the VM's work in the order that loses no request.
 func (d *Daemon) shutdown(ctx context.Context) error {
+	d.front.Drain()
 	sleep(ctx, readyGrace)
 	if err := d.front.Shutdown(ctx); err != nil {
 		return err
--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"almondstile/entry"
@@ -42,6 +43,7 @@
 	log        logging.Logger
 	http       *fasthttp.Server
 	watches    conc.WaitGroup
+	draining   atomic.Bool
 }
 
 // New returns a server that hands requests to the dispatcher.
@@ -71,6 +73,11 @@
 	return errors.Wrap(s.http.Serve(listener), "serving callers")
 }
 
+// Drain asks callers to open their next connection elsewhere: each response from
+// now on closes its connection. Connections that are closed between requests can
+// cut a request that is just being sent, so this comes before Shutdown.
+func (s *Server) Drain() { s.draining.Store(true) }
+
 // Shutdown stops accepting and lets running requests finish, until the context
 // ends.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -94,6 +101,9 @@
 	stop := httpconn.WatchHangup(ctx.Conn(), s.watches.Go, cancel)
 	id, result := s.dispatcher.Do(runCtx, in)
 	stop()
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
 	write(ctx, id, result)
 }
 
--- a/quota/tokens.go
+++ b/quota/tokens.go
@@ -23,6 +23,10 @@
 	// that is due soon. It covers the differences of travel time between VMs,
 	// by which a request inside the rate can reach the home too early.
 	maxShortWait = 25 * time.Millisecond
+	// maxMoveWait bounds the wait for a home that is moving, and movePause is the
+	// time between two tries. After a crash the role moves later than that.
+	maxMoveWait = 1500 * time.Millisecond
+	movePause   = 100 * time.Millisecond
 	// sweepInterval is the time between two searches for idle tokens.
 	sweepInterval = 50 * time.Millisecond
 	// evictAfter is the idle time after which a team's state is dropped.
@@ -103,11 +107,36 @@
 // It must not be called after the context of Run has ended.
 //
 // Each VM has a preferred bucket of the team, which it borrows ahead from, and
-// tries the others when that one is empty or its home cannot be reached.
+// tries the others when that one is empty or its home cannot be reached. If no
+// home can be reached, the request waits a moment, because the role of a home
+// that shut down moves within about a second.
 func (t *Tokens) Take(ctx context.Context, team *contract.Team) (Grant, error) {
+	start := t.clock()
 	buckets := Buckets(team)
+	for {
+		grant, err := t.tryAll(ctx, buckets, start)
+		again := errors.Is(err, ErrHomeUnreachable) && t.clock().Sub(start) < maxMoveWait
+		if !again || !pause(ctx, movePause) {
+			return grant, err
+		}
+	}
+}
+
+// pause waits and reports whether the context is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tryAll tries each of a team's buckets once.
+func (t *Tokens) tryAll(ctx context.Context, buckets []BucketID, start time.Time) (Grant, error) {
 	last := len(buckets) - 1
-	start := t.clock()
 	var rejected error
 	for i := range buckets {
 		wait := time.Duration(0)
