Excuse service-wide faults and shorten the replies to reports

Errors or truncations at all servers at once still ejected some of them: the reports of the others lag, and an ejected server's truncations no longer counted against the next server. At the target scale the reply to a report held all server IDs of the service.

Truncations of ejected servers keep counting in two fading memories. A reply packs the states into two bytes for each server in the order of the configuration, and names its version.

--- a/outlier/comparison.go
+++ b/outlier/comparison.go
@@ -10,7 +10,9 @@
 	now      time.Time
 	ablation Ablation
 	servers  []*subject
-	periods  map[time.Duration]*period
+	// known also holds the servers that are ejected or probing.
+	known   []*subject
+	periods map[time.Duration]*period
 }
 
 // period is the evidence on all servers over one window.
@@ -23,8 +25,14 @@
 	lowestMedian float64
 }
 
-func newComparison(now time.Time, servers []*subject, ablation Ablation) *comparison {
-	return &comparison{now: now, ablation: ablation, servers: servers, periods: make(map[time.Duration]*period)}
+func newComparison(now time.Time, known []*subject, ablation Ablation) *comparison {
+	var trusted []*subject
+	for _, s := range known {
+		if s.trusted() {
+			trusted = append(trusted, s)
+		}
+	}
+	return &comparison{now: now, ablation: ablation, servers: trusted, known: known, periods: make(map[time.Duration]*period)}
 }
 
 // period sums up a window on first use.
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -84,7 +84,7 @@
 	}
 	if !s.compared && s.trusted() {
 		// The others' reports came too close to this one for a decision between.
-		newComparison(now, d.trusted(now), d.ablation).latency(s)
+		newComparison(now, d.known(now), d.ablation).latency(s)
 	}
 	s.report, s.reported, s.compared = r, now, false
 	s.undelivered = s.standing == backend.Ejected && r.standing() != backend.Ejected
@@ -192,21 +192,15 @@
 // then there is no outlier.
 func (d *Detector) outliers(now time.Time) []*subject {
 	var found []*subject
-	known := 0
-	for _, s := range d.subjects {
-		if s.fresh(now) {
-			known++
-		}
-	}
-	trusted := d.trusted(now)
-	c := newComparison(now, trusted, d.ablation)
-	for _, s := range trusted {
+	known := d.known(now)
+	c := newComparison(now, known, d.ablation)
+	for _, s := range c.servers {
 		if s.severity = c.suspicion(s); s.severity > 0 {
 			found = append(found, s)
 		}
 	}
-	out := known - len(trusted)
-	if 2*(out+len(found)) > known {
+	out := len(known) - len(c.servers)
+	if 2*(out+len(found)) > len(known) {
 		found = nil
 	}
 	d.clearLowWeight(found)
@@ -216,15 +210,15 @@
 	return found
 }
 
-// trusted returns the trusted servers with a fresh report.
-func (d *Detector) trusted(now time.Time) []*subject {
-	var trusted []*subject
+// known returns the servers with a fresh report.
+func (d *Detector) known(now time.Time) []*subject {
+	var known []*subject
 	for _, s := range d.subjects {
-		if s.fresh(now) && s.trusted() {
-			trusted = append(trusted, s)
+		if s.fresh(now) {
+			known = append(known, s)
 		}
 	}
-	return trusted
+	return known
 }
 
 // clearLowWeight returns servers that are no longer outliers to normal.
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -317,3 +318,18 @@
 		}
 	})
 }
+
+// Guards against states that are attributed to the wrong servers after a change
+// of the configuration.
+func TestPackedStates(t *testing.T) {
+	terms := Terms{Version: 3, Servers: []ServerTerms{{ID: "a"}, {ID: "b"}}}
+	const mostLoad = float64(math.MaxUint8) / packedLoadUnit
+	states := []backend.ServerState{{Server: "a", Ejected: true, Load: 1.5}, {Server: "b", LowWeight: true, Warm: true, Load: mostLoad}}
+	packed := packStates(states)
+	if got, ok := unpackStates(terms, 3, packed); !ok || !slices.Equal(got, states) {
+		t.Fatalf("%+v became %+v", states, got)
+	}
+	if _, ok := unpackStates(terms, 4, packed); ok {
+		t.Fatal("states of another version were accepted")
+	}
+}
--- a/outlier/evidence.go
+++ b/outlier/evidence.go
@@ -16,11 +16,18 @@
 // evidence holds the recent windows of one server.
 type evidence struct {
 	buckets [bucketCount]evidenceBucket
-	// longRun remembers truncations beyond the buckets, decaying.
-	longRun      tally
-	longRunSince time.Time
+	// fading outlasts a change of standing: truncations are rare, so the others'
+	// share needs a longer memory, and an ejected server's truncations must keep
+	// counting while the same fault shows at the next server.
+	fading [len(fadingHalfLives)]tally
+	faded  time.Time
 }
 
+// fadingHalfLives are the memories of the others' truncations. The long one spans
+// enough requests to tell a share of 0.1% from none, the short one follows a
+// fault of the whole service.
+var fadingHalfLives = [...]time.Duration{10 * time.Second, time.Minute}
+
 type evidenceBucket struct {
 	slot      int64 // time in units of bucketTime
 	counts    backend.Counts
@@ -37,26 +44,23 @@
 	}
 	b.counts = b.counts.Plus(r.Counts)
 	b.latencies.add(r.Latencies)
-	e.decay(now)
-	n := tallyOf(r.Counts)
-	e.longRun.trials += n.trials
-	e.longRun.truncated += n.truncated
+	e.fade(now, tallyOf(r.Counts))
 }
 
-// longRunHalfLife spans about a thousand requests of a server at the rates of
-// today's deployments, enough to tell a share of 0.1% from none.
-const longRunHalfLife = time.Minute
-
-func (e *evidence) decay(now time.Time) {
-	if !e.longRunSince.IsZero() {
-		keep := math.Exp2(-now.Sub(e.longRunSince).Seconds() / longRunHalfLife.Seconds())
-		e.longRun.trials *= keep
-		e.longRun.truncated *= keep
+// fade lets the memories decay and adds a window to them.
+func (e *evidence) fade(now time.Time, n tally) {
+	for i, halfLife := range fadingHalfLives {
+		keep := 0.0
+		if !e.faded.IsZero() {
+			keep = math.Exp2(-now.Sub(e.faded).Seconds() / halfLife.Seconds())
+		}
+		e.fading[i].trials = e.fading[i].trials*keep + n.trials
+		e.fading[i].truncated = e.fading[i].truncated*keep + n.truncated
 	}
-	e.longRunSince = now
+	e.faded = now
 }
 
-// reset forgets the windows but not the long run.
+// reset forgets the windows but not the fading memories.
 func (e *evidence) reset() { e.buckets = [bucketCount]evidenceBucket{} }
 
 // over returns the counts and latencies of the last window.
--- a/outlier/floor.go
+++ b/outlier/floor.go
@@ -9,6 +9,8 @@
 
 // Terms is what the configuration says about a service.
 type Terms struct {
+	// Version is that of the configuration.
+	Version    uint64
 	FloorShare float64
 	Servers    []ServerTerms
 }
@@ -27,7 +29,7 @@
 	if service == nil {
 		return Terms{}, false
 	}
-	terms := Terms{FloorShare: service.FloorShare}
+	terms := Terms{Version: x.Version(), FloorShare: service.FloorShare}
 	for i := range service.Servers {
 		v := &service.Servers[i]
 		terms.Servers = append(terms.Servers, ServerTerms{ID: v.ID, Slots: v.Slots, TakesNewWork: x.TakesNewWork(v)})
--- a/outlier/homes.go
+++ b/outlier/homes.go
@@ -120,7 +120,7 @@
 			reply.Verdicts = append(reply.Verdicts, v)
 		}
 	}
-	reply.States = backend.EncodeStates(d.States(terms))
+	reply.Version, reply.States = terms.Version, packStates(d.States(terms))
 	return reply
 }
 
--- a/outlier/message.go
+++ b/outlier/message.go
@@ -1,6 +1,7 @@
 package outlier
 
 import (
+	"math"
 	"time"
 
 	"almondstile/backend"
@@ -64,8 +65,10 @@
 type ReportReply struct {
 	// Verdicts lists the reported servers that are not normal.
 	Verdicts []Verdict `json:"verdicts,omitempty"`
-	// States holds all servers of the service, encoded by backend.EncodeStates.
-	States []byte `json:"states"`
+	// Version is the home's configuration version. States are in the order of the
+	// servers in that configuration, see packStates.
+	Version uint64 `json:"version"`
+	States  []byte `json:"states"`
 	// Crashes are those that the report did not list.
 	Crashes []Crash `json:"crashes,omitempty"`
 }
@@ -106,3 +109,49 @@
 	}
 	return r.Verdict.Standing
 }
+
+// Packed states take two bytes for each server: flags, then the load in
+// sixteenths. Full IDs made the replies 601 B at the target scale, more than the
+// control plane's share of the network.
+const (
+	packedSize      = 2
+	packedEjected   = 1 << 0
+	packedLowWeight = 1 << 1
+	packedWarm      = 1 << 2
+	packedLoadUnit  = 16
+)
+
+func packStates(states []backend.ServerState) []byte {
+	b := make([]byte, 0, packedSize*len(states))
+	for _, s := range states {
+		var flags byte
+		if s.Ejected {
+			flags |= packedEjected
+		}
+		if s.LowWeight {
+			flags |= packedLowWeight
+		}
+		if s.Warm {
+			flags |= packedWarm
+		}
+		b = append(b, flags, byte(min(s.Load*packedLoadUnit, math.MaxUint8)))
+	}
+	return b
+}
+
+// unpackStates reverses packStates. It reports false if the states are of
+// another configuration than the terms.
+func unpackStates(terms Terms, version uint64, b []byte) ([]backend.ServerState, bool) {
+	if version != terms.Version || len(b) != packedSize*len(terms.Servers) {
+		return nil, false
+	}
+	var states []backend.ServerState
+	for i, t := range terms.Servers {
+		flags, load := b[packedSize*i], b[packedSize*i+1]
+		states = append(states, backend.ServerState{
+			Server: t.ID, Ejected: flags&packedEjected != 0, LowWeight: flags&packedLowWeight != 0,
+			Warm: flags&packedWarm != 0, Load: float64(load) / packedLoadUnit,
+		})
+	}
+	return states, true
+}
--- a/outlier/reporter.go
+++ b/outlier/reporter.go
@@ -173,11 +173,13 @@
 	for _, c := range reply.Crashes {
 		r.quarantine.Add(now, c)
 	}
-	states, err := backend.DecodeStates(reply.States)
-	if err != nil {
-		return err
+	// For a moment after a change the two VMs' configurations may differ; the
+	// states known so far stay until they agree.
+	if terms, ok := TermsOf(r.contracts.Index(), service); ok {
+		if states, ok := unpackStates(terms, reply.Version, reply.States); ok {
+			r.servers.SetServiceState(service, states)
+		}
 	}
-	r.servers.SetServiceState(service, states)
 	return nil
 }
 
