operator: name no package in messages

Refused, empty and too large intents were reported with the text of the inner error, for instance "contract: the plan is refused: ...". The API now has texts of its own for all three, as for the other errors.

TestMessagesNameNoPackage fails before the change on these three errors; with it ./operator and ./cli pass.

--- a/operator/errors.go
+++ b/operator/errors.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"strings"
+
 	"almondstile/configstore"
 	"almondstile/contract"
 
@@ -78,13 +80,14 @@
 		}
 		return e
 	case errors.As(err, &refused):
-		e := failure(fiber.StatusUnprocessableEntity, CodeRefused, err.Error())
+		e := failure(fiber.StatusUnprocessableEntity, CodeRefused,
+			"the plan is refused: "+strings.Join(refused.Effect.Refusals, "; "))
 		e.detail.Effect = &refused.Effect
 		return e
 	case errors.Is(err, contract.ErrEmptyIntent):
-		return failure(fiber.StatusBadRequest, CodeInvalidIntent, err.Error())
+		return failure(fiber.StatusBadRequest, CodeInvalidIntent, "the intent contains no change")
 	case errors.Is(err, configstore.ErrIntentTooLarge):
-		return failure(fiber.StatusRequestEntityTooLarge, CodeTooLarge, err.Error())
+		return failure(fiber.StatusRequestEntityTooLarge, CodeTooLarge, "the intent is too large for one plan; split it")
 	case errors.Is(err, configstore.ErrUnknownPlan):
 		return failure(fiber.StatusNotFound, CodeUnknownPlan, "there is no such plan, or it has expired")
 	case errors.Is(err, configstore.ErrUnavailable):
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -183,3 +183,27 @@
 		t.Errorf("ready gives %d", status)
 	}
 }
+
+// Guards against messages that name the packages behind the API.
+func TestMessagesNameNoPackage(t *testing.T) {
+	for _, err := range []error{
+		&contract.RefusedError{Effect: contract.Effect{Refusals: []string{"no slots are left"}}},
+		&contract.InvalidError{Faults: []contract.Fault{{Path: "x"}}},
+		&contract.DocumentError{},
+		contract.ErrEmptyIntent,
+		configstore.ErrIntentTooLarge,
+		configstore.ErrUnknownPlan,
+		configstore.ErrUnavailable,
+		configstore.ErrInconsistent,
+	} {
+		for _, name := range []string{"contract:", "configstore:"} {
+			if message := planFailure(err).Error(); message == "" || strings.Contains(message, name) {
+				t.Errorf("message %q", message)
+			}
+		}
+	}
+	refused := planFailure(&contract.RefusedError{Effect: contract.Effect{Refusals: []string{"no slots are left"}}})
+	if !strings.Contains(refused.Error(), "no slots are left") {
+		t.Errorf("the refusal %q has no reason", refused)
+	}
+}
