--- a/daemon/run.go
+++ b/daemon/run.go
@@ -148,7 +148,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-configurations:
+		case index := <-configurations:
+			d.metrics.Gauge("configuration.version", int64(index.Version()))
 		case list := <-lists:
 			d.handOver(ctx, list)
 			d.buckets.Refresh(time.Now())
