--- a/integration/caller_test.go
+++ b/integration/caller_test.go
@@ -19,7 +19,7 @@
 	status          int
 	outcome, reason string
 	body            []byte
-	method          string
+	method, path    string
 	operation       string
 	// local is the caller's end of the connection.
 	local string
@@ -61,6 +61,7 @@
 		g.err = err
 		return g
 	}
+	g.path = req.URL.Path
 	req.Header.Set(backendsim.HeaderOperationID, g.operation)
 	if credential != "" {
 		req.Header.Set(header.Authorization, "Bearer "+credential)
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -175,7 +175,8 @@
 }
 
 // firstIntent is an intent document with all services of the fleet and the
-// teams glencoe-hire and killin-library; the second may not use loandesk.
+// teams glencoe-hire and killin-library; the second may not use loandesk and has
+// one home, as teams with a small burst have.
 func (f *testFleet) firstIntent() string {
 	var b strings.Builder
 	d := smallDeployment()
@@ -201,6 +202,7 @@
 rate_per_second = 50.0
 burst = 50
 weight = 1
+homes = 1
 [[routes]]
 id = "stock"
 path_prefix = "/stock"
--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -38,6 +38,7 @@
 		{"wrong intents", wrongIntents},
 		{"status", statusOnOneScreen},
 		{"key withdraw", keyWithdraw},
+		{"key after a withdrawal", keyAfterWithdrawal},
 		{"graceful shutdown", gracefulShutdown},
 	} {
 		if !t.Run(step.name, func(t *testing.T) { step.run(t, w) }) {
@@ -241,3 +242,13 @@
 		}
 	}
 }
+
+// Guards against a team that cannot get a new key after it lost one, and against
+// an ID of a withdrawn key that is issued again.
+func keyAfterWithdrawal(t *testing.T, w *work) {
+	const team = "killin-library"
+	w.almondstile(t, 0, "key", "issue", "--team", team, "--id", w.keys[team]).exits(t, 1, "use a new ID")
+	r := w.almondstile(t, 0, "key", "issue", "--team", team, "--yes").exits(t, 0, "Accepted at version 9.")
+	w.credentials[team] = credentialLine.FindStringSubmatch(r.stdout)[1]
+	w.awaitVersion(t, 9)
+}
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// loadPause gives about 20 requests a second on each of four connections,
-	// less than half of the team's rate.
+	// loadPause gives up to 20 requests a second on each connection: 80 of one
+	// team's rate of 200, and 40 of the other team's rate of 50.
 	loadPause = 50 * time.Millisecond
 	// loadAfter is the number of requests on each connection after the VM ended.
 	loadAfter = 40
@@ -25,6 +25,18 @@
 	loadLimit = 1500
 )
 
+// loadKind is what the callers on one connection send.
+type loadKind struct {
+	team         contract.TeamID
+	method, path string
+}
+
+var loadKinds = []loadKind{
+	{"glencoe-hire", http.MethodGet, "/loans/1"},
+	{"glencoe-hire", http.MethodPost, "/loans/1"},
+	{"killin-library", http.MethodGet, "/stock/hut-7"},
+}
+
 // stopUnderLoad stops a VM by SIGTERM while callers use the other VMs, and
 // returns what the callers got.
 func (w *work) stopUnderLoad(t *testing.T, stopped int) []got {
@@ -35,8 +47,8 @@
 		if n == stopped {
 			continue
 		}
-		for _, method := range []string{http.MethodGet, http.MethodPost} {
-			load.Go(func() []got { return w.load(n, method, &ended) })
+		for _, kind := range loadKinds {
+			load.Go(func() []got { return w.load(n, kind, &ended) })
 		}
 	}
 	process := w.vms[stopped].process
@@ -57,14 +69,14 @@
 
 // load sends requests one after another through the n-th VM until some time
 // after the stopping VM has ended.
-func (w *work) load(n int, method string, ended *atomic.Bool) (results []got) {
+func (w *work) load(n int, kind loadKind, ended *atomic.Bool) (results []got) {
 	c := newCaller()
 	defer c.close()
 	for after := 0; after < loadAfter && len(results) < loadLimit; {
 		if ended.Load() {
 			after++
 		}
-		results = append(results, c.send(method, w.url(n, "/loans/1"), w.credentials["glencoe-hire"]))
+		results = append(results, c.send(kind.method, w.url(n, kind.path), w.credentials[kind.team]))
 		time.Sleep(loadPause)
 	}
 	return results
@@ -95,7 +107,7 @@
 }
 
 // Guards against a planned stop that rejects requests inside a team's rate. It
-// stops the home of the team, which has most to hand over.
+// stops the only home of one of the teams, which has most to hand over.
 func TestPlannedStopRejectsNobody(t *testing.T) {
 	w := &work{startFleet(t), make(map[contract.TeamID]string), make(map[contract.TeamID]string)}
 	firstConfiguration(t, w)
@@ -104,7 +116,7 @@
 	home := -1
 	for _, team := range w.status(t, 0).Teams {
 		for n, v := range w.vms {
-			if team.ID == "glencoe-hire" && slices.Contains(team.Homes, vm.ID(v.id)) {
+			if team.ID == "killin-library" && slices.Contains(team.Homes, vm.ID(v.id)) {
 				home = n
 			}
 		}
@@ -116,7 +128,7 @@
 	rejected := make(map[string]int)
 	for _, g := range results {
 		if !g.answered() {
-			rejected[fmt.Sprintf("%s: %s", g.method, g)]++
+			rejected[fmt.Sprintf("%s %s: %s", g.method, g.path, g)]++
 		}
 	}
 	for what, times := range rejected {
