--- a/integration/pages_test.go
+++ b/integration/pages_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -65,6 +66,43 @@
 	}
 }
 
+// Guards against pages that the index does not list or the test does not run,
+// and against links that lead nowhere.
+func TestOperationsIndex(t *testing.T) {
+	index, err := os.ReadFile(filepath.Join(pagesFolder, "README.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob(filepath.Join(pagesFolder, "*.md"))
+	if err != nil || len(files) != len(pages)+1 {
+		t.Errorf("%d pages besides the index, %d are run: %v %v", len(files)-1, len(pages), files, err)
+	}
+	for _, page := range pages {
+		if !strings.Contains(string(index), "("+page+")") {
+			t.Errorf("the index does not list %s", page)
+		}
+	}
+	for _, file := range files {
+		checkLinks(t, file)
+	}
+}
+
+var pageLink = regexp.MustCompile(`\]\(([^)#:]+)\)`)
+
+// checkLinks finds links to files that do not exist.
+func checkLinks(t *testing.T, file string) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, found := range pageLink.FindAllStringSubmatch(string(text), -1) {
+		if _, err := os.Stat(filepath.Join(filepath.Dir(file), found[1])); err != nil {
+			t.Errorf("%s: link to %s: %v", file, found[1], err)
+		}
+	}
+}
+
 // startPageFleet starts the platform and the backend servers of the pages. The
 // whole of 127.0.0.0/8 is loopback, so the pages' addresses get a prefix of
 // their own there and keep their ports.
