--- a/outlier/reporter.go
+++ b/outlier/reporter.go
@@ -27,6 +27,10 @@
 	crashTimeout = time.Second
 )
 
+// errLateReply says that this VM was paused: the verdicts rest on a floor that
+// may have changed since.
+var errLateReply = errors.New("outlier: the reply came too late to act on")
+
 // Reporter sends the windows of the owned servers to the service homes and
 // applies their verdicts. Its reports for a service never overlap, so an older
 // home's late verdict cannot arrive after a report to a newer home.
@@ -160,6 +164,9 @@
 		verdicts[v.Server] = v
 	}
 	now := r.clock()
+	if now.Sub(sent) > reportTimeout {
+		return errLateReply
+	}
 	for i := range statuses {
 		r.applyOne(now, sent, &statuses[i], verdicts[statuses[i].Server])
 	}
@@ -175,6 +182,10 @@
 }
 
 func (r *Reporter) applyOne(now, sent time.Time, st *backend.Status, v Verdict) {
+	current, ok := r.servers.Status(now, st.Server)
+	if !ok || lapsed(st.Standing, current.Standing, v.Standing) {
+		return
+	}
 	r.servers.Apply(now, st.Server, v.Standing, duration(v.GrantMillis)-now.Sub(sent))
 	if v.Standing != st.Standing {
 		r.log.Infof("server %s of %s is now %s", st.Server, st.Service, describe(v.Standing))
@@ -186,6 +197,13 @@
 	r.verdicts.Store(st.Server, heldVerdict{v, sent})
 }
 
+// lapsed reports whether an ejection ran out while its renewal was on the way.
+// The renewal is then void: the home did not check the floor for a new ejection.
+// The next report shows the lapse, and the home decides afresh.
+func lapsed(reported, current, next backend.Standing) bool {
+	return next == backend.Ejected && reported == backend.Ejected && current != backend.Ejected
+}
+
 func describe(s backend.Standing) string {
 	if s == backend.Normal {
 		return "normal"
