--- a/bench/check/measures.go
+++ b/bench/check/measures.go
@@ -122,8 +122,8 @@
 	return out
 }
 
-// withdrawn reports whether the call's key was withdrawn when it was sent.
-func (h *History) withdrawn(c load.Call) bool {
+// KeyWithdrawn reports whether the call's key was withdrawn when it was sent.
+func (h *History) KeyWithdrawn(c load.Call) bool {
 	at, ok := h.Withdrawn[c.Key]
 	return ok && c.Sent.After(at)
 }
@@ -131,7 +131,7 @@
 func (h *History) tally(team contract.Team, from, until time.Time) Tally {
 	var own []load.Call
 	for _, c := range h.Calls {
-		if c.Team == team.ID && c.Kind != load.Intruder && !h.withdrawn(c) {
+		if c.Team == team.ID && c.Kind != load.Intruder && !h.KeyWithdrawn(c) {
 			own = append(own, c)
 		}
 	}
--- a/bench/exp_vms.go
+++ b/bench/exp_vms.go
@@ -67,7 +67,7 @@
 )
 
 func vmCrashSteps(r *Run) []Step {
-	home := r.homeOf(r.Deployment.Teams[0].ID)
+	home := r.homeOf(r.Deployment.Teams[0])
 	first := r.anyVM(r.random(), home)
 	return []Step{
 		step(firstCrash, "crash "+string(first), func(r *Run) { r.Fleet.Crash(first) }),
@@ -81,7 +81,7 @@
 }
 
 func partitionSteps(r *Run) []Step {
-	home := r.homeOf(r.Deployment.Teams[0].ID)
+	home := r.homeOf(r.Deployment.Teams[0])
 	other := r.anyVM(r.random(), home)
 	drop := netfault.Fault{Drop: true}
 	return []Step{
@@ -93,7 +93,7 @@
 }
 
 func pausedSteps(r *Run) []Step {
-	home := r.homeOf(r.Deployment.Teams[0].ID)
+	home := r.homeOf(r.Deployment.Teams[0])
 	return []Step{
 		{12 * time.Second, "pause " + string(home), func(_ context.Context, r *Run) error { return r.Fleet.Pause(home) }},
 		{24 * time.Second, "resume " + string(home), func(_ context.Context, r *Run) error { return r.Fleet.Resume(home) }},
--- a/bench/helpers.go
+++ b/bench/helpers.go
@@ -8,6 +8,7 @@
 	"almondstile/bench/check"
 	"almondstile/bench/load"
 	"almondstile/contract"
+	"almondstile/quota"
 	"almondstile/standin/backendsim"
 	"almondstile/vm"
 )
@@ -36,9 +37,9 @@
 	return list
 }
 
-// homeOf returns the VM that keeps a team's token bucket.
-func (r *Run) homeOf(team contract.TeamID) vm.ID {
-	holder, _ := r.members().Holder(vm.Role{Kind: vm.TeamHome, Name: string(team)})
+// homeOf returns the VM that keeps a team's token bucket, or the first of them.
+func (r *Run) homeOf(team contract.Team) vm.ID {
+	holder, _ := r.members().Holder(quota.Role(quota.Buckets(&team)[0]))
 	return holder.ID
 }
 
@@ -104,7 +105,7 @@
 		if c.Kind != load.Regular || c.Sent.Before(r.After(from)) || !c.Sent.Before(r.After(until)) {
 			continue
 		}
-		if keep != nil && !keep(c) {
+		if h.KeyWithdrawn(c) || keep != nil && !keep(c) {
 			continue
 		}
 		samples++
