--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -56,3 +56,22 @@
 		}
 	}
 }
+
+// Guards against medians that are not the middle of all runs, or that miss the
+// bound on detection unnoticed.
+func TestReportPrintsMedians(t *testing.T) {
+	var out bytes.Buffer
+	rep := &report{out: &out, json: true}
+	for seed, value := range []float64{9, 3, 1} {
+		rep.print("x", runOptions{Seed: uint64(seed)}, check.Finding{Name: "detection-slow", Value: value})
+	}
+	out.Reset()
+	rep.printMedians("x", runOptions{})
+	var got line
+	if err := json.Unmarshal(out.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got.Name != "median-detection-slow" || got.Value != 3 || got.Bound != 2 || got.OK || got.Samples != 3 {
+		t.Fatalf("got %+v", got)
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -64,6 +64,9 @@
 			return errors.Wrapf(err, "%s with seed %d", e.Name, o.Seed)
 		}
 	}
+	if c.Runs > 1 {
+		rep.printMedians(e.Name, c.runOptions)
+	}
 	if rep.broken.Load() {
 		return errBroken
 	}
