--- a/bench/exp_platform.go
+++ b/bench/exp_platform.go
@@ -194,7 +194,11 @@
 			for _, t := range r.Deployment.Teams[:largeTeams] {
 				large = append(large, t.ID)
 			}
-			return []check.Finding{r.wrongful(h, "small-teams", settleTime, r.Experiment.Length-settleTime, wrongfulUsual, large...)}
+			length := r.Experiment.Length - settleTime
+			return []check.Finding{
+				r.wrongful(h, "small-teams", settleTime, length, wrongfulUsual, large...),
+				r.wrongful(h, "all-teams", settleTime, length, wrongfulUsual),
+			}
 		},
 	},
 }
