Hand over starting buckets; read the store soon when it is back

Causes: (1) a bucket whose home waits for the loans of an earlier home was not handed over, so the next home waited again and started empty; (2) when the store came back, VMs that reached it first no longer vouched for the others, which were not ready until their next poll. Changes: the handover says when the bucket starts; a VM that hears of a contact with the store newer than its own reads the store after a tenth of the poll interval. Ruled out for (2): counting such peers as supporters (the takeover proof rests on them).

--- a/membership/act.go
+++ b/membership/act.go
@@ -120,6 +120,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.list.handover.heard(now, a.Peer.ID, r.Heartbeat)
+	if !m.fresh(now) && now.Add(-r.Heartbeat.contactAge()).After(m.list.readSent) {
+		// The peer reached the store after this VM did last, so the outage may be
+		// over, and a peer with such a contact no longer supports this VM.
+		m.nextPoll = earlier(m.nextPoll, m.lastPoll.Add(m.options.PollEvery/10))
+	}
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -29,6 +29,10 @@
 	Leaving bool `json:"g,omitempty"`
 }
 
+func (h *Heartbeat) contactAge() time.Duration {
+	return time.Duration(h.ContactAgeMillis) * time.Millisecond
+}
+
 // HeartbeatQuestion is the parameter of a heartbeat call: the versions of the
 // asking VM.
 type HeartbeatQuestion struct {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -158,9 +158,6 @@
 	return max(time.Duration(seconds*float64(time.Second)), 0) + max(b.at.Sub(now), 0)
 }
 
-// starting reports whether loans of the previous home may still be in use.
-func (b *Bucket) starting(now time.Time) bool { return b.at.After(now) }
-
 // refill brings the level up to now and drops the records that have expired.
 // A clock reading older than the last one changes nothing.
 func (b *Bucket) refill(now time.Time) {
@@ -241,7 +238,8 @@
 // time. The remaining times were measured on the giver's clock, hence 10% more
 // for drift.
 func importBucket(terms Terms, at time.Time, h Handover) *Bucket {
-	b := &Bucket{terms: terms, level: h.Level, at: at}
+	startsIn := time.Duration(max(h.StartsInMillis, 0)) * time.Millisecond
+	b := &Bucket{terms: terms, level: h.Level, at: at.Add(startsIn + startsIn/10)}
 	for _, l := range h.Loans {
 		remaining := time.Duration(l.RemainingMillis) * time.Millisecond
 		b.onLoan += l.Open
--- a/quota/handover.go
+++ b/quota/handover.go
@@ -38,11 +38,13 @@
 func (e *home) give(now time.Time, team BucketID, version uint64) (Handover, bool) {
 	bucket := e.bucket
 	e.bucket, e.givenVersion, e.givenAt = nil, max(e.givenVersion, version), now
-	if e.actVersion+1 != version || bucket.starting(now) {
+	if e.actVersion+1 != version {
 		return Handover{}, false
 	}
 	level, loans := bucket.export(now)
-	return Handover{Bucket: team, ListVersion: version, Level: level, Loans: loans}, true
+	return Handover{
+		Bucket: team, ListVersion: version, Level: level, Loans: loans, StartsInMillis: ceilMillis(bucket.at.Sub(now)),
+	}, true
 }
 
 // Receive keeps handovers until this VM acts as the teams' home.
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -99,6 +99,9 @@
 	ListVersion uint64         `json:"list_version"`
 	Level       float64        `json:"level"`
 	Loans       []HandoverLoan `json:"loans,omitempty"`
+	// StartsInMillis is above 0 if the bucket does not refill yet, because loans
+	// of a home before the giver may still be used.
+	StartsInMillis int64 `json:"starts_in_ms,omitempty"`
 }
 
 // HandoverLoan is a loan that may still be used.
