serverlink: end the wait for an idempotent trial after three failures

The random schedules found more than maxWithheld failures of a healthy server within the 250 ms in which a suspicion waits for an idempotent request. The model now also bounds the attempts at a time, as a server's slots do.

--- a/serverlink/link.go
+++ b/serverlink/link.go
@@ -24,7 +24,9 @@
 	// trialWait is how long a suspicion waits for an idempotent request before
 	// others are sent over the relay too. They run once on either way; an
 	// idempotent one can be repeated if the untested relay loses it.
-	trialWait = 250 * time.Millisecond
+	// After trialFailures failures there is nothing to wait for.
+	trialWait     = 250 * time.Millisecond
+	trialFailures = 3
 	// firstStay is the time on the relay before the direct way is tried again.
 	// It doubles with each failed try, so that a long cut costs few requests a
 	// part of their time.
@@ -47,7 +49,8 @@
 	// server that now and then misses a deadline looks alike.
 	memory = 10 * time.Second
 	// maxWithheld bounds the failures kept per server; later ones are evidence
-	// at once. A server has few slots, so few attempts fail at the same time.
+	// at once. It is above trialFailures and the few slots of a server, whose
+	// attempts may be running when the suspicion begins.
 	maxWithheld = 16
 	// replyMargin is kept of a relayed attempt's time for the relay's reply, at
 	// most replyShare of it: otherwise the relay's word that the server is
@@ -94,7 +97,7 @@
 	case ask.DirectFailed:
 		return a.over(relay), found && l.state != Direct
 	case !found, l.state == Direct:
-	case l.state == Suspect && !ask.Idempotent && now.Sub(l.since) < trialWait:
+	case l.state == Suspect && !ask.Idempotent && l.trialCanWait(now):
 	case l.state == Relayed && l.probeDue(now, ask.Idempotent):
 		a.Probe = true
 		if ask.Idempotent {
@@ -107,6 +110,10 @@
 	return a, true
 }
 
+func (l *Link) trialCanWait(now time.Time) bool {
+	return now.Sub(l.since) < trialWait && len(l.withheld) < trialFailures
+}
+
 // over sends the attempt over a relay.
 func (a Attempt) over(relay vm.ID) Attempt {
 	a.Relay = relay
--- a/serverlink/link_test.go
+++ b/serverlink/link_test.go
@@ -12,6 +12,8 @@
 
 const server contract.ServerID = "loandesk-1"
 
+const slots = 8 // attempts at a time
+
 var (
 	start  = time.Unix(1_700_000_000, 0)
 	relays = []vm.ID{"vm2", "vm3"}
@@ -127,6 +129,9 @@
 }
 
 func (w *world) start(t *rapid.T) {
+	if len(w.running) == slots {
+		return
+	}
 	request := ask(w.now, rapid.Bool().Draw(t, "idempotent"))
 	request.DirectFailed = rapid.Bool().Draw(t, "direct failed")
 	a, ok := w.links.Plan(w.now, server, request)
