--- a/forward/client.go
+++ b/forward/client.go
@@ -10,7 +10,6 @@
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 )
 
 // Runner runs a request at a backend server that this VM owns.
@@ -20,22 +19,16 @@
 
 // Client sends requests to the VMs that own the backend servers.
 type Client struct {
-	self   vm.ID
-	secret link.Secret
-	links  *link.Links
-	local  Runner
-	pool   *httpconn.Pool
+	sender
+	local Runner
 }
 
 // NewClient returns a client. Requests for servers that this VM owns itself go
 // straight to local.
 func NewClient(self vm.ID, secret link.Secret, links *link.Links, local Runner, options httpconn.Options) *Client {
-	return &Client{self: self, secret: secret, links: links, local: local, pool: httpconn.NewPool(options)}
+	return &Client{sender{self, secret, links, httpconn.NewPool(options)}, local}
 }
 
-// CloseIdle closes unused connections that are past their time, or all.
-func (c *Client) CloseIdle(all bool) { c.pool.CloseIdle(all) }
-
 // Forward sends the request to the owner, or to a relay that passes it on to
 // the owner. The result's outcome is not-run only if nothing was written or the
 // other VM said so.
@@ -58,47 +51,12 @@
 	if err != nil {
 		return request.Rejected(request.ReasonInternal)
 	}
-	httpReq, httpResp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(httpReq)
-	defer fasthttp.ReleaseResponse(httpResp)
-	httpReq.Header.SetMethod(fasthttp.MethodPost)
-	httpReq.SetRequestURI(path)
-	httpReq.Header.SetHost(to.ForwardAddress)
-	httpReq.SetBodyRaw(message)
-
-	var result request.Result
-	progress, err := c.pool.Do(ctx, to.ForwardAddress, httpReq, httpResp, func(resp *fasthttp.Response) error {
-		result, err = c.decode(message[:macBytes], resp)
-		return err
-	})
+	var reply resultEnvelope
+	body, progress, err := c.post(ctx, to, path, message, &reply)
 	if err != nil {
-		c.noteFailure(ctx, to.ID, err)
 		return request.Result{Outcome: request.Classify(progress, false), Reason: reasonOf(err)}
 	}
-	c.links.Reached(to.ID, time.Now())
-	return result
-}
-
-func (c *Client) decode(requestMAC []byte, resp *fasthttp.Response) (request.Result, error) {
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return request.Result{}, errors.Wrapf(ErrMessage, "status %d", resp.StatusCode())
-	}
-	message := append([]byte(nil), resp.Body()...)
-	var envelope resultEnvelope
-	body, err := open(c.secret, requestMAC, message, &envelope)
-	if err != nil {
-		return request.Result{}, err
-	}
-	return envelope.result(body), nil
-}
-
-// noteFailure blames the link unless the caller canceled. A deadline that
-// passed is blamed too: a one-way cut shows as silence.
-func (c *Client) noteFailure(ctx context.Context, peer vm.ID, err error) {
-	if errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, ErrMessage) {
-		return
-	}
-	c.links.Failed(peer, time.Now())
+	return reply.result(body)
 }
 
 func reasonOf(err error) request.Reason {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -38,6 +38,9 @@
 	client := NewClient(id, testSecret, links, runner, httpconn.DefaultOptions())
 	s := NewServer(id, testSecret, links, list, runner, client,
 		Options{MaxMessageBytes: 1 << 20, IdleTimeout: time.Minute}, logging.Discard().Part("forward"))
+	if relay, ok := runner.(ExchangeRelay); ok {
+		s.RelayExchanges(relay)
+	}
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = s.Serve(listener) })
 	t.Cleanup(func() {
--- a/forward/message.go
+++ b/forward/message.go
@@ -95,11 +95,13 @@
 	return body, nil
 }
 
-func (e *requestEnvelope) fresh(now time.Time) bool {
-	age := now.Sub(time.UnixMilli(e.SentMillis))
+func fresh(sentMillis int64, now time.Time) bool {
+	age := now.Sub(time.UnixMilli(sentMillis))
 	return age < maxAge && age > -maxAge
 }
 
+func (e *requestEnvelope) sender() (vm.ID, int64) { return e.From, e.SentMillis }
+
 func (e *requestEnvelope) request(now time.Time, body []byte) *request.Request {
 	return &request.Request{
 		ID: e.ID, Route: e.Route, Service: e.Service, Server: e.Server,
--- a/forward/server.go
+++ b/forward/server.go
@@ -30,6 +30,7 @@
 	members Members
 	runner  Runner
 	client  *Client
+	relay   ExchangeRelay // nil if this VM relays no exchanges
 	log     logging.Logger
 	http    *fasthttp.Server
 	wg      conc.WaitGroup
@@ -78,31 +79,54 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	now := time.Now()
-	if string(ctx.Path()) != path {
+	switch target := string(ctx.Path()); {
+	case target == path:
+		s.handleForward(ctx)
+	case target == exchangePath && s.relay != nil:
+		s.handleExchange(ctx)
+	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
 	}
-	message := append([]byte(nil), ctx.PostBody()...)
+}
+
+func (s *Server) handleForward(ctx *fasthttp.RequestCtx) {
 	var envelope requestEnvelope
-	body, err := open(s.secret, nil, message, &envelope)
-	if err != nil || !envelope.fresh(now) {
-		s.log.WithError(err).WithField("remote", ctx.RemoteAddr()).Warn("Rejected a forwarded message.")
-		ctx.SetStatusCode(fasthttp.StatusForbidden)
+	message, body, ok := s.accept(ctx, nil, &envelope)
+	if !ok {
 		return
 	}
-	s.links.Heard(envelope.From, now)
+	result := s.run(ctx, &envelope, envelope.request(time.Now(), body))
+	s.reply(ctx, message, envelopeOfResult(&result), result.Body)
+}
+
+// accept opens a message of the given kind. If it is not authentic, too old or
+// came before, it sets the status and returns false.
+func (s *Server) accept(ctx *fasthttp.RequestCtx, kind []byte, envelope interface{ sender() (vm.ID, int64) }) (message, body []byte, ok bool) {
+	now := time.Now()
+	message = append([]byte(nil), ctx.PostBody()...)
+	body, err := open(s.secret, kind, message, envelope)
+	from, sentMillis := envelope.sender()
+	if err != nil || !fresh(sentMillis, now) {
+		s.log.WithError(err).WithField("remote", ctx.RemoteAddr()).Warn("Rejected a message.")
+		ctx.SetStatusCode(fasthttp.StatusForbidden)
+		return nil, nil, false
+	}
+	s.links.Heard(from, now)
 	if s.repeated(message[:macBytes], now) {
 		ctx.SetStatusCode(fasthttp.StatusConflict)
-		return
+		return nil, nil, false
 	}
-	result := s.run(ctx, &envelope, envelope.request(now, body))
-	reply, err := seal(s.secret, message[:macBytes], envelopeOfResult(&result), result.Body)
+	return message, body, true
+}
+
+// reply seals a reply to the message.
+func (s *Server) reply(ctx *fasthttp.RequestCtx, message []byte, envelope any, body []byte) {
+	sealed, err := seal(s.secret, message[:macBytes], envelope, body)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetBody(reply)
+	ctx.SetBody(sealed)
 }
 
 // repeated reports whether the same message, told by its MAC, came before.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -30,6 +30,14 @@
 	// Cut says that the server closed or reset the connection after it got the
 	// request and before any response byte, as a crashing process does.
 	Cut bool
+	// Refused says that the server's machine refused the connection.
+	Refused bool
+	// Silent says that the request was written, at least in part, and that
+	// nothing came back: no byte, no end of the connection.
+	Silent bool
+	// Crashed says that the server refused connections after it had cut this
+	// one. Do leaves that to the caller, who asks Refuses.
+	Crashed bool
 }
 
 // Client sends requests to backend servers.
@@ -63,7 +71,9 @@
 	if err != nil {
 		e.Result = failure(progress, err)
 		e.ConnectFailed = errors.Is(err, httpconn.ErrConnect)
-		e.Cut = progress == request.Written && errors.Is(err, httpconn.ErrClosed) && ctx.Err() == nil
+		e.Refused = e.ConnectFailed && errors.Is(err, syscall.ECONNREFUSED)
+		e.Silent = progress == request.Written && silent(err)
+		e.Cut = progress == request.Written && errors.Is(err, httpconn.ErrClosed) && ctx.Err() == nil && !e.Silent
 		return e
 	}
 	e.Instance = string(httpResp.Header.Peek(header.ServerInstance))
@@ -71,6 +81,21 @@
 	return e
 }
 
+// silent reports whether a written request ended without any sign of the peer.
+// The pool marks an exchange that ended before the first response byte as
+// closed; the deadline or the network then tells that the peer did not close it.
+func silent(err error) bool {
+	if !errors.Is(err, httpconn.ErrClosed) {
+		return false
+	}
+	for _, sign := range []error{httpconn.ErrDeadline, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH} {
+		if errors.Is(err, sign) {
+			return true
+		}
+	}
+	return false
+}
+
 func encode(dst *fasthttp.Request, server *contract.Server, req *request.Request, now time.Time) {
 	dst.Header.SetNoDefaultContentType(true)
 	dst.Header.SetMethod(req.Method)
