owner: reach servers over a relay while the own link to them is bad

With the link between the owner and a healthy server cut (requests, responses or both black-holed), before this change all 6 of 6 requests after the cut had an unknown outcome, and the server's evidence was Lost: 6 of 7.

Now the first failure is withheld, further requests run over another VM that the owner asks, and the direct way is tried again by one request at a time. A server that the relay finds silent too, or that refuses connections, is blamed as before.

A canceled connection attempt no longer counts as a connect failure of the server.

--- a/backend/servers.go
+++ b/backend/servers.go
@@ -136,6 +136,15 @@
 	})
 }
 
+// Note records evidence about a server whose exchange has left its slot already,
+// for instance because it was not known whether the server or the link failed.
+func (s *Servers) Note(now time.Time, id contract.ServerID, sample Sample) {
+	s.servers.DoExisting(id, func(v *Server) { v.observe(now, sample, s.options) })
+	if sample.bad() {
+		s.wakeUp()
+	}
+}
+
 // ConnectionLost tells that the server closed a connection on which no request
 // was running. Its process may have restarted, so the server gets its cold slots
 // until a response names the process.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	upstream *upstream.Client
 	servers  *backend.Servers
 	owner    *owner.Owner
+	relays   *forward.ExchangeClient
 	reporter *outlier.Reporter
 	homes    *outlier.Homes
 
@@ -126,9 +127,12 @@
 	pool := httpconn.DefaultOptions()
 	pool.MaxResponseBytes = d.settings.Limits.ResponseBytes
 	d.upstream = upstream.NewClient(pool)
+	pool.MaxResponseBytes += envelopeBytes
+	d.relays = forward.NewExchangeClient(d.self.ID, d.secret(), d.links, pool)
 	d.owner = owner.New(owner.Parts{
 		Source: d.follower, Members: d.fleet, Servers: d.servers, Exchanger: d.upstream,
-		Quarantine: quarantine, Crashes: d.reporter, Clock: time.Now, Log: d.log.Part("owner"),
+		Quarantine: quarantine, Crashes: d.reporter, Relays: d.relays, Peers: d.links, Counter: d.metrics,
+		Clock: time.Now, Log: d.log.Part("owner"),
 	})
 }
 
@@ -145,6 +149,7 @@
 	d.forwardClient = forward.NewClient(d.self.ID, d.secret(), d.links, d.owner, pool)
 	d.forwardServer = forward.NewServer(d.self.ID, d.secret(), d.links, d.fleet, d.owner, d.forwardClient,
 		forward.Options{MaxMessageBytes: limits.BodyBytes + envelopeBytes, IdleTimeout: forwardIdle}, d.log.Part("forward"))
+	d.forwardServer.RelayExchanges(owner.NewRelay(d.follower, d.fleet, d.upstream, time.Now))
 	dispatcher := entry.NewDispatcher(entry.Parts{
 		Source: d.follower, Members: readiness{d}, Tokens: d.tokens, Claims: claims{d.claims, d.log.Part("claim")},
 		Forwarder: d.forwardClient, Links: d.links, Observer: d.metrics, Clock: time.Now,
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -53,6 +53,7 @@
 	d.caller.Close()
 	d.upstream.CloseIdle(true)
 	d.forwardClient.CloseIdle(true)
+	d.relays.CloseIdle(true)
 	wg.Wait()
 	if err != nil {
 		return errors.Mark(err, ErrShutdownLimit)
@@ -175,6 +176,7 @@
 		case now := <-ticker.C:
 			d.upstream.CloseIdle(false)
 			d.forwardClient.CloseIdle(false)
+			d.relays.CloseIdle(false)
 			d.forwardServer.Forget(now)
 			d.metrics.Sweep(now)
 			received, sent := d.traffic.Bytes()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 	"almondstile/outlier"
 	"almondstile/request"
 	"almondstile/retry"
+	"almondstile/serverlink"
 	"almondstile/upstream"
 	"almondstile/vm"
 )
@@ -48,14 +49,21 @@
 	Exchanger  Exchanger
 	Quarantine Quarantine
 	Crashes    CrashReporter
-	Clock      func() time.Time
-	Log        logging.Logger
+	// Relays and Peers reach servers whose link to this VM is bad. Without
+	// Relays every exchange is direct.
+	Relays Relays
+	Peers  Peers
+	// Counter counts the changes of server links, if set.
+	Counter Counter
+	Clock   func() time.Time
+	Log     logging.Logger
 }
 
 // Owner runs requests at the backend servers that this VM owns.
 type Owner struct {
 	parts Parts
 	roles ownedServers
+	links serverlink.Links
 }
 
 // New returns an owner.
@@ -112,12 +120,8 @@
 		return request.Rejected(reason)
 	}
 	server := o.parts.Source.Index().Server(req.Server)
-	exchange := o.parts.Exchanger.Do(ctx, server, req)
-	sample = judge(exchange)
-	if exchange.Cut && o.parts.Exchanger.Refuses(ctx, server) {
-		sample.Outcome = backend.Crash
-		exchange.Result.Reason = request.ReasonCrash
-	}
+	var exchange upstream.Exchange
+	exchange, sample = o.exchange(ctx, server, req)
 	if sample.Outcome == backend.Crash {
 		o.reportCrash(ctx, req)
 	}
@@ -142,6 +146,10 @@
 func judge(e upstream.Exchange) backend.Sample {
 	sample := backend.Sample{Latency: e.Latency, Instance: e.Instance}
 	switch {
+	case e.Crashed:
+		sample.Outcome = backend.Crash
+	case e.Result.Reason == request.ReasonCanceled:
+		sample.Outcome = backend.Unjudged
 	case e.Result.Outcome == request.Answered && e.Result.Status >= retry.FirstServerError:
 		sample.Outcome = backend.ErrorStatus
 	case e.Result.Outcome == request.Answered:
@@ -152,8 +160,6 @@
 		sample.Outcome = backend.Shed
 	case e.Result.Reason == request.ReasonTruncated, e.Result.Reason == request.ReasonCrossed:
 		sample.Outcome = backend.Truncated
-	case e.Result.Reason == request.ReasonCanceled:
-		sample.Outcome = backend.Unjudged
 	default:
 		sample.Outcome = backend.Lost
 	}
--- a/owner/roles.go
+++ b/owner/roles.go
@@ -14,7 +14,7 @@
 	listVersion   uint64
 	configVersion uint64
 	applied       bool
-	owned         map[contract.ServerID]bool
+	owned         map[contract.ServerID]string // address
 }
 
 // Sync applies the current configuration and member list to the records of the
@@ -28,7 +28,7 @@
 	if r.applied && r.listVersion == list.Version && r.configVersion == index.Version() {
 		return
 	}
-	owned := make(map[contract.ServerID]bool)
+	owned := make(map[contract.ServerID]string)
 	services := index.Configuration().Services
 	for i := range services {
 		for j := range services[i].Servers {
@@ -37,14 +37,18 @@
 			if !ok || holder.ID != o.parts.Members.Self().ID {
 				continue
 			}
-			owned[server.ID] = true
+			owned[server.ID] = server.Address
 			o.parts.Servers.Changed(now, services[i].ID, *server, index.TakesNewWork(server))
 		}
 	}
-	for id := range r.owned {
-		if !owned[id] {
+	for id, address := range r.owned {
+		newAddress, ok := owned[id]
+		if !ok {
 			o.parts.Servers.Released(id)
 		}
+		if newAddress != address {
+			o.links.Forget(id)
+		}
 	}
 	r.owned, r.applied = owned, true
 	r.listVersion, r.configVersion = list.Version, index.Version()
