outlier: blame a request only for crashes that it can explain

Cause: when all servers restart at once, common requests ran on two crashing servers and were rejected for 10 minutes. Change: a crash does not count against a request if two or more other servers crashed at about the same time without it. Ruled out: clearing a request by a later success (a crash record spreads with the reports, a success does not).

--- a/outlier/quarantine.go
+++ b/outlier/quarantine.go
@@ -24,6 +24,8 @@
 // concurrent use.
 type Quarantine struct {
 	suspects shard.Map[request.Fingerprint, *suspectRequest]
+	// recent holds each service's crashes of the last minute, whatever ran.
+	recent shard.Map[contract.ServiceID, []serverCrash]
 	// size lets the common case, no crash at all, skip hashing each request.
 	size atomic.Int64
 }
@@ -32,6 +34,25 @@
 	crashes []knownCrash
 }
 
+// serverCrash is one crash of a server, on which several requests may have run.
+type serverCrash struct {
+	server contract.ServerID
+	at     time.Time
+}
+
+const (
+	// sameCrash is the time within which requests lost on one server were lost
+	// in the same crash.
+	sameCrash = 500 * time.Millisecond
+	// together is the time within which crashes of several servers are related.
+	together = 2 * time.Second
+	// unrelatedCrashes is the number of servers that crash at about the same
+	// time without a request from which on the request is not the cause: they
+	// restart together, or fall over cold under the load that is left.
+	unrelatedCrashes = 2
+	recentTime       = time.Minute
+)
+
 type knownCrash struct {
 	crash Crash
 	at    time.Time
@@ -43,6 +64,7 @@
 	if now.Sub(at) >= QuarantineTime {
 		return false
 	}
+	q.note(now, c, at)
 	q.suspects.Update(c.Fingerprint, func(s *suspectRequest, exists bool) (*suspectRequest, bool) {
 		if !exists {
 			s = &suspectRequest{}
@@ -80,13 +102,64 @@
 	if q.size.Load() == 0 {
 		return false
 	}
-	rejected := false
+	var crashes []knownCrash
 	q.suspects.DoExisting(request.FingerprintOf(r), func(s *suspectRequest) {
-		rejected = len(s.crashes) >= quarantineCrashes && now.Sub(s.last()) < QuarantineTime
+		if len(s.crashes) >= quarantineCrashes && now.Sub(s.last()) < QuarantineTime {
+			crashes = slices.Clone(s.crashes)
+		}
 	})
-	return rejected
+	if len(crashes) == 0 {
+		return false
+	}
+	recent, _ := q.recent.Load(r.Service)
+	return blamed(crashes, recent) >= quarantineCrashes
 }
 
+// note adds a crash to its service's recent ones, oldest first.
+func (q *Quarantine) note(now time.Time, c Crash, at time.Time) {
+	q.recent.Update(c.Service, func(list []serverCrash, _ bool) ([]serverCrash, bool) {
+		// The list is replaced, not modified, because readers hold it unlocked.
+		kept := make([]serverCrash, 0, len(list)+1)
+		for _, s := range list {
+			if s.server == c.Server && apart(s.at, at) <= sameCrash {
+				return list, true
+			}
+			if now.Sub(s.at) < recentTime {
+				kept = append(kept, s)
+			}
+		}
+		return append(kept, serverCrash{c.Server, at}), true
+	})
+}
+
+// blamed counts the crashes that a request may have caused.
+func blamed(crashes []knownCrash, recent []serverCrash) int {
+	count := 0
+	for _, k := range crashes {
+		if unrelated(k, crashes, recent) < unrelatedCrashes {
+			count++
+		}
+	}
+	return count
+}
+
+// unrelated counts the crashes at about the time of k on which the request did
+// not run.
+func unrelated(k knownCrash, crashes []knownCrash, recent []serverCrash) int {
+	count := 0
+	for _, s := range recent {
+		ran := slices.ContainsFunc(crashes, func(own knownCrash) bool {
+			return own.crash.Server == s.server && apart(own.at, s.at) <= sameCrash
+		})
+		if !ran && apart(s.at, k.at) <= together {
+			count++
+		}
+	}
+	return count
+}
+
+func apart(a, b time.Time) time.Duration { return a.Sub(b).Abs() }
+
 // Crashes returns the crashes on a service's requests that still count, and
 // drops all that no longer do.
 func (q *Quarantine) Crashes(now time.Time, service contract.ServiceID) []Crash {
