contract: count the floor by the slots that take new work in plans too

Cause: a plan took the floor share of all configured slots, the outlier detection and the status that of the slots of servers that take new work. A plan that took a zone out therefore showed a floor that ejection does not use, and warned that no server could be ejected although some could. Change: contract.FloorSlots is the one place that applies the share; plans, the detection and the status call it. The warning now appears when the floor permits no ejection of any server that takes new work. Result: with one of two servers (3 slots each, share 0.5) out, the plan's floor was 3 and is 2; a share of 0.6 with both servers gave no warning and gives one. TestPlanShowsEffect and TestFloorSlots failed with the former effect.go and pass; the packages contract, outlier, operator, cli and configstore pass with -race.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -91,8 +91,8 @@
 // Service is a set of backend servers that serve the same requests.
 type Service struct {
 	ID ServiceID `json:"id" toml:"id"`
-	// FloorShare is the least share (0 to 1) of the slots of the service's
-	// servers that ejection must leave healthy.
+	// FloorShare is the least share (0 to 1) that ejection must leave healthy, of
+	// the slots of the service's servers that take new work.
 	FloorShare float64  `json:"floor_share" toml:"floor_share"`
 	Servers    []Server `json:"servers" toml:"servers"`
 }
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -173,13 +173,15 @@
 	}
 	walkers := Team{ID: "walkers", RatePerSecond: 100, Burst: 20, Homes: 2, Weight: 1}
 	want := Effect{
-		Services: []ServiceEffect{{ID: "loandesk", SlotsBefore: 6, SlotsAfter: 3, FloorSlots: 3}},
+		Services: []ServiceEffect{{ID: "loandesk", SlotsBefore: 6, SlotsAfter: 3, FloorSlots: 2}},
 		Zones:    []ZoneEffect{{ID: "a", Kind: Changed, OutAfter: true}},
 		Teams: []TeamEffect{{ID: "walkers", Kind: Changed, Before: walkers,
 			After: Team{ID: "walkers", RatePerSecond: 50, Burst: 10, Homes: 2, Weight: 2}, RoutesLost: []RouteID{"loans"}}},
-		Keys:     []KeyEffect{{"k1", "walkers", Withdrawn}},
-		Routes:   []RouteEffect{{"loans", Changed, []string{"path_prefix", "teams"}}},
-		Warnings: []string{"no team may use route loans"},
+		Keys:   []KeyEffect{{"k1", "walkers", Withdrawn}},
+		Routes: []RouteEffect{{"loans", Changed, []string{"path_prefix", "teams"}}},
+		Warnings: []string{
+			"service loandesk has a floor of 2 of the 3 slots of its servers that take new work: none of them can be ejected",
+			"no team may use route loans"},
 	}
 	want.Services[0].Kind = Changed
 	if !reflect.DeepEqual(plan.Effect, want) {
@@ -342,3 +344,23 @@
 		}
 	}
 }
+
+// Guards against a floor whose rounding asks for a slot too many or too few,
+// and against a warning of a floor that does permit ejections.
+func TestFloorSlots(t *testing.T) {
+	for _, c := range []struct {
+		share       float64
+		slots, want int
+	}{{0.5, 6, 3}, {0.5, 3, 2}, {0.7, 10, 7}, {0, 9, 0}, {1, 9, 9}, {0.5, 0, 0}} {
+		if got := FloorSlots(c.share, c.slots); got != c.want {
+			t.Errorf("%v of %d slots: %d, want %d", c.share, c.slots, got, c.want)
+		}
+	}
+	c := base(t)
+	for share, warnings := range map[float64]int{0.4: 0, 0.6: 1} {
+		plan, err := NewPlan("p", c, NewIntent(SetService{ID: "loandesk", FloorShare: share}), time.Time{})
+		if err != nil || len(plan.Effect.Warnings) != warnings {
+			t.Errorf("floor share %v: %+v, %v, want %d warnings", share, plan.Effect.Warnings, err, warnings)
+		}
+	}
+}
--- a/contract/effect.go
+++ b/contract/effect.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"reflect"
 	"slices"
 	"strings"
@@ -42,7 +41,8 @@
 	// that are not leaving and whose zone is in.
 	SlotsBefore int `json:"slots_before"`
 	SlotsAfter  int `json:"slots_after"`
-	// FloorSlots is the least number of slots that ejection must leave.
+	// FloorSlots is the least number of the slots after the change that ejection
+	// must leave.
 	FloorSlots int `json:"floor_slots"`
 	// Servers lists the servers that were added, removed or changed.
 	Servers []ServerID `json:"servers,omitempty"`
@@ -159,20 +159,22 @@
 		kind, differs := kindOf(b, a)
 		effect := ServiceEffect{
 			ID: id, Kind: kind,
-			SlotsBefore: workingSlots(c.before, b), SlotsAfter: workingSlots(c.after, a),
-			FloorSlots: floorSlots(a), Servers: changedServers(b, a),
+			SlotsBefore: slotsOf(c.before, b), SlotsAfter: slotsOf(c.after, a), Servers: changedServers(b, a),
+		}
+		if a != nil {
+			effect.FloorSlots = FloorSlots(a.FloorShare, effect.SlotsAfter)
 		}
 		if !differs && effect.SlotsBefore == effect.SlotsAfter {
 			continue
 		}
 		c.effect.Services = append(c.effect.Services, effect)
 		if a != nil {
-			c.judgeSlots(effect, routed[id])
+			c.judgeSlots(effect, a, routed[id])
 		}
 	}
 }
 
-func (c *comparison) judgeSlots(e ServiceEffect, routed bool) {
+func (c *comparison) judgeSlots(e ServiceEffect, after *Service, routed bool) {
 	switch {
 	case e.SlotsAfter == 0 && !routed:
 		c.warn("service %s has no slots for new work; no route leads to it", e.ID)
@@ -182,36 +184,18 @@
 		c.effect.Refusals = append(c.effect.Refusals, fmt.Sprintf(
 			"service %s would go from %d slots to 0 while routes lead to it; set allow_no_slots if this is intended",
 			e.ID, e.SlotsBefore))
-	case e.SlotsAfter < e.FloorSlots:
-		c.warn("service %s keeps %d slots for new work, below its floor of %d: none of its servers can be ejected",
-			e.ID, e.SlotsAfter, e.FloorSlots)
-	}
-}
-
-func workingSlots(x *Index, s *Service) int {
-	if s == nil {
-		return 0
-	}
-	slots := 0
-	for i := range s.Servers {
-		if x.TakesNewWork(&s.Servers[i]) {
-			slots += s.Servers[i].Slots
-		}
+	case !c.after.canEject(after):
+		c.warn("service %s has a floor of %d of the %d slots of its servers that take new work: none of them can be ejected",
+			e.ID, e.FloorSlots, e.SlotsAfter)
 	}
-	return slots
 }
 
-// floorSlots rounds up, because the floor is a least number of slots. The
-// small constant keeps 0.7 of 10 at 7 despite binary fractions.
-func floorSlots(s *Service) int {
+// slotsOf counts the slots for new work of a service that may be nil.
+func slotsOf(x *Index, s *Service) int {
 	if s == nil {
 		return 0
 	}
-	total := 0
-	for i := range s.Servers {
-		total += s.Servers[i].Slots
-	}
-	return int(math.Ceil(s.FloorShare*float64(total) - 1e-9))
+	return x.SlotsForNewWork(s)
 }
 
 func changedServers(before, after *Service) []ServerID {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"almondstile/backend"
@@ -65,19 +64,15 @@
 		}
 	}
 	status := operator.ServiceStatus{ID: s.ID}
-	inService := 0
 	for i := range s.Servers {
 		server := f.server(index, &s.Servers[i], states, now)
 		status.TotalSlots += server.Slots
-		if index.TakesNewWork(&s.Servers[i]) {
-			inService += server.Slots
-		}
 		if server.State == operator.ServerServing {
 			status.HealthySlots += server.Slots
 		}
 		status.Servers = append(status.Servers, server)
 	}
-	status.FloorSlots = int(math.Ceil(s.FloorShare * float64(inService)))
+	status.FloorSlots = contract.FloorSlots(s.FloorShare, index.SlotsForNewWork(s))
 	return status
 }
 
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -123,7 +123,8 @@
 			healthy += s.terms.Slots
 		}
 	}
-	if float64(healthy)+floorTolerance < f.terms.FloorShare*float64(configured) {
+	const rounding = 1e-9
+	if float64(healthy)+rounding < f.terms.FloorShare*float64(configured) {
 		t.Fatalf("an ejection left %d of %d slots healthy, floor share %v", healthy, configured, f.terms.FloorShare)
 	}
 }
--- a/outlier/floor.go
+++ b/outlier/floor.go
@@ -51,23 +51,20 @@
 	// healthy maps the servers that count to their slots.
 	healthy map[contract.ServerID]int
 	slots   int
-	needed  float64
+	needed  int
 }
 
-// floorTolerance absorbs rounding in share × slots.
-const floorTolerance = 1e-9
-
 // floor counts the slots of servers that a fresh report shows to be warm and
 // in service. What is not known does not count, so a new home ejects nobody
 // until enough owners have reported.
 func (d *Detector) floor(now time.Time, terms Terms) *floor {
 	f := &floor{healthy: make(map[contract.ServerID]int)}
-	configured := 0
+	inService := 0
 	for _, t := range terms.Servers {
 		if !t.TakesNewWork {
 			continue
 		}
-		configured += t.Slots
+		inService += t.Slots
 		s := d.subjects[t.ID]
 		if s == nil || !s.fresh(now) || !s.healthy() {
 			continue
@@ -75,7 +72,7 @@
 		f.healthy[t.ID] = t.Slots
 		f.slots += t.Slots
 	}
-	f.needed = terms.FloorShare * float64(configured)
+	f.needed = contract.FloorSlots(terms.FloorShare, inService)
 	return f
 }
 
@@ -87,7 +84,7 @@
 		reported != backend.Ejected && reported != backend.Probing
 }
 
-func (f *floor) holds() bool { return float64(f.slots)+floorTolerance >= f.needed }
+func (f *floor) holds() bool { return f.slots >= f.needed }
 
 // eject takes a server out of the account if the rest stays at or above the
 // floor, and reports whether it did.
