status: show what is wrong first, real rates of active teams, and all states

Cause: rates of teams were never set, all teams were listed, a server with low weight showed as serving and one returning through probes as ejected or cold, an unreachable owner did not show, and in-flight counts were 0 at all VMs but the owner. Change: telemetry keeps each team's rates; the status lists teams with a request in the last minute and counts the others. The screen starts with the count of servers in each bad state and the worst of them. Healthy slots count low-weight servers, as the floor does. TestPlannedStopRejectsNobody calls as the team before it reads the team's homes, because idle teams are no longer listed. The new unit tests do not compile with the former code, so they were not run against it.

--- a/backend/servers_test.go
+++ b/backend/servers_test.go
@@ -355,7 +355,7 @@
 		for i := rapid.IntRange(0, 5).Draw(t, "n"); i > 0; i-- {
 			states = append(states, ServerState{
 				Server:  contract.ServerID(rapid.String().Draw(t, "id")),
-				Ejected: rapid.Bool().Draw(t, "ejected"), LowWeight: rapid.Bool().Draw(t, "low"),
+				Ejected: rapid.Bool().Draw(t, "ejected"), LowWeight: rapid.Bool().Draw(t, "low"), Probing: rapid.Bool().Draw(t, "probing"),
 				Warm: rapid.Bool().Draw(t, "warm"), Load: float64(rapid.IntRange(0, 4000).Draw(t, "load")) / loadUnit,
 			})
 		}
--- a/backend/state.go
+++ b/backend/state.go
@@ -20,6 +20,8 @@
 	// LowWeight asks for as little traffic as the other servers allow.
 	LowWeight bool `json:"low_weight,omitempty"`
 	Warm      bool `json:"warm,omitempty"`
+	// Probing servers return from an ejection, one request at a time.
+	Probing bool `json:"probing,omitempty"`
 	// Load is (in flight + queued) / allowed slots.
 	Load float64 `json:"load"`
 }
@@ -32,6 +34,7 @@
 	flagEjected   = 1 << 0
 	flagLowWeight = 1 << 1
 	flagWarm      = 1 << 2
+	flagProbing   = 1 << 3
 
 	loadUnit = 100
 	maxLoad  = 1e6
@@ -61,6 +64,9 @@
 	if s.Warm {
 		flags |= flagWarm
 	}
+	if s.Probing {
+		flags |= flagProbing
+	}
 	load := min(max(s.Load, 0), maxLoad)
 	return binary.AppendUvarint(append(b, flags), uint64(math.Round(load*loadUnit)))
 }
@@ -89,6 +95,7 @@
 			Ejected:   rest[0]&flagEjected != 0,
 			LowWeight: rest[0]&flagLowWeight != 0,
 			Warm:      rest[0]&flagWarm != 0,
+			Probing:   rest[0]&flagProbing != 0,
 			Load:      float64(load) / loadUnit,
 		})
 		b = rest[1+width:]
@@ -123,6 +130,6 @@
 	}
 	return appendState(b, ServerState{
 		Server: id, Ejected: own.Standing == Ejected, LowWeight: own.Standing == LowWeight,
-		Warm: own.Warm, Load: own.Load(),
+		Warm: own.Warm, Probing: own.Standing == Probing, Load: own.Load(),
 	})
 }
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -170,6 +170,25 @@
 	}
 }
 
+// Guards against problems that stand below what is well, and against planned
+// states that hide faults.
+func TestStatusShowsProblemsFirst(t *testing.T) {
+	servers := []operator.ServerStatus{{ID: "s1", State: operator.ServerLeaving}, {ID: "s2", State: operator.ServerServing},
+		{ID: "s3", State: operator.ServerLowWeight, Why: "the floor"}, {ID: "s4", State: operator.ServerUnreachable}}
+	var out bytes.Buffer
+	printStatus(&out, operator.Status{Ready: true, OtherTeams: 7, Zones: []operator.ZoneStatus{{ID: "a"}},
+		Services: []operator.ServiceStatus{{ID: "loandesk", Servers: servers}}})
+	rest := out.String()
+	for _, want := range []string{"Servers: 1 unreachable, 1 low-weight, 1 leaving\n",
+		"s4", "s3\tlow-weight", "the floor", "s1", "Services", "Zones", "in the last minute: 7\n"} {
+		_, after, found := strings.Cut(rest, want)
+		if !found {
+			t.Fatalf("no %q in its place:\n%s", want, out.String())
+		}
+		rest = after
+	}
+}
+
 type extraRunner struct {
 	Wait time.Duration `long:"wait" required:"true"`
 	ran  time.Duration
--- a/cli/print.go
+++ b/cli/print.go
@@ -1,10 +1,8 @@
 package cli
 
 import (
-	"cmp"
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -114,63 +112,6 @@
 	return prefix + strings.Join(text, ", ") + " "
 }
 
-func printStatus(w io.Writer, s operator.Status) {
-	state := "ready"
-	if !s.Ready {
-		state = "not ready: " + s.Reason
-	}
-	line(w, "VM %s in zone %s, %s", s.VM, s.Zone, state)
-	line(w, "Version %d in force; member list %d with %d VMs", s.ConfigurationVersion, s.MemberListVersion, len(s.Members))
-	behind := slices.DeleteFunc(slices.Clone(s.Members), func(m operator.MemberStatus) bool {
-		return m.Known && m.ConfigurationVersion == s.ConfigurationVersion
-	})
-	section(w, fmt.Sprintf("VMs at another version (%d of %d)", len(behind), len(s.Members)), behind, memberLine)
-	section(w, "Zones", s.Zones, func(z operator.ZoneStatus) string { return fmt.Sprintf("%s\t%s", z.ID, inOrOut(z.Out)) })
-	services := slices.Clone(s.Services)
-	slices.SortStableFunc(services, func(a, b operator.ServiceStatus) int {
-		return cmp.Compare(healthyShare(a), healthyShare(b))
-	})
-	section(w, "Services, least healthy first", services, func(v operator.ServiceStatus) string {
-		return fmt.Sprintf("%s\thealthy slots %d of %d\tfloor %d\t%d servers",
-			v.ID, v.HealthySlots, v.TotalSlots, v.FloorSlots, len(v.Servers))
-	})
-	section(w, "Servers that are not serving", notServing(s.Services), func(v operator.ServerStatus) string {
-		return fmt.Sprintf("%s\t%s\tzone %s\towner %s\t%s", v.ID, v.State, v.Zone, v.Owner, v.Why)
-	})
-	teams := slices.Clone(s.Teams)
-	slices.SortStableFunc(teams, func(a, b operator.TeamStatus) int {
-		return cmp.Compare(b.RejectedPerSecond, a.RejectedPerSecond)
-	})
-	section(w, "Teams, most rejections first", teams, func(t operator.TeamStatus) string {
-		return fmt.Sprintf("%s\thomes %v\trate %v\tburst %d\tadmitted %.1f/s\trejected %.1f/s",
-			t.ID, t.Homes, t.RatePerSecond, t.Burst, t.AdmittedPerSecond, t.RejectedPerSecond)
-	})
-}
-
-// healthyShare is 0 for a service without slots, which serves nobody.
-func healthyShare(s operator.ServiceStatus) float64 {
-	return float64(s.HealthySlots) / float64(max(s.TotalSlots, 1))
-}
-
-func memberLine(m operator.MemberStatus) string {
-	if !m.Known {
-		return fmt.Sprintf("%s\tzone %s\tunknown", m.VM, m.Zone)
-	}
-	return fmt.Sprintf("%s\tzone %s\tversion %d", m.VM, m.Zone, m.ConfigurationVersion)
-}
-
-func notServing(services []operator.ServiceStatus) []operator.ServerStatus {
-	var out []operator.ServerStatus
-	for _, s := range services {
-		for _, server := range s.Servers {
-			if server.State != operator.ServerServing {
-				out = append(out, server)
-			}
-		}
-	}
-	return out
-}
-
 // printFaults lists all faults, however many: they are to be corrected at once.
 func (g *globalOptions) printFaults(file string, faults []settings.Fault) error {
 	if g.JSON {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -9,6 +9,7 @@
 	"almondstile/operator"
 	"almondstile/outlier"
 	"almondstile/quota"
+	"almondstile/vm"
 )
 
 // buildOperators builds the operators' listener.
@@ -43,16 +44,31 @@
 	for i := range index.Configuration().Services {
 		status.Services = append(status.Services, f.service(index, &index.Configuration().Services[i], now))
 	}
+	status.Teams, status.OtherTeams = f.teams(index, list, now)
+	return status
+}
+
+// teams describes the teams that were active here lately and counts the others.
+func (f fleetView) teams(index *contract.Index, list vm.MemberList, now time.Time) (active []operator.TeamStatus, others int) {
+	rates := f.d.metrics.ActiveTeams(now)
 	for _, t := range index.Configuration().Teams {
-		team := operator.TeamStatus{ID: t.ID, RatePerSecond: t.RatePerSecond, Burst: t.Burst}
+		rate, ok := rates[t.ID]
+		if !ok {
+			others++
+			continue
+		}
+		team := operator.TeamStatus{
+			ID: t.ID, RatePerSecond: t.RatePerSecond, Burst: t.Burst,
+			AdmittedPerSecond: rate.Admitted, RejectedPerSecond: rate.Rejected,
+		}
 		for _, bucket := range quota.Buckets(&t) {
 			if home, ok := list.Holder(quota.Role(bucket)); ok {
 				team.Homes = append(team.Homes, home.ID)
 			}
 		}
-		status.Teams = append(status.Teams, team)
+		active = append(active, team)
 	}
-	return status
+	return active, others
 }
 
 // service describes a service from the newest state that its home sent here.
@@ -65,9 +81,10 @@
 	}
 	status := operator.ServiceStatus{ID: s.ID}
 	for i := range s.Servers {
-		server := f.server(index, &s.Servers[i], states, now)
+		facts := f.facts(index, &s.Servers[i], states)
+		server := f.server(&s.Servers[i], facts, now)
 		status.TotalSlots += server.Slots
-		if server.State == operator.ServerServing {
+		if facts.Healthy() {
 			status.HealthySlots += server.Slots
 		}
 		status.Servers = append(status.Servers, server)
@@ -76,28 +93,30 @@
 	return status
 }
 
-func (f fleetView) server(index *contract.Index, s *contract.Server, states map[contract.ServerID]backend.ServerState, now time.Time) operator.ServerStatus {
-	status := operator.ServerStatus{ID: s.ID, Zone: s.Zone, Slots: s.Slots, State: operator.ServerUnknown}
-	if owner, ok := f.d.fleet.List().Holder(outlier.OwnerRole(s)); ok {
-		status.Owner = owner.ID
+// facts collects what this VM knows of a server. An owner counts as failed until
+// it answers again, also between the pauses in which it is avoided.
+func (f fleetView) facts(index *contract.Index, s *contract.Server, states map[contract.ServerID]backend.ServerState) operator.ServerFacts {
+	facts := operator.ServerFacts{Leaving: s.Leaving, TakesNewWork: index.TakesNewWork(s)}
+	facts.State, facts.Reported = states[s.ID]
+	if owner, ok := f.owner(s); ok {
+		record, _ := f.d.links.Record(owner.ID)
+		facts.HasOwner, facts.OwnerFailed = true, record.Failures > 0
 	}
-	state, known := states[s.ID]
-	switch {
-	case s.Leaving:
-		status.State, status.Why = operator.ServerLeaving, "an operator takes it out of service"
-	case !index.TakesNewWork(s):
-		status.State, status.Why = operator.ServerZoneOut, "its availability zone is out"
-	case !known:
-		status.Why = "no report of its service has reached this VM"
-	case state.Ejected:
-		status.State, status.Why = operator.ServerEjected, "it serves worse than the other servers of its service"
-	case !state.Warm:
-		status.State, status.Why = operator.ServerCold, "it starts cold and gets a limited number of requests"
-	default:
-		status.State = operator.ServerServing
+	return facts
+}
+
+func (f fleetView) owner(s *contract.Server) (vm.VM, bool) {
+	return f.d.fleet.List().Holder(outlier.OwnerRole(s))
+}
+
+func (f fleetView) server(s *contract.Server, facts operator.ServerFacts, now time.Time) operator.ServerStatus {
+	status := operator.ServerStatus{ID: s.ID, Zone: s.Zone, Slots: s.Slots}
+	status.State, status.Why = facts.Judge()
+	if owner, ok := f.owner(s); ok {
+		status.Owner = owner.ID
 	}
-	if own, ok := f.d.servers.Status(now, s.ID); ok {
-		status.InFlight, status.Queued = own.InFlight, own.Queued
+	if own, ok := f.d.servers.Status(now, s.ID); ok && status.Owner == f.d.self.ID {
+		status.InFlight, status.Queued = &own.InFlight, &own.Queued
 	}
 	return status
 }
--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -200,6 +200,12 @@
 	if lines > screenLines {
 		t.Errorf("%d lines: %s", lines, r.stdout)
 	}
+	await(t, "the status shows the rates of active teams only", func() (string, bool) {
+		get(w.url(1, "/stock/hut-7"), w.credentials["glencoe-hire"])
+		s := w.status(t, 1)
+		return fmt.Sprintf("%+v, %d others", s.Teams, s.OtherTeams), len(s.Teams) > 0 && s.OtherTeams > 0 &&
+			s.Teams[0].ID == "glencoe-hire" && s.Teams[0].AdmittedPerSecond > 0
+	})
 	await(t, "the status names the version of each VM", func() (string, bool) {
 		s := w.status(t, 1)
 		current := 0
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -113,6 +113,10 @@
 	firstConfiguration(t, w)
 	keyIssue(t, w)
 	callersAreAnswered(t, w)
+	await(t, "the team is active at the VM whose status is read", func() (string, bool) {
+		g := get(w.url(0, "/stock/hut-7"), w.credentials["killin-library"])
+		return g.String(), g.answered()
+	})
 	home := -1
 	for _, team := range w.status(t, 0).Teams {
 		for n, v := range w.vms {
--- a/operator/status.go
+++ b/operator/status.go
@@ -19,7 +19,10 @@
 	Members              []MemberStatus  `json:"members"`
 	Zones                []ZoneStatus    `json:"zones"`
 	Services             []ServiceStatus `json:"services"`
-	Teams                []TeamStatus    `json:"teams"`
+	// Teams are those that were active at this VM lately, OtherTeams counts the
+	// rest.
+	Teams      []TeamStatus `json:"teams"`
+	OtherTeams int          `json:"other_teams"`
 }
 
 // MemberStatus is one VM of the member list.
@@ -40,28 +43,14 @@
 // ServiceStatus is one service with its servers.
 type ServiceStatus struct {
 	ID contract.ServiceID `json:"id"`
-	// HealthySlots are those of servers that take new work and are warm.
+	// HealthySlots are those that count for the floor: of servers that take new
+	// work, are warm and not ejected. Low-weight servers count.
 	HealthySlots int            `json:"healthy_slots"`
 	FloorSlots   int            `json:"floor_slots"`
 	TotalSlots   int            `json:"total_slots"`
 	Servers      []ServerStatus `json:"servers"`
 }
 
-// ServerState says whether a backend server takes new work.
-type ServerState string
-
-// The states of a backend server.
-const (
-	ServerServing     ServerState = "serving"
-	ServerCold        ServerState = "cold"
-	ServerProbing     ServerState = "probing"
-	ServerEjected     ServerState = "ejected"
-	ServerLeaving     ServerState = "leaving"
-	ServerZoneOut     ServerState = "zone-out"
-	ServerUnreachable ServerState = "unreachable"
-	ServerUnknown     ServerState = "unknown"
-)
-
 // ServerStatus is one backend server.
 type ServerStatus struct {
 	ID    contract.ServerID `json:"id"`
@@ -69,19 +58,21 @@
 	Owner vm.ID             `json:"owner,omitempty"`
 	State ServerState       `json:"state"`
 	// Why says in words why the server is not serving.
-	Why      string `json:"why,omitempty"`
-	Slots    int    `json:"slots"`
-	InFlight int    `json:"in_flight"`
-	Queued   int    `json:"queued"`
+	Why   string `json:"why,omitempty"`
+	Slots int    `json:"slots"`
+	// InFlight and Queued are known only at the owner and missing elsewhere.
+	InFlight *int `json:"in_flight,omitempty"`
+	Queued   *int `json:"queued,omitempty"`
 }
 
-// TeamStatus is one team that was active lately.
+// TeamStatus is one team that was active at this VM in the last minute.
 type TeamStatus struct {
 	ID            contract.TeamID `json:"id"`
 	Homes         []vm.ID         `json:"homes,omitempty"`
 	RatePerSecond float64         `json:"rate_per_second"`
 	Burst         int             `json:"burst"`
-	// AdmittedPerSecond and RejectedPerSecond are this VM's recent rates.
+	// AdmittedPerSecond and RejectedPerSecond are this VM's recent rates. A request is
+	// rejected if it was not run, for any reason.
 	AdmittedPerSecond float64 `json:"admitted_per_second"`
 	RejectedPerSecond float64 `json:"rejected_per_second"`
 }
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -275,6 +275,7 @@
 		if s := d.subjects[t.ID]; s != nil {
 			state.Ejected = s.standing == backend.Ejected
 			state.LowWeight = s.standing == backend.LowWeight
+			state.Probing = s.standing == backend.Probing
 			state.Warm = s.report.Warm
 			state.Load = float64(s.report.InFlight+s.report.Queued) / float64(max(1, s.report.Allowed))
 		}
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -323,9 +323,9 @@
 // Guards against states that are attributed to the wrong servers after a change
 // of the configuration.
 func TestPackedStates(t *testing.T) {
-	terms := Terms{Version: 3, Servers: []ServerTerms{{ID: "a"}, {ID: "b"}}}
+	terms := Terms{Version: 3, Servers: []ServerTerms{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
 	const mostLoad = float64(math.MaxUint8) / packedLoadUnit
-	states := []backend.ServerState{{Server: "a", Ejected: true, Load: 1.5}, {Server: "b", LowWeight: true, Warm: true, Load: mostLoad}}
+	states := []backend.ServerState{{Server: "a", Ejected: true, Load: 1.5}, {Server: "b", LowWeight: true, Warm: true, Load: mostLoad}, {Server: "c", Probing: true}}
 	packed := packStates(states)
 	if got, ok := unpackStates(terms, 3, packed); !ok || !slices.Equal(got, states) {
 		t.Fatalf("%+v became %+v", states, got)
--- a/outlier/message.go
+++ b/outlier/message.go
@@ -118,6 +118,7 @@
 	packedEjected   = 1 << 0
 	packedLowWeight = 1 << 1
 	packedWarm      = 1 << 2
+	packedProbing   = 1 << 3
 	packedLoadUnit  = 16
 )
 
@@ -134,6 +135,9 @@
 		if s.Warm {
 			flags |= packedWarm
 		}
+		if s.Probing {
+			flags |= packedProbing
+		}
 		b = append(b, flags, byte(min(s.Load*packedLoadUnit, math.MaxUint8)))
 	}
 	return b
@@ -150,7 +154,7 @@
 		flags, load := b[packedSize*i], b[packedSize*i+1]
 		states = append(states, backend.ServerState{
 			Server: t.ID, Ejected: flags&packedEjected != 0, LowWeight: flags&packedLowWeight != 0,
-			Warm: flags&packedWarm != 0, Load: float64(load) / packedLoadUnit,
+			Warm: flags&packedWarm != 0, Probing: flags&packedProbing != 0, Load: float64(load) / packedLoadUnit,
 		})
 	}
 	return states, true
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -24,7 +24,7 @@
 // Metrics are one VM's counters and histograms. Latencies are in microseconds.
 type Metrics struct {
 	registry metrics.Registry
-	teams    shard.Map[contract.TeamID, time.Time] // last request
+	teams    shard.Map[contract.TeamID, *activity]
 }
 
 // New returns empty metrics.
@@ -54,7 +54,7 @@
 	if req.Team == "" {
 		return
 	}
-	m.teams.Store(req.Team, time.Now())
+	m.record(time.Now(), req.Team, result.Outcome == request.NotRun)
 	m.histogram("team." + string(req.Team) + ".latency_us").Update(micros)
 	if result.Outcome != request.Answered {
 		m.counter("team." + string(req.Team) + ".not_answered").Inc(1)
@@ -64,8 +64,8 @@
 // Sweep drops the metrics of teams without requests and reads the process's
 // own use of memory and processor time. The daemon calls it at intervals.
 func (m *Metrics) Sweep(now time.Time) {
-	m.teams.Range(func(team contract.TeamID, last time.Time) bool {
-		if now.Sub(last) < teamIdle {
+	m.teams.Range(func(team contract.TeamID, a *activity) bool {
+		if now.Sub(a.last) < teamIdle {
 			return true
 		}
 		m.registry.Unregister("team." + string(team) + ".latency_us")
