telemetry: count the decisions and gauge the member list and readiness

Cause: telemetry.Count had no callers, so no metric showed ejections, takeovers, retries or changes of the member list and configuration. Change: outlier, owner, entry, membership and configstore each define a small Observer; daemon.decisions implements them all on the VM's metrics. Counted are ejections granted and blocked, quarantines, member lists, server owner and service home roles taken over, retries, redirects, rejected tokens and configurations brought into force. Team home roles are not counted. New gauges: member_list.version and ready. Result: entry, outlier, configstore and membership pass with -race.

--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -36,6 +36,13 @@
 	// PeersToAsk is the number of peers that are asked while the store is
 	// unavailable, 5 by default.
 	PeersToAsk int
+	// Observer, if set, counts the configurations brought into force.
+	Observer Observer
+}
+
+// Observer counts configurations. It must not block.
+type Observer interface {
+	BroughtIntoForce(version uint64)
 }
 
 func (o Options) withDefaults() Options {
@@ -210,6 +217,9 @@
 		}
 		if f.view.CompareAndSwap(old, newView(c, true, kept)) {
 			f.log.WithField("version", c.Version).Info("configuration in force")
+			if f.opts.Observer != nil {
+				f.opts.Observer.BroughtIntoForce(c.Version)
+			}
 			f.notify()
 			return
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,12 +105,14 @@
 	d.caller = link.NewClient(d.self, d.secret(), d.links, d.control, d.traffic)
 	d.fleet = membership.NewFleet(membership.Config{
 		Self: d.self, Table: p.Table, Caller: d.caller, Log: d.log.Part("membership"),
+		Observer:      decisions{d.metrics},
 		ConfigVersion: func() uint64 { return d.follower.Index().Version() },
 		OnPeer: func(peer vm.VM, heartbeat membership.Heartbeat) {
 			d.follower.Heard(peer, heartbeat.ConfigVersion, time.Now())
 		},
 	})
-	d.follower = configstore.NewFollower(p.Table, p.Objects, d.caller, peers{d.fleet}, d.log.Part("config"), configstore.Options{})
+	d.follower = configstore.NewFollower(p.Table, p.Objects, d.caller, peers{d.fleet}, d.log.Part("config"),
+		configstore.Options{Observer: decisions{d.metrics}})
 	d.planner = configstore.NewPlanner(p.Table, p.Objects, d.follower, d.log.Part("config"))
 }
 
@@ -120,16 +122,18 @@
 	options.MaxQueue = d.settings.Limits.QueueLength
 	options.MaxQueuePerTeam = max(1, d.settings.Limits.QueueLength/2)
 	d.servers = backend.NewServers(options)
-	quarantine := &outlier.Quarantine{}
+	quarantine := &outlier.Quarantine{Observer: decisions{d.metrics}}
 	log := d.log.Part("outlier")
 	d.reporter = outlier.NewReporter(d.servers, quarantine, d.fleet, d.follower, d.caller, time.Now, log)
 	d.homes = outlier.NewHomes(quarantine, d.fleet, d.follower, d.caller, time.Now, log)
+	d.homes.SetObserver(decisions{d.metrics})
 	pool := httpconn.DefaultOptions()
 	pool.MaxResponseBytes = d.settings.Limits.ResponseBytes
 	d.upstream = upstream.NewClient(pool)
 	d.owner = owner.New(owner.Parts{
 		Source: d.follower, Members: d.fleet, Servers: d.servers, Exchanger: d.upstream,
-		Quarantine: quarantine, Crashes: d.reporter, Clock: time.Now, Log: d.log.Part("owner"),
+		Quarantine: quarantine, Crashes: d.reporter, Observer: decisions{d.metrics},
+		Clock: time.Now, Log: d.log.Part("owner"),
 	})
 }
 
@@ -148,7 +152,7 @@
 		forward.Options{MaxMessageBytes: limits.BodyBytes + envelopeBytes, IdleTimeout: forwardIdle}, d.log.Part("forward"))
 	dispatcher := entry.NewDispatcher(entry.Parts{
 		Source: d.follower, Members: readiness{d}, Tokens: d.tokens, Claims: claims{d.claims, d.log.Part("claim")},
-		Forwarder: d.forwardClient, Links: d.links, Observer: d.metrics, Clock: time.Now,
+		Forwarder: d.forwardClient, Links: d.links, Observer: decisions{d.metrics}, Clock: time.Now,
 		Limits: entry.Limits{Requests: limits.Requests, RequestsPerTeam: limits.RequestsPerTeam},
 	})
 	d.front = httpfront.New(dispatcher, httpfront.Options{
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -150,14 +150,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case index := <-configurations:
-			d.metrics.Gauge("configuration.version", int64(index.Version()))
+		case <-configurations:
 		case list := <-lists:
 			d.handOver(ctx, list)
 			d.buckets.Refresh(time.Now())
 		case <-ticker.C:
 		}
-		d.owner.Sync(time.Now())
+		now := time.Now()
+		d.owner.Sync(now)
+		d.gaugeReady(now)
 	}
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -39,8 +39,12 @@
 	Forward(ctx context.Context, owner vm.VM, relay *vm.VM, req *request.Request) request.Result
 }
 
-// Observer counts results. Its methods must not block.
+// Observer counts results and decisions. Its methods must not block.
 type Observer interface {
+	// TokenRejected says that a team was over its rate.
+	TokenRejected()
+	// Repeated says that another attempt follows: a retry or a redirect.
+	Repeated(retry.Decision)
 	Finished(req *request.Request, result request.Result, attempts int, elapsed time.Duration)
 }
 
@@ -179,6 +183,7 @@
 	rejected := request.Rejected(request.ReasonNotReady)
 	switch {
 	case errors.As(err, &limited):
+		d.parts.Observer.TokenRejected()
 		rejected = request.Rejected(request.ReasonRate)
 		rejected.RetryAfter = limited.RetryAfter
 	case errors.Is(err, context.DeadlineExceeded):
@@ -257,14 +262,12 @@
 	if last.Outcome == request.Answered && last.Status < retry.FirstServerError {
 		d.budgets.Succeeded(now, req.Service)
 	}
-	switch retry.Decide(last, req.Idempotent, attempts, req.Deadline.Sub(now)) {
-	case retry.Redirect:
-		return true
-	case retry.Retry:
-		return d.budgets.Spend(now, req.Service)
-	default:
+	decision := retry.Decide(last, req.Idempotent, attempts, req.Deadline.Sub(now))
+	if decision == retry.Stop || decision == retry.Retry && !d.budgets.Spend(now, req.Service) {
 		return false
 	}
+	d.parts.Observer.Repeated(decision)
+	return true
 }
 
 func (d *Dispatcher) send(ctx context.Context, c choice, req *request.Request) request.Result {
--- a/entry/dispatcher_test.go
+++ b/entry/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"almondstile/link"
 	"almondstile/quota"
 	"almondstile/request"
+	"almondstile/retry"
 	"almondstile/vm"
 	"almondstile/zone"
 )
@@ -20,6 +22,8 @@
 	results  []request.Result
 	attempts []request.Request
 	tokenErr error
+	repeated []retry.Decision
+	refused  int // tokens
 }
 
 func newScript(results ...request.Result) *script {
@@ -51,6 +55,8 @@
 	return s.results[min(len(s.attempts), len(s.results))-1]
 }
 func (s *script) Finished(*request.Request, request.Result, int, time.Duration) {}
+func (s *script) Repeated(d retry.Decision)                                     { s.repeated = append(s.repeated, d) }
+func (s *script) TokenRejected()                                                { s.refused++ }
 
 func (s *script) do(method string) request.Result {
 	d := NewDispatcher(Parts{Source: s, Members: s, Tokens: s, Forwarder: s, Links: &link.Links{}, Observer: s, Clock: time.Now})
@@ -115,6 +121,19 @@
 	}
 }
 
+// Guards against retries, redirects and rejections that no metric shows.
+func TestDecisionsAreCounted(t *testing.T) {
+	s := newScript(request.Rejected(request.ReasonNotOwner), request.Rejected(request.ReasonConnect), status(200))
+	s.do("GET")
+	if !slices.Equal(s.repeated, []retry.Decision{retry.Redirect, retry.Retry}) {
+		t.Errorf("counted %v, want a redirect and a retry", s.repeated)
+	}
+	s.tokenErr = &quota.RejectedError{Bucket: "counter"}
+	if s.do("GET"); s.refused != 1 {
+		t.Errorf("counted %d rejected tokens, want 1", s.refused)
+	}
+}
+
 // Guards against a key that reaches a backend server, and against requests
 // without a token being sent.
 func TestKeysAndRejectedRequestsStayInTheEntryVM(t *testing.T) {
--- a/membership/fleet.go
+++ b/membership/fleet.go
@@ -37,6 +37,13 @@
 	// OnPeer, if set, is called with the state of each VM that was heard. It must
 	// not block.
 	OnPeer func(peer vm.VM, heartbeat Heartbeat)
+	// Observer, if set, counts the lists that this VM begins to use.
+	Observer Observer
+}
+
+// Observer counts changes of the member list. It must not block.
+type Observer interface {
+	ListChanged(list vm.MemberList)
 }
 
 // Fleet keeps this VM's place among the entry VMs: it renews the session,
@@ -179,6 +186,9 @@
 	}
 	f.published = list.Version
 	f.config.Log.WithField("version", list.Version).WithField("vms", len(list.VMs)).Info("the member list changed")
+	if f.config.Observer != nil {
+		f.config.Observer.ListChanged(list)
+	}
 	for _, subscriber := range f.subscribers {
 		select {
 		case <-subscriber:
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -37,6 +37,7 @@
 type Detector struct {
 	subjects map[contract.ServerID]*subject
 	ablation Ablation
+	observer Observer
 	decided  time.Time
 	urgent   bool
 	forced   bool
@@ -66,7 +67,7 @@
 
 // NewDetector returns a detector that knows nothing yet.
 func NewDetector(ablation Ablation) *Detector {
-	return &Detector{subjects: make(map[contract.ServerID]*subject), ablation: ablation}
+	return &Detector{subjects: make(map[contract.ServerID]*subject), ablation: ablation, observer: ignore{}}
 }
 
 // Observe takes in the report on one server from its owner.
@@ -232,12 +233,22 @@
 
 func (d *Detector) ejectOutliers(now time.Time, found []*subject, floor *floor) {
 	for _, s := range found {
-		if floor.eject(s) {
-			s.eject(now)
-		} else {
-			s.standing = backend.LowWeight
-		}
+		d.ejectOrKeep(now, s, floor)
+	}
+}
+
+// ejectOrKeep ejects an outlier if the floor permits it. Otherwise the server
+// stays with a low weight, which is counted once and not at each decision.
+func (d *Detector) ejectOrKeep(now time.Time, s *subject, floor *floor) {
+	if floor.eject(s) {
+		s.eject(now)
+		d.observer.EjectionGranted()
+		return
+	}
+	if s.standing != backend.LowWeight {
+		d.observer.EjectionBlocked()
 	}
+	s.standing = backend.LowWeight
 }
 
 func (s *subject) eject(now time.Time) {
--- a/outlier/homes.go
+++ b/outlier/homes.go
@@ -54,14 +54,18 @@
 	clock      func() time.Time
 	log        logging.Logger
 	ablation   Ablation
+	observer   Observer
 }
 
 // NewHomes returns homes without detectors; the first report makes one. The
 // quarantine is shared with the VM's Reporter.
 func NewHomes(q *Quarantine, m Members, c Contracts, caller link.Caller, clock func() time.Time, log logging.Logger) *Homes {
-	return &Homes{quarantine: q, members: m, contracts: c, caller: caller, clock: clock, log: log}
+	return &Homes{quarantine: q, members: m, contracts: c, caller: caller, clock: clock, log: log, observer: ignore{}}
 }
 
+// SetObserver names what counts the decisions, before the first report.
+func (h *Homes) SetObserver(o Observer) { h.observer = o }
+
 // Handlers returns the handlers of the messages to a service's home.
 func (h *Homes) Handlers() map[string]link.Handler {
 	return map[string]link.Handler{
@@ -84,13 +88,22 @@
 	}
 	r.Servers = h.ownedBy(from, r, index)
 	var reply ReportReply
-	h.detectors.Do(r.Service, func() *Detector { return NewDetector(h.ablation) }, func(d *Detector) {
+	h.detectors.Do(r.Service, h.newDetector, func(d *Detector) {
 		reply = d.answer(now, r, terms)
 	})
 	reply.Crashes = h.exchangeCrashes(now, r)
 	return reply, nil
 }
 
+// newDetector is called with the first report on a service, which shows that
+// this VM has become its home.
+func (h *Homes) newDetector() *Detector {
+	h.observer.HomeTakenOver()
+	d := NewDetector(h.ablation)
+	d.observer = h.observer
+	return d
+}
+
 // ownedBy drops the servers that the reporter does not own by this VM's list.
 // They count as not reported until both VMs have the same list.
 func (h *Homes) ownedBy(from vm.ID, r Report, index *contract.Index) []ServerReport {
--- a/outlier/probe.go
+++ b/outlier/probe.go
@@ -60,11 +60,7 @@
 		switch {
 		case s.probes.relapsed(d.typicalLatency(now, s)):
 			s.severity = 1
-			if floor.eject(s) {
-				s.eject(now)
-			} else {
-				s.standing = backend.LowWeight
-			}
+			d.ejectOrKeep(now, s, floor)
 		case s.probes.passed(s.level):
 			s.standing, s.levelSince = backend.Normal, now
 			s.forgetEvidence()
--- a/outlier/quarantine.go
+++ b/outlier/quarantine.go
@@ -23,6 +23,9 @@
 // Quarantine remembers the requests that servers crashed on. It is safe for
 // concurrent use.
 type Quarantine struct {
+	// Observer counts the entries, if set.
+	Observer Observer
+
 	suspects shard.Map[request.Fingerprint, *suspectRequest]
 	// size lets the common case, no crash at all, skip hashing each request.
 	size atomic.Int64
@@ -49,6 +52,9 @@
 			q.size.Add(1)
 		}
 		added = s.add(knownCrash{c, at})
+		if added && len(s.crashes) == quarantineCrashes && q.Observer != nil {
+			q.Observer.QuarantineEntered()
+		}
 		return s, true
 	})
 	return added
--- a/outlier/reporter_test.go
+++ b/outlier/reporter_test.go
@@ -98,3 +98,48 @@
 		}
 	}
 }
+
+// counter is an Observer that counts.
+type counter struct{ granted, blocked, quarantined, homes int }
+
+func (c *counter) EjectionGranted()   { c.granted++ }
+func (c *counter) EjectionBlocked()   { c.blocked++ }
+func (c *counter) QuarantineEntered() { c.quarantined++ }
+func (c *counter) HomeTakenOver()     { c.homes++ }
+
+// Guards against ejections and quarantines that no metric shows, and against
+// one that is counted at each decision.
+func TestDecisionsAreCounted(t *testing.T) {
+	for share, want := range map[float64]counter{0.5: {granted: 1}, 1: {blocked: 1}} {
+		var got counter
+		d, now := NewDetector(Ablation{}), simStart
+		d.observer = &got
+		terms := Terms{FloorShare: share}
+		for i := range simServers {
+			terms.Servers = append(terms.Servers, ServerTerms{ID: serverID(i), Slots: 3, TakesNewWork: true})
+		}
+		for range 6 { // less than the time of an ejection
+			now = now.Add(ReportInterval)
+			for i, s := range terms.Servers {
+				r := ServerReport{Server: s.ID, Counts: backend.Counts{OK: 20}, Warm: true,
+					Verdict: &Verdict{Standing: d.Verdict(now, s.ID).Standing}}
+				if i == 0 && r.Verdict.Standing != backend.Ejected {
+					r.Counts = backend.Counts{ErrorStatus: 20}
+				}
+				d.Observe(now, r)
+			}
+			d.Decide(now, terms)
+		}
+		if got != want {
+			t.Errorf("floor share %v: counted %+v, want %+v", share, got, want)
+		}
+	}
+	var got counter
+	q := &Quarantine{Observer: &got}
+	for _, id := range []string{"1", "1", "2", "3"} {
+		q.Add(simStart, Crash{RequestID: id})
+	}
+	if got.quarantined != 1 {
+		t.Errorf("counted %d quarantines, want 1", got.quarantined)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -40,6 +40,11 @@
 	Crashed(ctx context.Context, crash outlier.Crash) error
 }
 
+// Observer counts the servers that this VM takes over. It must not block.
+type Observer interface {
+	OwnerTakenOver()
+}
+
 // Parts are what an Owner needs.
 type Parts struct {
 	Source     entry.Source
@@ -48,6 +53,7 @@
 	Exchanger  Exchanger
 	Quarantine Quarantine
 	Crashes    CrashReporter
+	Observer   Observer
 	Clock      func() time.Time
 	Log        logging.Logger
 }
--- a/owner/roles.go
+++ b/owner/roles.go
@@ -38,6 +38,9 @@
 				continue
 			}
 			owned[server.ID] = true
+			if !r.owned[server.ID] {
+				o.parts.Observer.OwnerTakenOver()
+			}
 			o.parts.Servers.Changed(now, services[i].ID, *server, index.TakesNewWork(server))
 		}
 	}
