link: log refused control connections

Cause: a VM with another peer secret was refused without a log line. Change: the acceptor logs the remote address and the VM ID that was given when a connection ends without the proof, at most once per address (without port) and minute. A dialer with another secret hangs up before it sends its proof, so the end of the connection is what shows it.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -23,12 +23,17 @@
 
 // startServer serves link calls for a VM on loopback until the test ends.
 func startServer(t *testing.T, id vm.ID, secret Secret) (vm.VM, *Server) {
+	t.Helper()
+	return startServerWithLog(t, id, secret, logging.Discard())
+}
+
+func startServerWithLog(t *testing.T, id vm.ID, secret Secret, log *logging.Log) (vm.VM, *Server) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(id, secret, &Links{}, &Traffic{}, logging.Discard().Part("link"))
+	s := NewServer(id, secret, &Links{}, &Traffic{}, log.Part("link"))
 	s.Handle("echo", Handle(func(_ context.Context, from vm.ID, p echoParams) (echoParams, error) {
 		if p.Text == "panic" {
 			panic("test")
@@ -96,6 +101,49 @@
 	}
 }
 
+// lines is a log's output.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) {
+	l <- string(b)
+	return len(b), nil
+}
+
+// Guards against a wrong secret that no log line shows, and against a log that
+// such a VM fills.
+func TestRefusedConnectionIsLogged(t *testing.T) {
+	logged := make(lines, 10)
+	log, err := logging.New(logged, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, server := startServerWithLog(t, "vm2", testSecret, log)
+	good, _ := newClient(t, "vm1", testSecret)
+	if _, err := call(good, peer, "hello"); err != nil {
+		t.Fatal(err)
+	}
+	good.Close()
+	for range 3 {
+		rogue, _ := newClient(t, "vm3", Secret(strings.Repeat("x", MinSecretBytes)))
+		if _, err := call(rogue, peer, "hello"); err == nil {
+			t.Fatal("a VM with another secret was accepted")
+		}
+	}
+	select {
+	case line := <-logged:
+		if !strings.Contains(line, `"remote":"127.0.0.1:`) || !strings.Contains(line, `"from":"vm3"`) {
+			t.Errorf("the line is %s", line)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing was logged")
+	}
+	now := time.Now()
+	if server.refusals.due(now, "127.0.0.1") || !server.refusals.due(now, "127.0.0.2") ||
+		!server.refusals.due(now.Add(refusalLogPause), "127.0.0.1") {
+		t.Error("not one line per address and minute")
+	}
+}
+
 // Guards against a message that reaches another VM at a reused address.
 func TestOtherVMAtTheAddressIsRejected(t *testing.T) {
 	peer, _ := startServer(t, "vm2", testSecret)
--- a/link/server.go
+++ b/link/server.go
@@ -49,6 +49,7 @@
 	conns    shard.Map[string, net.Conn]
 	wg       conc.WaitGroup
 	bytes    *Traffic
+	refusals refusals
 }
 
 // NewServer returns a server that has no methods yet.
@@ -97,6 +98,7 @@
 	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle)), jsonrpc2.SetLogger(discardLogger{}))
 	select {
 	case <-rpc.DisconnectNotify():
+		s.logRefusal(session, time.Now())
 	case <-ctx.Done():
 		_ = rpc.Close()
 	}
@@ -111,6 +113,8 @@
 	hello  helloParams
 	expect string // the proof the dialer must send; "" before link.hello
 	peer   vm.ID  // "" until authenticated
+	// unproven says that a method was called before the proof.
+	unproven bool
 }
 
 func (c *session) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
@@ -126,6 +130,9 @@
 	}
 	peer := c.authenticated()
 	if peer == "" {
+		c.mu.Lock()
+		c.unproven = true
+		c.mu.Unlock()
 		_ = c.conn.Close()
 		return nil, ErrAuthentication
 	}
