platformsim: correct the comment on lost responses

Cause: the comment said that LoseResponses drops the responses of writes that took effect; it also drops those of writes whose condition failed. Change: the comment. The code is what tests of clients need: a client with a lost response must not be able to tell the two cases apart without reading. The test of the error classes now checks it for a failed condition, in-process and over HTTP.

--- a/standin/platformsim/clients_test.go
+++ b/standin/platformsim/clients_test.go
@@ -127,6 +127,10 @@
 		if err := table.Transact(ctx, []platform.Write{put("lost", absent)}); !errors.Is(err, platform.ErrUnknownOutcome) {
 			t.Fatalf("lost response: %v", err)
 		}
+		if err := table.Transact(ctx, []platform.Write{put("lost", absent)}); !errors.Is(err, platform.ErrUnknownOutcome) ||
+			errors.Is(err, platform.ErrConditionFailed) {
+			t.Fatalf("lost response of a failed condition: %v", err)
+		}
 		p.SetClientFaults(client, platformsim.Faults{DelayMillis: 600})
 		short, stop := context.WithTimeout(ctx, 150*time.Millisecond)
 		defer stop()
--- a/standin/platformsim/faults.go
+++ b/standin/platformsim/faults.go
@@ -18,7 +18,9 @@
 	// DelayMillis is added before a call takes effect. A write takes effect
 	// even if its caller has given up by then.
 	DelayMillis int `json:"delay_ms,omitempty"`
-	// LoseResponses drops the responses of writes that took effect.
+	// LoseResponses drops the responses of all writes that reach the platform,
+	// also of those whose condition failed: a client must find out by reading
+	// whether its write took effect.
 	LoseResponses bool `json:"lose_responses,omitempty"`
 	// WritesPerSecond and ReadsPerSecond throttle; 0 means no limit. One row of
 	// a transaction is one write.
