operator: let operators discard VMs that are lost for good

Cause: membership.Fleet.Discard, the way out when half of the member list or more is lost, had no caller. Change: POST /v1/vms/discard (role operator) shows what would be removed, what remains and what the operator asserts; with confirm and the member list version that was shown it discards. It refuses the VM that is asked, VMs that answered it in the last 10 s, and VMs that are not listed. Result: TestDiscard, TestExitCodes and the discard test of membership pass with -race; TestOperators passes with a refusal for a viewer and for three running VMs. No test discards lost VMs of real processes.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -36,6 +36,8 @@
 		failWith(w, 401, operator.CodeUnauthorized)
 	case r.URL.Path == "/v1/status":
 		_ = json.NewEncoder(w).Encode(largeStatus())
+	case r.URL.Path == "/v1/vms/discard":
+		v.discard(w, r)
 	case r.URL.Path == "/v1/plans":
 		v.plan(w, r)
 	case v.confirm == nil:
@@ -57,6 +59,15 @@
 		Effect: contract.Effect{Keys: []contract.KeyEffect{{ID: "k7", Team: "walkers", Kind: contract.Added}}}}})
 }
 
+func (v *fakeVM) discard(w http.ResponseWriter, r *http.Request) {
+	var request operator.DiscardRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	if request.Confirm && (request.Base != 7 || v.confirm == nil) {
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(operator.DiscardReply{Base: 7, Removed: request.VMs, Assertion: operator.DiscardAssertion, Done: request.Confirm})
+}
+
 func failWith(w http.ResponseWriter, status int, code operator.ErrorCode) {
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(operator.ErrorBody{Error: operator.ErrorDetail{Code: code, Message: "text of " + string(code)}})
@@ -117,6 +128,11 @@
 		{"zone out a --yes", accepted, ExitOK, "Accepted at version 5."},
 		{"server leave refuse-1", accepted, ExitFailed, "text of refused"},
 		{"key withdraw k1 -y --json", respond(504, operator.CodeOutcomeUnknown), ExitOutcomeUnknown, `"code": "outcome-unknown"`},
+		{"vm discard vm-8 vm-9", nil, ExitOK, "Nothing has changed yet"},
+		{"vm discard vm-8 vm-9", nil, ExitOK, "you assert that the processes"},
+		{"vm discard vm-8 vm-9 --yes", accepted, ExitOK, "Discarded: vm-8, vm-9"},
+		{"vm discard vm-8 --yes", nil, ExitOutcomeUnknown, "outcome unknown"},
+		{"vm discard", nil, ExitUsage, "required"},
 		{"plan -f -", nil, ExitOK, "almondstile confirm p1"},
 		{"plan -f /nonexistent", nil, ExitUsage, "no such file"},
 		{"plan", nil, ExitUsage, "required"},
@@ -240,7 +256,7 @@
 		t.Fatal(err)
 	}
 	planner := &memoryPlanner{}
-	server := operator.NewServer(planner, readyFleet{}, metrics.NewRegistry(), []settings.Operator{
+	server := operator.NewServer(planner, readyFleet{}, nil, metrics.NewRegistry(), []settings.Operator{
 		{Name: "ann", Role: settings.RoleOperator, TokenSHA256: contract.HashSecret("secret-token")},
 	}, logging.Discard().Part("operator"))
 	var wg conc.WaitGroup
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -47,6 +47,7 @@
 			{Name: "return", Short: "Return a backend server", Runner: &serverCommand{singleAction{global: g}, false},
 				Long: "The server gets new work again, starting cold."},
 		}},
+		vmCommands(g),
 		{Name: "check", Short: "Check a VM's settings", Runner: &checkCommand{global: g},
 			Long: "Reads a settings file and lists everything wrong with it. It needs no VM."},
 	}
--- a/cli/print.go
+++ b/cli/print.go
@@ -28,6 +28,8 @@
 		printPlan(w, v)
 	case configstore.Outcome:
 		line(w, "Accepted at version %d.", v.Version)
+	case operator.DiscardReply:
+		printDiscard(w, v)
 	case operator.Status:
 		printStatus(w, v)
 	}
--- /dev/null
+++ b/cli/vm.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"almondstile/operator"
+	"almondstile/vm"
+
+	"github.com/cockroachdb/errors"
+)
+
+func vmCommands(g *globalOptions) Command {
+	return Command{Name: "vm", Short: "Remove lost VMs from the member list", Long: "Removes lost VMs from the member list.",
+		Commands: []Command{{Name: "discard", Short: "Discard VMs that are lost for good", Runner: &vmDiscardCommand{global: g},
+			Long: "For the loss of half of the member list or more, when the lost VMs do not return under their IDs. " +
+				operator.DiscardAssertion + " Without --yes it only shows what would change."}}}
+}
+
+type vmDiscardCommand struct {
+	Yes       bool `short:"y" long:"yes" description:"assert that the VMs have ended for good, and discard them"`
+	Arguments struct {
+		IDs []string `positional-arg-name:"ID" required:"1" description:"ID of a lost VM"`
+	} `positional-args:"true" required:"true"`
+	global *globalOptions
+}
+
+// Execute shows the removal and, with --yes, does it.
+func (c *vmDiscardCommand) Execute([]string) error {
+	request := operator.DiscardRequest{}
+	for _, id := range c.Arguments.IDs {
+		request.VMs = append(request.VMs, vm.ID(id))
+	}
+	shown, err := c.global.discard(request)
+	if err != nil {
+		return err
+	}
+	if !c.Yes {
+		return c.global.print(shown)
+	}
+	if !c.global.JSON {
+		if err := c.global.print(shown); err != nil {
+			return err
+		}
+	}
+	request.Confirm, request.Base = true, shown.Base
+	done, err := c.global.discard(request)
+	if err != nil {
+		return err
+	}
+	return c.global.print(done)
+}
+
+// discard sends one request. Only a confirm can have an unknown outcome.
+func (g *globalOptions) discard(request operator.DiscardRequest) (operator.DiscardReply, error) {
+	var reply operator.DiscardReply
+	body, err := json.Marshal(request)
+	if err != nil {
+		return reply, err
+	}
+	err = g.call(http.MethodPost, "/v1/vms/discard", "application/json", body, &reply)
+	var api *apiError
+	unknown := errors.Is(err, errNoReply) || errors.As(err, &api) &&
+		(api.detail.Code == operator.CodeOutcomeUnknown || api.detail.Code == operator.CodeInternal)
+	if request.Confirm && unknown {
+		err = &ExitError{ExitOutcomeUnknown, errors.Wrap(err, "outcome unknown, look at the member list in \"almondstile status\"")}
+	}
+	return reply, err
+}
+
+func printDiscard(w io.Writer, r operator.DiscardReply) {
+	if r.Done {
+		line(w, "Discarded: %s", joinIDs(r.Removed))
+		return
+	}
+	line(w, "Member list %d: would lose %s", r.Base, joinIDs(r.Removed))
+	line(w, "%d VMs remain: %s", len(r.Remaining), list("", r.Remaining))
+	line(w, "%s", r.Assertion)
+	line(w, "Nothing has changed yet. To discard them, repeat the command with --yes.")
+}
+
+// joinIDs lists all IDs: an operator must see each VM that is discarded.
+func joinIDs(ids []vm.ID) string {
+	text := make([]string, len(ids))
+	for i, id := range ids {
+		text[i] = string(id)
+	}
+	return strings.Join(text, ", ")
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -14,7 +14,7 @@
 
 // buildOperators builds the operators' listener.
 func (d *Daemon) buildOperators() {
-	d.operators = operator.NewServer(d.planner, fleetView{d}, d.metrics.Registry(),
+	d.operators = operator.NewServer(d.planner, fleetView{d}, d.fleet, d.metrics.Registry(),
 		d.settings.Security.Operators, d.log.Part("operator"))
 }
 
--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -168,6 +168,10 @@
 	environment := w.environmentOf(0, "viewer.token")
 	plan := run(t, w.folder, environment, binary, "zone", "out", "scot-central-a").planID(t)
 	run(t, w.folder, environment, binary, "confirm", plan).exits(t, 1, "forbidden")
+	run(t, w.folder, environment, binary, "vm", "discard", w.vms[1].id).exits(t, 1, "forbidden")
+	for n := range w.vms { // A running VM is not discarded.
+		w.almondstile(t, 0, "vm", "discard", w.vms[n].id, "--yes").exits(t, 1, "runs", "refused")
+	}
 	if s := w.status(t, 0); s.ConfigurationVersion != 5 {
 		t.Fatalf("version %d", s.ConfigurationVersion)
 	}
--- /dev/null
+++ b/membership/lastheard.go
@@ -0,0 +1,11 @@
+package membership
+
+import (
+	"time"
+
+	"almondstile/vm"
+)
+
+// LastHeard is when this VM sent the last heartbeat question that the VM
+// answered, or the zero time.
+func (f *Fleet) LastHeard(id vm.ID) time.Time { return f.member.Peers()[id].Asked }
--- a/operator/auth.go
+++ b/operator/auth.go
@@ -52,7 +52,7 @@
 // requireOperator lets only the role operator pass.
 func requireOperator(c fiber.Ctx) error {
 	if operatorOf(c).Role != settings.RoleOperator {
-		return failure(fiber.StatusForbidden, CodeForbidden, "only the role operator may confirm plans")
+		return failure(fiber.StatusForbidden, CodeForbidden, "only the role operator may confirm plans and discard VMs")
 	}
 	return c.Next()
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -51,7 +51,7 @@
 )
 
 func newTestServer(planner *fakePlanner, fleet *fakeFleet, registry metrics.Registry) *Server {
-	return NewServer(planner, fleet, registry, []settings.Operator{
+	return NewServer(planner, fleet, &fakeMembers{}, registry, []settings.Operator{
 		{Name: "ann", Role: settings.RoleOperator, TokenSHA256: contract.HashSecret(operatorToken)},
 		{Name: "vic", Role: settings.RoleViewer, TokenSHA256: contract.HashSecret(viewerToken)},
 	}, logging.Discard().Part("operator"))
--- a/operator/server.go
+++ b/operator/server.go
@@ -48,14 +48,15 @@
 	app       *fiber.App
 	planner   Planner
 	fleet     Fleet
+	members   Members
 	registry  metrics.Registry
 	operators []settings.Operator
 	log       logging.Logger
 }
 
 // NewServer returns a server that is not listening yet.
-func NewServer(planner Planner, fleet Fleet, registry metrics.Registry, operators []settings.Operator, log logging.Logger) *Server {
-	s := &Server{planner: planner, fleet: fleet, registry: registry, operators: operators, log: log}
+func NewServer(planner Planner, fleet Fleet, members Members, registry metrics.Registry, operators []settings.Operator, log logging.Logger) *Server {
+	s := &Server{planner: planner, fleet: fleet, members: members, registry: registry, operators: operators, log: log}
 	s.app = fiber.New(fiber.Config{
 		AppName:   "almondstile",
 		BodyLimit: maxBodyBytes,
@@ -73,6 +74,7 @@
 	s.app.Post("/v1/plans", s.authenticate, s.plan)
 	s.app.Get("/v1/plans/:id", s.authenticate, s.getPlan)
 	s.app.Post("/v1/plans/:id/confirm", s.authenticate, requireOperator, s.confirm)
+	s.app.Post("/v1/vms/discard", s.authenticate, requireOperator, s.discard)
 	return s
 }
 
