--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -36,6 +36,8 @@
 		failWith(w, 401, operator.CodeUnauthorized)
 	case r.URL.Path == "/v1/status":
 		_ = json.NewEncoder(w).Encode(largeStatus())
+	case r.URL.Path == "/v1/vms/discard":
+		v.discard(w, r)
 	case r.URL.Path == "/v1/plans":
 		v.plan(w, r)
 	case v.confirm == nil:
@@ -57,6 +59,15 @@
 		Effect: contract.Effect{Keys: []contract.KeyEffect{{ID: "k7", Team: "walkers", Kind: contract.Added}}}}})
 }
 
+func (v *fakeVM) discard(w http.ResponseWriter, r *http.Request) {
+	var request operator.DiscardRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	if request.Confirm && (request.Base != 7 || v.confirm == nil) {
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(operator.DiscardReply{Base: 7, Removed: request.VMs, Assertion: operator.DiscardAssertion, Done: request.Confirm})
+}
+
 func failWith(w http.ResponseWriter, status int, code operator.ErrorCode) {
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(operator.ErrorBody{Error: operator.ErrorDetail{Code: code, Message: "text of " + string(code)}})
@@ -117,6 +128,11 @@
 		{"zone out a --yes", accepted, ExitOK, "Accepted at version 5."},
 		{"server leave refuse-1", accepted, ExitFailed, "text of refused"},
 		{"key withdraw k1 -y --json", respond(504, operator.CodeOutcomeUnknown), ExitOutcomeUnknown, `"code": "outcome-unknown"`},
+		{"vm discard vm-8 vm-9", nil, ExitOK, "Nothing has changed yet"},
+		{"vm discard vm-8 vm-9", nil, ExitOK, "you assert that the processes"},
+		{"vm discard vm-8 vm-9 --yes", accepted, ExitOK, "Discarded: vm-8, vm-9"},
+		{"vm discard vm-8 --yes", nil, ExitOutcomeUnknown, "outcome unknown"},
+		{"vm discard", nil, ExitUsage, "required"},
 		{"plan -f -", nil, ExitOK, "almondstile confirm p1"},
 		{"plan -f /nonexistent", nil, ExitUsage, "no such file"},
 		{"plan", nil, ExitUsage, "required"},
@@ -170,6 +186,25 @@
 	}
 }
 
+// Guards against problems that stand below what is well, and against planned
+// states that hide faults.
+func TestStatusShowsProblemsFirst(t *testing.T) {
+	servers := []operator.ServerStatus{{ID: "s1", State: operator.ServerLeaving}, {ID: "s2", State: operator.ServerServing},
+		{ID: "s3", State: operator.ServerLowWeight, Why: "the floor"}, {ID: "s4", State: operator.ServerUnreachable}}
+	var out bytes.Buffer
+	printStatus(&out, operator.Status{Ready: true, OtherTeams: 7, Zones: []operator.ZoneStatus{{ID: "a"}},
+		Services: []operator.ServiceStatus{{ID: "loandesk", Servers: servers}}})
+	rest := out.String()
+	for _, want := range []string{"Servers: 1 unreachable, 1 low-weight, 1 leaving\n",
+		"s4", "s3\tlow-weight", "the floor", "s1", "Services", "Zones", "in the last minute: 7\n"} {
+		_, after, found := strings.Cut(rest, want)
+		if !found {
+			t.Fatalf("no %q in its place:\n%s", want, out.String())
+		}
+		rest = after
+	}
+}
+
 type extraRunner struct {
 	Wait time.Duration `long:"wait" required:"true"`
 	ran  time.Duration
@@ -221,7 +256,7 @@
 		t.Fatal(err)
 	}
 	planner := &memoryPlanner{}
-	server := operator.NewServer(planner, readyFleet{}, metrics.NewRegistry(), []settings.Operator{
+	server := operator.NewServer(planner, readyFleet{}, nil, metrics.NewRegistry(), []settings.Operator{
 		{Name: "ann", Role: settings.RoleOperator, TokenSHA256: contract.HashSecret("secret-token")},
 	}, logging.Discard().Part("operator"))
 	var wg conc.WaitGroup
--- a/integration/operators_test.go
+++ b/integration/operators_test.go
@@ -168,6 +168,10 @@
 	environment := w.environmentOf(0, "viewer.token")
 	plan := run(t, w.folder, environment, binary, "zone", "out", "scot-central-a").planID(t)
 	run(t, w.folder, environment, binary, "confirm", plan).exits(t, 1, "forbidden")
+	run(t, w.folder, environment, binary, "vm", "discard", w.vms[1].id).exits(t, 1, "forbidden")
+	for n := range w.vms { // A running VM is not discarded.
+		w.almondstile(t, 0, "vm", "discard", w.vms[n].id, "--yes").exits(t, 1, "runs", "refused")
+	}
 	if s := w.status(t, 0); s.ConfigurationVersion != 5 {
 		t.Fatalf("version %d", s.ConfigurationVersion)
 	}
@@ -200,6 +204,12 @@
 	if lines > screenLines {
 		t.Errorf("%d lines: %s", lines, r.stdout)
 	}
+	await(t, "the status shows the rates of active teams only", func() (string, bool) {
+		get(w.url(1, "/stock/hut-7"), w.credentials["glencoe-hire"])
+		s := w.status(t, 1)
+		return fmt.Sprintf("%+v, %d others", s.Teams, s.OtherTeams), len(s.Teams) > 0 && s.OtherTeams > 0 &&
+			s.Teams[0].ID == "glencoe-hire" && s.Teams[0].AdmittedPerSecond > 0
+	})
 	await(t, "the status names the version of each VM", func() (string, bool) {
 		s := w.status(t, 1)
 		current := 0
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -41,6 +41,11 @@
 	Crashed(ctx context.Context, crash outlier.Crash) error
 }
 
+// Observer counts the servers that this VM takes over. It must not block.
+type Observer interface {
+	OwnerTakenOver()
+}
+
 // Parts are what an Owner needs.
 type Parts struct {
 	Source     entry.Source
@@ -49,6 +54,7 @@
 	Exchanger  Exchanger
 	Quarantine Quarantine
 	Crashes    CrashReporter
+	Observer   Observer
 	// Relays and Peers reach servers whose link to this VM is bad. Without
 	// Relays every exchange is direct.
 	Relays Relays
--- a/owner/roles.go
+++ b/owner/roles.go
@@ -37,6 +37,9 @@
 			if !ok || holder.ID != o.parts.Members.Self().ID {
 				continue
 			}
+			if _, had := r.owned[server.ID]; !had {
+				o.parts.Observer.OwnerTakenOver()
+			}
 			owned[server.ID] = server.Address
 			o.parts.Servers.Changed(now, services[i].ID, *server, index.TakesNewWork(server))
 		}
