--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -136,7 +136,7 @@
 	d.owner = owner.New(owner.Parts{
 		Source: d.follower, Members: d.fleet, Servers: d.servers, Exchanger: d.upstream,
 		Quarantine: quarantine, Crashes: d.reporter, Observer: decisions{d.metrics},
-		Relays: d.relays, Peers: d.links, Counter: d.metrics,
+		Relays: d.relays, Peers: d.links,
 		Clock: time.Now, Log: d.log.Part("owner"),
 	})
 }
--- a/daemon/decisions.go
+++ b/daemon/decisions.go
@@ -11,12 +11,13 @@
 // decisions counts what the parts of this VM decide, as their observer.
 type decisions struct{ *telemetry.Metrics }
 
-func (d decisions) EjectionGranted()   { d.Count("ejection.granted") }
-func (d decisions) EjectionBlocked()   { d.Count("ejection.blocked") }
-func (d decisions) QuarantineEntered() { d.Count("quarantine.entered") }
-func (d decisions) HomeTakenOver()     { d.Count("role.service_home.taken_over") }
-func (d decisions) OwnerTakenOver()    { d.Count("role.server_owner.taken_over") }
-func (d decisions) TokenRejected()     { d.Count("token.rejected") }
+func (d decisions) EjectionGranted()                { d.Count("ejection.granted") }
+func (d decisions) EjectionBlocked()                { d.Count("ejection.blocked") }
+func (d decisions) QuarantineEntered()              { d.Count("quarantine.entered") }
+func (d decisions) HomeTakenOver()                  { d.Count("role.service_home.taken_over") }
+func (d decisions) OwnerTakenOver()                 { d.Count("role.server_owner.taken_over") }
+func (d decisions) ServerLinkChanged(change string) { d.Count("serverlink." + change) }
+func (d decisions) TokenRejected()                  { d.Count("token.rejected") }
 
 func (d decisions) Repeated(decision retry.Decision) {
 	if decision == retry.Redirect {
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -26,11 +26,6 @@
 	Usable(peer vm.ID, now time.Time) bool
 }
 
-// Counter counts decisions.
-type Counter interface {
-	Count(decision string)
-}
-
 const (
 	// maxAttempts bounds the attempts of one admitted request: the direct way
 	// and two relays.
@@ -231,7 +226,5 @@
 }
 
 func (o *Owner) count(decision string) {
-	if o.parts.Counter != nil {
-		o.parts.Counter.Count("serverlink." + decision)
-	}
+	o.parts.Observer.ServerLinkChanged(decision)
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -44,6 +44,9 @@
 // Observer counts the servers that this VM takes over. It must not block.
 type Observer interface {
 	OwnerTakenOver()
+	// ServerLinkChanged gets what was decided about the link to a server, for
+	// instance "relaying".
+	ServerLinkChanged(change string)
 }
 
 // Parts are what an Owner needs.
@@ -59,10 +62,8 @@
 	// Relays every exchange is direct.
 	Relays Relays
 	Peers  Peers
-	// Counter counts the changes of server links, if set.
-	Counter Counter
-	Clock   func() time.Time
-	Log     logging.Logger
+	Clock  func() time.Time
+	Log    logging.Logger
 }
 
 // Owner runs requests at the backend servers that this VM owns.
--- a/owner/site_test.go
+++ b/owner/site_test.go
@@ -124,13 +124,19 @@
 	return l
 }
 
+// observer counts as the daemon does.
+type observer struct{ *telemetry.Metrics }
+
+func (o observer) OwnerTakenOver()                 {}
+func (o observer) ServerLinkChanged(change string) { o.Count("serverlink." + change) }
+
 // startOwner starts vm1, or replaces it, with its own address of the server.
 func (s *site) startOwner(address string, direct owner.Exchanger, relays owner.Relays) {
 	v := newView(s.list.VMs[0], s.list, address)
 	s.owner = owner.New(owner.Parts{
 		Source: v, Members: v, Servers: s.servers, Exchanger: direct,
 		Quarantine: &outlier.Quarantine{}, Crashes: noCrashes{s.t},
-		Relays: relays, Peers: s.peers, Counter: s.metrics, Clock: time.Now, Log: logging.Discard().Part("owner"),
+		Relays: relays, Peers: s.peers, Observer: observer{s.metrics}, Clock: time.Now, Log: logging.Discard().Part("owner"),
 	})
 	s.owner.Sync(time.Now())
 }
