Keep role constructors and pauses in one place

Cause: the owner's role was built in entry and in outlier, and six packages had their own function to wait for a time or a context. Change: contract.OwnerRole and HomeRole, package wait. No change of behavior.

Measured: go test -race of the changed packages passes.

--- a/bench/fleet/operators.go
+++ b/bench/fleet/operators.go
@@ -14,6 +14,7 @@
 	"almondstile/operator"
 	"almondstile/shard"
 	"almondstile/vm"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
@@ -69,7 +70,7 @@
 		case errors.As(err, &failed) && failed.code == operator.CodeBaseChanged:
 			return outcome, ErrBaseChanged
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, pollPause) {
 			break
 		}
 	}
@@ -213,20 +214,8 @@
 				return errors.Newf("%s ended while starting; see its log", id)
 			}
 		}
-		if !pause(ctx) {
+		if !wait.For(ctx, pollPause) {
 			return errors.Wrapf(ctx.Err(), "%d of %d VMs are %s", n, len(f.ids), what)
 		}
 	}
 }
-
-// pause waits between two polls and reports whether ctx is still in force.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(pollPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bench/run.go
+++ b/bench/run.go
@@ -14,6 +14,7 @@
 	"almondstile/bench/load"
 	"almondstile/contract"
 	"almondstile/vm"
+	"almondstile/wait"
 	"almondstile/zone"
 
 	"github.com/cockroachdb/errors"
@@ -133,7 +134,7 @@
 
 func (r *Run) playSteps(ctx context.Context, steps []Step) error {
 	for _, s := range steps {
-		if !sleep(ctx, time.Until(r.After(s.At))) {
+		if !wait.For(ctx, time.Until(r.After(s.At))) {
 			return ctx.Err()
 		}
 		r.note("step: %s", s.What)
@@ -144,22 +145,10 @@
 	return nil
 }
 
-// sleep waits and reports whether ctx is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // watchVersions reads the configuration version of each VM until ctx ends.
 func (r *Run) watchVersions(ctx context.Context) []check.Version {
 	var out []check.Version
-	for sleep(ctx, versionInterval) {
+	for wait.For(ctx, versionInterval) {
 		for id, version := range r.Fleet.Versions(ctx) {
 			out = append(out, check.Version{VM: id, At: time.Now(), Version: version})
 		}
@@ -170,7 +159,7 @@
 // watchReadiness keeps VMs that are not ready out of the balancer's rotation,
 // as the callers' load balancer does.
 func (r *Run) watchReadiness(ctx context.Context) {
-	for sleep(ctx, time.Second) {
+	for wait.For(ctx, time.Second) {
 		for id, ready := range r.Fleet.Readiness(ctx) {
 			r.Balancer.SetOut(id, !ready)
 		}
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -7,6 +7,7 @@
 	"almondstile/platform"
 	"almondstile/request"
 	"almondstile/vm"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 )
@@ -139,7 +140,7 @@
 	defer cancel()
 	pause := firstRetryPause
 	for range maxFinishAttempts {
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		pause *= 2
 		found, version, err := t.claims.read(ctx, t.key)
 		if err != nil {
@@ -191,7 +192,7 @@
 		case errors.Is(err, platform.ErrUnknownOutcome):
 			uncertain = true
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 		pause *= 2
 	}
 	return err
@@ -212,16 +213,6 @@
 	return r, item.Version, err
 }
 
-// sleep waits for the time or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Close waits for the writes in flight, each of which is bounded by a timeout.
 // Begin and Finish must not be called afterwards.
 func (c *Claims) Close() { c.batcher.work.Wait() }
--- a/claim/expiry.go
+++ b/claim/expiry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondstile/platform"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 )
@@ -145,7 +146,7 @@
 
 // delete removes a row that is still at the version, at the pace of the expiry.
 func (c *Claims) delete(ctx context.Context, key string, version uint64) error {
-	sleep(ctx, time.Second/rowsPerSecond)
+	wait.For(ctx, time.Second/rowsPerSecond)
 	err := c.table.Transact(ctx, []platform.Write{{
 		Kind: platform.Delete, Key: key,
 		Condition: platform.Condition{Kind: platform.VersionIs, Version: version},
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -7,7 +7,6 @@
 	"almondstile/backend"
 	"almondstile/contract"
 	"almondstile/operator"
-	"almondstile/outlier"
 	"almondstile/quota"
 	"almondstile/vm"
 )
@@ -106,7 +105,7 @@
 }
 
 func (f fleetView) owner(s *contract.Server) (vm.VM, bool) {
-	return f.d.fleet.List().Holder(outlier.OwnerRole(s))
+	return f.d.fleet.List().Holder(s.OwnerRole())
 }
 
 func (f fleetView) server(s *contract.Server, facts operator.ServerFacts, now time.Time) operator.ServerStatus {
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondstile/vm"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -92,7 +93,7 @@
 // shutdown ends the VM's work in the order that loses no request.
 func (d *Daemon) shutdown(ctx context.Context) error {
 	d.front.Drain()
-	sleep(ctx, readyGrace)
+	wait.For(ctx, readyGrace)
 	if err := d.front.Shutdown(ctx); err != nil {
 		return err
 	}
@@ -183,13 +184,3 @@
 		}
 	}
 }
-
-// sleep waits for the time to pass or the context to end.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -44,11 +44,6 @@
 	return &selector{members: members, links: links}
 }
 
-// ServerRole is the role of owning a backend server.
-func ServerRole(s *contract.Server) vm.Role {
-	return vm.Role{Kind: vm.ServerOwner, Name: string(s.ID), Zone: s.Zone}
-}
-
 // choose picks the less loaded of two random candidates. Servers whose owner
 // cannot be reached directly and servers with low weight are used only if no
 // others are left, nearest zone first while it has room.
@@ -64,7 +59,7 @@
 		if tried[server.ID] || !index.TakesNewWork(server) {
 			continue
 		}
-		owner, ok := s.owners.Find(list, ServerRole(server))
+		owner, ok := s.owners.Find(list, server.OwnerRole())
 		state := s.state(server.ID, now)
 		if !ok || state.Ejected {
 			continue
--- a/outlier/homes.go
+++ b/outlier/homes.go
@@ -33,16 +33,6 @@
 	Index() *contract.Index
 }
 
-// HomeRole is the role of a service's home.
-func HomeRole(service contract.ServiceID) vm.Role {
-	return vm.Role{Kind: vm.ServiceHome, Name: string(service)}
-}
-
-// OwnerRole is the role of a backend server's owner.
-func OwnerRole(s *contract.Server) vm.Role {
-	return vm.Role{Kind: vm.ServerOwner, Name: string(s.ID), Zone: s.Zone}
-}
-
 // Homes holds the detectors of the services whose home this VM is. It is safe
 // for concurrent use.
 type Homes struct {
@@ -83,7 +73,7 @@
 	if !ok {
 		return ReportReply{}, errors.Wrapf(ErrNotHome, "unknown service %q", r.Service)
 	}
-	if _, ok := h.members.MayAct(now, HomeRole(r.Service)); !ok {
+	if _, ok := h.members.MayAct(now, r.Service.HomeRole()); !ok {
 		return ReportReply{}, ErrNotHome
 	}
 	r.Servers = h.ownedBy(from, r, index)
@@ -114,7 +104,7 @@
 		if server == nil || index.ServiceOf(s.Server) != r.Service {
 			continue
 		}
-		if owner, ok := list.Holder(OwnerRole(server)); ok && owner.ID == from {
+		if owner, ok := list.Holder(server.OwnerRole()); ok && owner.ID == from {
 			owned = append(owned, s)
 		}
 	}
@@ -152,7 +142,7 @@
 // cannot be reached learn it with the reply to their next report.
 func (h *Homes) HandleCrash(ctx context.Context, _ vm.ID, c Crash) (struct{}, error) {
 	now := h.clock()
-	if _, ok := h.members.MayAct(now, HomeRole(c.Service)); !ok {
+	if _, ok := h.members.MayAct(now, c.Service.HomeRole()); !ok {
 		return struct{}{}, ErrNotHome
 	}
 	h.quarantine.Add(now, c)
@@ -177,7 +167,7 @@
 	list, self := h.members.List(), h.members.Self().ID
 	var owners []vm.VM
 	for i := range service.Servers {
-		owner, ok := list.Holder(OwnerRole(&service.Servers[i]))
+		owner, ok := list.Holder(service.Servers[i].OwnerRole())
 		if ok && owner.ID != self && !slices.Contains(owners, owner) {
 			owners = append(owners, owner)
 		}
--- a/outlier/reporter.go
+++ b/outlier/reporter.go
@@ -11,6 +11,7 @@
 	"almondstile/logging"
 	"almondstile/shard"
 	"almondstile/vm"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -81,24 +82,12 @@
 			ticker.Reset(ReportInterval)
 		}
 		r.ReportOnce(ctx)
-		if !pause(ctx, wakeInterval) {
+		if !wait.For(ctx, wakeInterval) {
 			return
 		}
 	}
 }
 
-// pause waits and reports whether the context is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // ReportOnce sends one report for each service and returns when all are
 // answered or timed out.
 func (r *Reporter) ReportOnce(ctx context.Context) {
@@ -118,7 +107,7 @@
 }
 
 func (r *Reporter) reportService(ctx context.Context, sent time.Time, service contract.ServiceID, statuses []backend.Status) {
-	home, ok := r.members.List().Holder(HomeRole(service))
+	home, ok := r.members.List().Holder(service.HomeRole())
 	if !ok {
 		r.servers.GiveBack(statuses)
 		return
@@ -219,7 +208,7 @@
 // next report.
 func (r *Reporter) Crashed(ctx context.Context, c Crash) error {
 	r.quarantine.Add(r.clock(), c)
-	home, ok := r.members.List().Holder(HomeRole(c.Service))
+	home, ok := r.members.List().Holder(c.Service.HomeRole())
 	if !ok {
 		return errors.Wrap(ErrNotHome, "no member")
 	}
--- a/outlier/sim_test.go
+++ b/outlier/sim_test.go
@@ -179,7 +179,7 @@
 }
 
 func (f *fleet) owner(i int) *node {
-	holder, _ := f.list.Holder(OwnerRole(f.index.Server(serverID(i))))
+	holder, _ := f.list.Holder(f.index.Server(serverID(i)).OwnerRole())
 	return f.nodes[holder.ID]
 }
 
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -6,7 +6,6 @@
 
 	"almondstile/backend"
 	"almondstile/contract"
-	"almondstile/entry"
 	"almondstile/request"
 	"almondstile/serverlink"
 	"almondstile/upstream"
@@ -95,7 +94,7 @@
 		return
 	}
 	now, self := parts.Clock(), parts.Members.Self().ID
-	for _, v := range parts.Members.List().Rank(entry.ServerRole(a.server)) {
+	for _, v := range parts.Members.List().Rank(a.server.OwnerRole()) {
 		if v.ID != self && parts.Peers.Usable(v.ID, now) {
 			a.relays = append(a.relays, v)
 			a.ask.Relays = append(a.ask.Relays, v.ID)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -114,7 +114,7 @@
 	case !now.Before(req.Deadline):
 		return request.ReasonDeadline
 	}
-	if _, ok := o.parts.Members.MayAct(now, entry.ServerRole(server)); !ok {
+	if _, ok := o.parts.Members.MayAct(now, server.OwnerRole()); !ok {
 		return request.ReasonNotOwner
 	}
 	return request.ReasonNone
--- a/owner/relay.go
+++ b/owner/relay.go
@@ -41,7 +41,7 @@
 	if server == nil || !index.TakesNewWork(server) {
 		return request.ReasonLeaving
 	}
-	owner, ok := r.owners.Find(r.members.List(), entry.ServerRole(server))
+	owner, ok := r.owners.Find(r.members.List(), server.OwnerRole())
 	switch {
 	case !ok || owner.ID != from:
 		return request.ReasonNotOwner
--- a/owner/roles.go
+++ b/owner/roles.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"almondstile/contract"
-	"almondstile/entry"
 )
 
 // ownedServers remembers what the last Sync applied.
@@ -33,7 +32,7 @@
 	for i := range services {
 		for j := range services[i].Servers {
 			server := &services[i].Servers[j]
-			holder, ok := list.Holder(entry.ServerRole(server))
+			holder, ok := list.Holder(server.OwnerRole())
 			if !ok || holder.ID != o.parts.Members.Self().ID {
 				continue
 			}
--- a/quota/tokens.go
+++ b/quota/tokens.go
@@ -10,6 +10,7 @@
 	"almondstile/link"
 	"almondstile/shard"
 	"almondstile/vm"
+	"almondstile/wait"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -116,24 +117,12 @@
 	for {
 		grant, err := t.tryAll(ctx, buckets, start)
 		again := errors.Is(err, ErrHomeUnreachable) && t.clock().Sub(start) < maxMoveWait
-		if !again || !pause(ctx, movePause) {
+		if !again || !wait.For(ctx, movePause) {
 			return grant, err
 		}
 	}
 }
 
-// pause waits and reports whether the context is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // tryAll tries each of a team's buckets once.
 func (t *Tokens) tryAll(ctx context.Context, buckets []BucketID, start time.Time) (Grant, error) {
 	last := len(buckets) - 1
