--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -197,7 +197,7 @@
 // maxFullServers is the number of servers without a free slot that a request
 // asks before it waits in a queue. Each ask costs a hop; more of them seldom
 // find a slot that the first ones did not.
-const maxFullServers = 8
+const maxFullServers = 3
 
 // attempt sends the request to servers until one attempt settles it. As long as
 // a server may have a free slot, it does not wait in the queue of another one.
