daemon: leave when the platform announces it

Cause: the platform's VM list was required in the settings and read by nobody, so a VM that the platform takes away stopped gracefully only if a signal came in time. Change: a VM that was listed as live and is then listed as leaving shuts down gracefully; a list that still shows an earlier process is not believed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"almondstile/operator"
 	"almondstile/outlier"
 	"almondstile/owner"
+	"almondstile/platform"
 	"almondstile/quota"
 	"almondstile/settings"
 	"almondstile/telemetry"
@@ -35,6 +36,7 @@
 	metrics  *telemetry.Metrics
 	sockets  *listeners
 	stopping atomic.Bool
+	vmList   platform.VMList
 
 	fleet *membership.Fleet
 	// gone is closed when the VM is off the member list for good; its error is
@@ -80,7 +82,7 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: s, log: log, gone: make(chan struct{}), sockets: sockets, metrics: telemetry.New(),
+		settings: s, log: log, gone: make(chan struct{}), sockets: sockets, metrics: telemetry.New(), vmList: p.VMs,
 		links: &link.Links{}, traffic: &link.Traffic{},
 		self: vm.VM{
 			ID: s.VM.ID, Zone: s.VM.Zone, Incarnation: uuid.NewString(),
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -34,9 +34,12 @@
 // longer than the settings allow.
 func (d *Daemon) Run(stop context.Context) error {
 	log := d.log.Part("daemon")
+	stop, announced := context.WithCancel(stop)
+	defer announced()
 	background, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	d.serve(background, &wg)
+	wg.Go(func() { d.followVMList(background, d.vmList, announced) })
 	log.WithField("callers", d.CallersAddress()).WithField("operator", d.OperatorAddress()).Info("Started.")
 
 	select {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -274,6 +274,6 @@
 	d.selector.started(c.server.ID)
 	defer d.selector.finished(c.server.ID)
 	result := d.parts.Forwarder.Forward(ctx, c.owner, c.relay, req)
-	d.selector.learn(req.Service, result.ServiceState, d.parts.Clock())
+	d.selector.learn(result.ServiceState, d.parts.Clock())
 	return result
 }
--- a/entry/selector.go
+++ b/entry/selector.go
@@ -142,7 +142,7 @@
 }
 
 // learn keeps what an owner said about a service's servers.
-func (s *selector) learn(_ contract.ServiceID, encoded []byte, now time.Time) {
+func (s *selector) learn(encoded []byte, now time.Time) {
 	states, err := backend.DecodeStates(encoded)
 	if err != nil {
 		return // an owner of another version; the servers count as unknown
