daemon: record the last results before the stop

Cause: a planned stop did not wait for claim writes in flight, so a repeat of one of the last requests could get an unknown outcome instead of its response. Measured: builds; covered by no test of its own.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -52,6 +52,7 @@
 	limit, cancelLimit := context.WithTimeout(context.Background(), d.settings.Shutdown.Limit())
 	defer cancelLimit()
 	err := d.shutdown(limit)
+	d.claims.Close() // results of the last requests are still being recorded
 	cancel()
 	d.sockets.close()
 	d.caller.Close()
