bench: give each process its own block of ports

Cause: fleets that start at the same time, in one process or in several, could be handed the same port; TestPromisesHoldBetweenProcesses failed once in a clean clone with "address already in use". Change: a process reserves a block of 1,000 ports by listening on its first one, and all its fleets share it.

--- a/bench/fleet/ports.go
+++ b/bench/fleet/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,24 +15,38 @@
 const (
 	lowestPort  = 12000
 	highestPort = 32000
+	// blockPorts is enough for 48 VMs with links and their environment.
+	blockPorts = 1000
 )
 
-// Ports hands out addresses on the loopback interface.
-type Ports struct{ next int }
-
-// NewPorts starts at a random place, so that two runs at a time seldom meet.
-func NewPorts() *Ports {
-	return &Ports{next: lowestPort + rand.IntN(highestPort-lowestPort)}
+// Ports hands out addresses on the loopback interface. All fleets of a process
+// share one block of ports, which no other process uses: the process keeps
+// listening on the block's first port.
+type Ports struct {
+	mu    sync.Mutex
+	guard net.Listener
+	first int
+	next  int
 }
 
-// Take returns an address on which nothing listens.
+var processPorts Ports
+
+// NewPorts returns the ports of this process.
+func NewPorts() *Ports { return &processPorts }
+
+// Take returns an address on which nothing listens and that was not handed out
+// before, as long as the block has such addresses.
 func (p *Ports) Take() (string, error) {
-	for range highestPort - lowestPort {
-		address := fmt.Sprintf("127.0.0.1:%d", p.next)
-		p.next++
-		if p.next >= highestPort {
-			p.next = lowestPort
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.guard == nil {
+		if err := p.reserve(); err != nil {
+			return "", err
 		}
+	}
+	for range blockPorts {
+		p.next = p.next%(blockPorts-1) + 1
+		address := loopback(p.first + p.next)
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = listener.Close()
@@ -40,3 +55,20 @@
 	}
 	return "", errors.New("fleet: no free port")
 }
+
+// reserve finds a block that no other process has.
+func (p *Ports) reserve() error {
+	const blocks = (highestPort - lowestPort) / blockPorts
+	start := rand.IntN(blocks)
+	for i := range blocks {
+		first := lowestPort + (start+i)%blocks*blockPorts
+		guard, err := net.Listen("tcp", loopback(first))
+		if err == nil {
+			p.guard, p.first, p.next = guard, first, 0
+			return nil
+		}
+	}
+	return errors.New("fleet: no free block of ports")
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
