--- a/bench/fleet/environment_test.go
+++ b/bench/fleet/environment_test.go
@@ -50,7 +50,7 @@
 	}
 	resp, err := client.Get("http://" + e.PlatformAddress + platformsim.CountersPath)
 	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Fatalf("platform: %v", err)
+		t.Fatalf("store: %v", err)
 	}
 	resp.Body.Close()
 }
--- a/bench/fleet/links.go
+++ b/bench/fleet/links.go
@@ -2,8 +2,8 @@
 
 import (
 	"almondstile/contract"
-	"almondstile/platform"
 	"almondstile/standin/netfault"
+	"almondstile/store"
 	"almondstile/vm"
 )
 
@@ -50,9 +50,9 @@
 
 // ListVMs puts all VMs on the platform's list of live VMs.
 func (f *Fleet) ListVMs() {
-	var list []platform.ListedVM
+	var list []store.ListedVM
 	for _, id := range f.ids {
-		list = append(list, platform.ListedVM{ID: string(id)})
+		list = append(list, store.ListedVM{ID: string(id)})
 	}
 	f.Platform.SetVMs(list)
 }
--- a/claim/batch.go
+++ b/claim/batch.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"almondstile/platform"
 	"almondstile/shard"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -19,7 +19,7 @@
 	// transaction. The store takes a few hundred writes a second in total.
 	batchWindow = 3 * time.Millisecond
 	// maxBatchWrites leaves room for the log row in the transaction.
-	maxBatchWrites = platform.MaxTransactionWrites - 1
+	maxBatchWrites = store.MaxTransactionWrites - 1
 	// maxBatchBytes bounds the size of one transaction.
 	maxBatchBytes = 1 << 20
 	// writeTimeout bounds one transaction.
@@ -33,7 +33,7 @@
 
 // batcher lets writes of this VM share transactions.
 type batcher struct {
-	table platform.Table
+	table store.Table
 	clock func() time.Time
 	// name makes the log rows of this process unique in the fleet.
 	name  string
@@ -50,7 +50,7 @@
 
 // pendingWrite is one write that waits for its result.
 type pendingWrite struct {
-	platform.Write
+	store.Write
 	// logged writes are listed in the claim log for the expiry.
 	logged bool
 	result chan error
@@ -58,7 +58,7 @@
 
 // write applies one write, usually together with others. If the context ends
 // first, the write may still take effect.
-func (b *batcher) write(ctx context.Context, w platform.Write, logged bool) error {
+func (b *batcher) write(ctx context.Context, w store.Write, logged bool) error {
 	p := pendingWrite{Write: w, logged: logged, result: make(chan error, 1)}
 	lane := laneOf(w.Key)
 	var opened *batch
@@ -86,7 +86,7 @@
 	case err := <-p.result:
 		return err
 	case <-ctx.Done():
-		return errors.Mark(ctx.Err(), platform.ErrUnknownOutcome)
+		return errors.Mark(ctx.Err(), store.ErrUnknownOutcome)
 	}
 }
 
@@ -132,7 +132,7 @@
 // each write is tried by itself, so that one duplicate fails alone.
 func (b *batcher) commit(writes []pendingWrite) {
 	err := b.transact(writes)
-	if len(writes) > 1 && errors.Is(err, platform.ErrConditionFailed) {
+	if len(writes) > 1 && errors.Is(err, store.ErrConditionFailed) {
 		singles := pool.New().WithMaxGoroutines(maxSingleWrites)
 		for _, p := range writes {
 			singles.Go(func() { b.commitOne(p) })
@@ -152,7 +152,7 @@
 func (b *batcher) transact(pending []pendingWrite) error {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	writes := make([]platform.Write, 0, len(pending)+1)
+	writes := make([]store.Write, 0, len(pending)+1)
 	var logged []string
 	for _, p := range pending {
 		writes = append(writes, p.Write)
@@ -168,7 +168,7 @@
 
 // logRow lists the claims of a transaction under the minute of their creation,
 // so that the expiry need not read all claims to find the old ones.
-func (b *batcher) logRow(keys []string) platform.Write {
+func (b *batcher) logRow(keys []string) store.Write {
 	raw, err := json.Marshal(keys)
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encoding a claim log row"))
@@ -177,5 +177,5 @@
 	// the time: one row cannot be claimed twice at the same nanosecond.
 	now := b.clock()
 	name := b.name + "-" + strconv.FormatInt(now.UnixNano(), 36) + "-" + keys[0][len(keyPrefix):]
-	return platform.Write{Kind: platform.Put, Key: logPrefix(now) + name, Value: raw}
+	return store.Write{Kind: store.Put, Key: logPrefix(now) + name, Value: raw}
 }
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"almondstile/platform"
 	"almondstile/request"
+	"almondstile/store"
 	"almondstile/vm"
 	"almondstile/wait"
 
@@ -36,13 +36,13 @@
 
 // Claims writes the claims of one VM's requests.
 type Claims struct {
-	table   platform.Table
+	table   store.Table
 	clock   func() time.Time
 	batcher *batcher
 }
 
 // New returns the claims of the VM self. The clock is time.Now outside of tests.
-func New(self vm.VM, table platform.Table, clock func() time.Time) *Claims {
+func New(self vm.VM, table store.Table, clock func() time.Time) *Claims {
 	name := string(self.ID) + "-" + self.Incarnation
 	return &Claims{table: table, clock: clock, batcher: &batcher{table: table, clock: clock, name: name}}
 }
@@ -85,7 +85,7 @@
 
 // acquire writes the claim. It returns nil if this request holds the claim.
 func (t *Ticket) acquire(ctx context.Context) *request.Result {
-	condition := platform.Condition{Kind: platform.Absent}
+	condition := store.Condition{Kind: store.Absent}
 	uncertain := false // a write of this request may still take effect
 	for range maxBeginAttempts {
 		err := t.put(ctx, t.row, condition, true)
@@ -93,19 +93,19 @@
 			t.version = condition.Version + 1
 			return nil
 		}
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, store.ErrUnknownOutcome) {
 			uncertain = true
-		} else if !errors.Is(err, platform.ErrConditionFailed) {
+		} else if !errors.Is(err, store.ErrConditionFailed) {
 			return t.reject(ctx, uncertain)
 		}
 		found, version, err := t.claims.read(ctx, t.key)
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
-			condition = platform.Condition{Kind: platform.Absent}
+		case errors.Is(err, store.ErrNotFound):
+			condition = store.Condition{Kind: store.Absent}
 		case err != nil:
 			return t.reject(ctx, uncertain)
 		case found.State == stateReleased:
-			condition = platform.Condition{Kind: platform.VersionIs, Version: version}
+			condition = store.Condition{Kind: store.VersionIs, Version: version}
 		case found.Owner == t.row.Owner:
 			t.version = version
 			return nil
@@ -150,7 +150,7 @@
 			return
 		}
 		found.State = stateReleased
-		condition := platform.Condition{Kind: platform.VersionIs, Version: version}
+		condition := store.Condition{Kind: store.VersionIs, Version: version}
 		if t.put(ctx, found, condition, false) == nil {
 			return
 		}
@@ -176,7 +176,7 @@
 
 // record writes the final row, repeatedly if the store does not answer.
 func (t *Ticket) record(ctx context.Context, final row) (err error) {
-	condition := platform.Condition{Kind: platform.VersionIs, Version: t.version}
+	condition := store.Condition{Kind: store.VersionIs, Version: t.version}
 	uncertain := false
 	pause := firstRetryPause
 	for range maxFinishAttempts {
@@ -184,12 +184,12 @@
 		switch {
 		case err == nil:
 			return nil
-		case errors.Is(err, platform.ErrConditionFailed) && uncertain:
+		case errors.Is(err, store.ErrConditionFailed) && uncertain:
 			// Only this ticket changes an open row: an earlier write counted.
 			return nil
-		case errors.Is(err, platform.ErrConditionFailed) || ctx.Err() != nil:
+		case errors.Is(err, store.ErrConditionFailed) || ctx.Err() != nil:
 			return err
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, store.ErrUnknownOutcome):
 			uncertain = true
 		}
 		wait.For(ctx, pause)
@@ -198,9 +198,9 @@
 	return err
 }
 
-func (t *Ticket) put(ctx context.Context, r row, condition platform.Condition, logged bool) error {
-	return t.claims.batcher.write(ctx, platform.Write{
-		Kind: platform.Put, Key: t.key, Value: r.encode(), Condition: condition,
+func (t *Ticket) put(ctx context.Context, r row, condition store.Condition, logged bool) error {
+	return t.claims.batcher.write(ctx, store.Write{
+		Kind: store.Put, Key: t.key, Value: r.encode(), Condition: condition,
 	}, logged)
 }
 
--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -11,8 +11,8 @@
 	"testing/synctest"
 	"time"
 
-	"almondstile/platform"
 	"almondstile/request"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -25,7 +25,7 @@
 type fakeTable struct {
 	mu           sync.Mutex
 	random       *rand.Rand
-	rows         map[string]platform.Item
+	rows         map[string]store.Item
 	transactions int
 }
 
@@ -38,21 +38,21 @@
 	return f.random.IntN(n)
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Item, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (store.Item, error) {
 	time.Sleep(time.Duration(f.roll(50)) * time.Millisecond)
 	if f.roll(10) == 0 {
-		return platform.Item{}, platform.ErrNotDone
+		return store.Item{}, store.ErrNotDone
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	item, ok := f.rows[key]
 	if !ok {
-		return item, platform.ErrNotFound
+		return item, store.ErrNotFound
 	}
 	return item, nil
 }
 
-func (f *fakeTable) Query(_ context.Context, prefix string) (found []platform.Item, _ error) {
+func (f *fakeTable) Query(_ context.Context, prefix string) (found []store.Item, _ error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for key, item := range f.rows {
@@ -64,51 +64,51 @@
 	return found, nil
 }
 
-func (f *fakeTable) Transact(_ context.Context, writes []platform.Write) error {
+func (f *fakeTable) Transact(_ context.Context, writes []store.Write) error {
 	time.Sleep(time.Duration(f.roll(50)) * time.Millisecond)
 	switch f.roll(10) {
 	case 0:
-		return platform.ErrNotDone
+		return store.ErrNotDone
 	case 1:
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	case 2:
 		_ = f.apply(writes)
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	case 3:
 		time.AfterFunc(time.Duration(f.roll(6000))*time.Millisecond, func() { _ = f.apply(writes) })
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	return f.apply(writes)
 }
 
-func (f *fakeTable) apply(writes []platform.Write) error {
+func (f *fakeTable) apply(writes []store.Write) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.transactions++
 	seen := make(map[string]bool)
 	for _, w := range writes {
 		item, exists := f.rows[w.Key]
-		if seen[w.Key] || len(writes) > platform.MaxTransactionWrites {
+		if seen[w.Key] || len(writes) > store.MaxTransactionWrites {
 			return errors.New("the transaction is not valid")
 		}
 		seen[w.Key] = true
-		if w.Condition.Kind == platform.Absent && exists ||
-			w.Condition.Kind == platform.VersionIs && (!exists || item.Version != w.Condition.Version) {
-			return platform.ErrConditionFailed
+		if w.Condition.Kind == store.Absent && exists ||
+			w.Condition.Kind == store.VersionIs && (!exists || item.Version != w.Condition.Version) {
+			return store.ErrConditionFailed
 		}
 	}
 	for _, w := range writes {
-		if w.Kind == platform.Delete {
+		if w.Kind == store.Delete {
 			delete(f.rows, w.Key)
 		} else {
-			f.rows[w.Key] = platform.Item{Key: w.Key, Version: f.rows[w.Key].Version + 1, Value: w.Value}
+			f.rows[w.Key] = store.Item{Key: w.Key, Version: f.rows[w.Key].Version + 1, Value: w.Value}
 		}
 	}
 	return nil
 }
 
 func newTable(random *rand.Rand) *fakeTable {
-	return &fakeTable{random: random, rows: make(map[string]platform.Item)}
+	return &fakeTable{random: random, rows: make(map[string]store.Item)}
 }
 
 func loan(id, key string) *request.Request {
--- a/claim/expiry.go
+++ b/claim/expiry.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
@@ -76,30 +76,30 @@
 			return err
 		}
 		minute = minute.Add(time.Minute)
-		err := c.table.Transact(ctx, []platform.Write{{
-			Kind: platform.Put, Key: cursorKey, Condition: condition,
+		err := c.table.Transact(ctx, []store.Write{{
+			Kind: store.Put, Key: cursorKey, Condition: condition,
 			Value: strconv.AppendInt(nil, minute.Unix(), 10),
 		}})
 		if err != nil {
 			return errors.Wrap(err, "moving the expiry's cursor")
 		}
-		condition = platform.Condition{Kind: platform.VersionIs, Version: condition.Version + 1}
+		condition = store.Condition{Kind: store.VersionIs, Version: condition.Version + 1}
 	}
 	return nil
 }
 
 // readCursor returns the next minute to expire and the condition for moving on.
-func (c *Claims) readCursor(ctx context.Context) (time.Time, platform.Condition, error) {
+func (c *Claims) readCursor(ctx context.Context) (time.Time, store.Condition, error) {
 	item, err := c.table.Get(ctx, cursorKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		first := c.clock().Add(-Retention - maxCatchUp).Truncate(time.Minute)
-		return first, platform.Condition{Kind: platform.Absent}, nil
+		return first, store.Condition{Kind: store.Absent}, nil
 	}
 	if err != nil {
-		return time.Time{}, platform.Condition{}, errors.Wrap(err, "reading the expiry's cursor")
+		return time.Time{}, store.Condition{}, errors.Wrap(err, "reading the expiry's cursor")
 	}
 	seconds, err := strconv.ParseInt(string(item.Value), 10, 64)
-	condition := platform.Condition{Kind: platform.VersionIs, Version: item.Version}
+	condition := store.Condition{Kind: store.VersionIs, Version: item.Version}
 	return time.Unix(seconds, 0), condition, errors.Wrap(err, "decoding the expiry's cursor")
 }
 
@@ -132,7 +132,7 @@
 		return nil
 	}
 	found, version, err := c.read(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -147,11 +147,11 @@
 // delete removes a row that is still at the version, at the pace of the expiry.
 func (c *Claims) delete(ctx context.Context, key string, version uint64) error {
 	wait.For(ctx, time.Second/rowsPerSecond)
-	err := c.table.Transact(ctx, []platform.Write{{
-		Kind: platform.Delete, Key: key,
-		Condition: platform.Condition{Kind: platform.VersionIs, Version: version},
+	err := c.table.Transact(ctx, []store.Write{{
+		Kind: store.Delete, Key: key,
+		Condition: store.Condition{Kind: store.VersionIs, Version: version},
 	}})
-	if errors.Is(err, platform.ErrConditionFailed) {
+	if errors.Is(err, store.ErrConditionFailed) {
 		return nil
 	}
 	return errors.Wrapf(err, "deleting %s", key)
--- a/cmd/almondstile/serve.go
+++ b/cmd/almondstile/serve.go
@@ -10,8 +10,6 @@
 	"almondstile/daemon"
 	"almondstile/logging"
 	"almondstile/settings"
-
-	"github.com/cockroachdb/errors"
 )
 
 type serve struct {
@@ -49,9 +47,5 @@
 }
 
 func settingsError(faults []settings.Fault) error {
-	var all error
-	for _, f := range faults {
-		all = errors.Join(all, errors.Newf("%s", f))
-	}
-	return &cli.ExitError{Code: cli.ExitUsage, Err: all}
+	return &cli.ExitError{Code: cli.ExitUsage, Err: &settings.FaultsError{Faults: faults}}
 }
--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"almondstile/contract"
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -207,7 +207,7 @@
 		fleet := newFakeFleet(ids...)
 		reached := map[vm.ID]uint64{}
 		regions := map[uint64]string{}
-		var savedHead platform.Item
+		var savedHead store.Item
 		slow := &contract.Configuration{} // what a slow read returns in the end
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			id := rapid.SampledFrom(ids).Draw(rt, "vm")
--- a/configstore/confirm.go
+++ b/configstore/confirm.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"almondstile/contract"
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -59,9 +59,9 @@
 		switch {
 		case err == nil:
 			return outcome, nil
-		case errors.Is(err, platform.ErrConditionFailed):
+		case errors.Is(err, store.ErrConditionFailed):
 			// Another write came first; what it was is read in the next attempt.
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, store.ErrUnknownOutcome):
 			mayHaveRun = true
 		case !mayHaveRun:
 			return Outcome{}, err
@@ -101,13 +101,13 @@
 	switch {
 	case err == nil:
 		return Outcome{Kind: Accepted, Version: stored.Base + 1}, nil
-	case errors.Is(err, platform.ErrConditionFailed):
+	case errors.Is(err, store.ErrConditionFailed):
 		return Outcome{}, err
-	case errors.Is(err, platform.ErrNotDone):
+	case errors.Is(err, store.ErrNotDone):
 		return Outcome{}, unavailable(err, "confirming the plan")
 	}
 	// Any other error, such as an expired deadline, promises nothing.
-	return Outcome{}, errors.Mark(err, platform.ErrUnknownOutcome)
+	return Outcome{}, errors.Mark(err, store.ErrUnknownOutcome)
 }
 
 // afterBaseChanged reads the plan again, because this plan may be the one that
@@ -125,9 +125,9 @@
 }
 
 // confirmWrites is the transaction that accepts a plan.
-func confirmWrites(stored StoredPlan, h head) ([]platform.Write, error) {
+func confirmWrites(stored StoredPlan, h head) ([]store.Write, error) {
 	next := stored.Base + 1
-	planRow := platform.Condition{Kind: platform.VersionIs, Version: stored.row}
+	planRow := store.Condition{Kind: store.VersionIs, Version: stored.row}
 	accepted := stored
 	accepted.State, accepted.Version = PlanAccepted, next
 	newHead := head{Version: next, Snapshots: h.Snapshots}
@@ -141,6 +141,6 @@
 	if err != nil {
 		return nil, err
 	}
-	deltaWrite, err := putJSON(deltaKey(next), delta, platform.Condition{Kind: platform.Absent})
-	return []platform.Write{plan, headWrite, deltaWrite}, err
+	deltaWrite, err := putJSON(deltaKey(next), delta, store.Condition{Kind: store.Absent})
+	return []store.Write{plan, headWrite, deltaWrite}, err
 }
--- a/configstore/fake_test.go
+++ b/configstore/fake_test.go
@@ -11,7 +11,7 @@
 	"almondstile/contract"
 	"almondstile/link"
 	"almondstile/logging"
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 	"almondstile/zone"
 )
@@ -29,47 +29,47 @@
 // fakeStore is a table and an object store in memory.
 type fakeStore struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Item
+	rows    map[string]store.Item
 	objects map[string][]byte
 	away    bool
 	// faults are used up by the next transactions, in order.
 	faults []fault
-	late   [][]platform.Write
+	late   [][]store.Write
 	// beforeTransact, if set, runs before the next transaction, unlocked.
 	beforeTransact func()
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]platform.Item{}, objects: map[string][]byte{}}
+	return &fakeStore{rows: map[string]store.Item{}, objects: map[string][]byte{}}
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Item, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (store.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return platform.Item{}, platform.ErrNotDone
+		return store.Item{}, store.ErrNotDone
 	}
 	item, ok := s.rows[key]
 	if !ok {
-		return platform.Item{}, platform.ErrNotFound
+		return store.Item{}, store.ErrNotFound
 	}
 	return item, nil
 }
 
-func (s *fakeStore) Query(_ context.Context, prefix string) ([]platform.Item, error) {
+func (s *fakeStore) Query(_ context.Context, prefix string) ([]store.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var items []platform.Item
+	var items []store.Item
 	for key, item := range s.rows {
 		if strings.HasPrefix(key, prefix) {
 			items = append(items, item)
 		}
 	}
-	slices.SortFunc(items, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
 	return items, nil
 }
 
-func (s *fakeStore) Transact(_ context.Context, writes []platform.Write) error {
+func (s *fakeStore) Transact(_ context.Context, writes []store.Write) error {
 	s.mu.Lock()
 	hook := s.beforeTransact
 	s.beforeTransact = nil
@@ -84,11 +84,11 @@
 		f, s.faults = s.faults[0], s.faults[1:]
 	}
 	if s.away || f == beforeWrite {
-		return platform.ErrNotDone
+		return store.ErrNotDone
 	}
 	if f == lateWrite {
 		s.late = append(s.late, writes)
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	for _, earlier := range s.late {
 		_ = s.apply(earlier) // its caller no longer waits for the result
@@ -96,24 +96,24 @@
 	s.late = nil
 	err := s.apply(writes)
 	if f == afterWrite {
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 	return err
 }
 
-func (s *fakeStore) apply(writes []platform.Write) error {
+func (s *fakeStore) apply(writes []store.Write) error {
 	for _, w := range writes {
 		item, exists := s.rows[w.Key]
-		if (w.Condition.Kind == platform.Absent && exists) ||
-			(w.Condition.Kind == platform.VersionIs && (!exists || item.Version != w.Condition.Version)) {
-			return platform.ErrConditionFailed
+		if (w.Condition.Kind == store.Absent && exists) ||
+			(w.Condition.Kind == store.VersionIs && (!exists || item.Version != w.Condition.Version)) {
+			return store.ErrConditionFailed
 		}
 	}
 	for _, w := range writes {
 		switch w.Kind {
-		case platform.Put:
-			s.rows[w.Key] = platform.Item{Key: w.Key, Version: s.rows[w.Key].Version + 1, Value: w.Value}
-		case platform.Delete:
+		case store.Put:
+			s.rows[w.Key] = store.Item{Key: w.Key, Version: s.rows[w.Key].Version + 1, Value: w.Value}
+		case store.Delete:
 			delete(s.rows, w.Key)
 		}
 	}
@@ -136,7 +136,7 @@
 	if data, ok := s.objects[name]; ok && !s.away {
 		return data, nil
 	}
-	return nil, platform.ErrNotFound
+	return nil, store.ErrNotFound
 }
 
 // fakeFleet is a set of VMs whose control messages go through JSON, as they do
--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -11,8 +11,8 @@
 	"almondstile/contract"
 	"almondstile/link"
 	"almondstile/logging"
-	"almondstile/platform"
 	"almondstile/shard"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/sourcegraph/conc"
@@ -104,7 +104,7 @@
 }
 
 // NewFollower returns a follower with the empty configuration, not yet loaded.
-func NewFollower(table platform.Table, objects platform.ObjectStore, caller link.Caller, peers Peers,
+func NewFollower(table store.Table, objects store.ObjectStore, caller link.Caller, peers Peers,
 	log logging.Logger, opts Options) *Follower {
 	opts = opts.withDefaults()
 	f := &Follower{
--- a/configstore/loader.go
+++ b/configstore/loader.go
@@ -6,7 +6,7 @@
 
 	"almondstile/contract"
 	"almondstile/logging"
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,8 +17,8 @@
 
 // loader reads configurations from the store.
 type loader struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   store.Table
+	objects store.ObjectStore
 	timeout time.Duration // of one call
 	log     logging.Logger
 }
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
 	item, err := l.table.Get(ctx, deltaKey(version))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return contract.Delta{}, errors.Wrapf(ErrInconsistent, "delta %d is missing", version)
 	}
 	if err != nil {
--- a/configstore/planner.go
+++ b/configstore/planner.go
@@ -6,7 +6,7 @@
 
 	"almondstile/contract"
 	"almondstile/logging"
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -37,7 +37,7 @@
 
 // NewPlanner returns a planner that starts from the configuration that the
 // follower holds, so that it reads only what is newer.
-func NewPlanner(table platform.Table, objects platform.ObjectStore, follower *Follower, log logging.Logger) *Planner {
+func NewPlanner(table store.Table, objects store.ObjectStore, follower *Follower, log logging.Logger) *Planner {
 	return &Planner{
 		loader:     loader{table: table, objects: objects, timeout: callTimeout, log: log},
 		follower:   follower,
@@ -79,7 +79,7 @@
 	if err != nil {
 		return contract.Plan{}, err
 	}
-	write, err := putJSON(planKey(plan.ID), StoredPlan{Plan: plan, State: PlanOpen}, platform.Condition{Kind: platform.Absent})
+	write, err := putJSON(planKey(plan.ID), StoredPlan{Plan: plan, State: PlanOpen}, store.Condition{Kind: store.Absent})
 	if err != nil {
 		return contract.Plan{}, err
 	}
@@ -91,14 +91,14 @@
 
 // storePlan repeats the write after a lost response. The plan's ID is new, so a
 // row that already exists is this one.
-func (p *Planner) storePlan(ctx context.Context, write platform.Write) error {
+func (p *Planner) storePlan(ctx context.Context, write store.Write) error {
 	var err error
 	for attempt := range maxAttempts {
 		if attempt > 0 && !p.pause(ctx) {
 			break
 		}
 		err = p.transact(ctx, write)
-		if err == nil || errors.Is(err, platform.ErrConditionFailed) {
+		if err == nil || errors.Is(err, store.ErrConditionFailed) {
 			return nil
 		}
 	}
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	item, err := p.table.Get(ctx, planKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return StoredPlan{}, ErrUnknownPlan
 	}
 	if err != nil {
@@ -126,7 +126,7 @@
 	return stored, nil
 }
 
-func (p *Planner) transact(ctx context.Context, writes ...platform.Write) error {
+func (p *Planner) transact(ctx context.Context, writes ...store.Write) error {
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	return p.table.Transact(ctx, writes)
--- a/configstore/rows.go
+++ b/configstore/rows.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"almondstile/contract"
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -57,11 +57,11 @@
 }
 
 // unchanged is the condition that the head is still as it was read.
-func (h head) unchanged() platform.Condition {
+func (h head) unchanged() store.Condition {
 	if h.row == 0 {
-		return platform.Condition{Kind: platform.Absent}
+		return store.Condition{Kind: store.Absent}
 	}
-	return platform.Condition{Kind: platform.VersionIs, Version: h.row}
+	return store.Condition{Kind: store.VersionIs, Version: h.row}
 }
 
 func (h head) newestSnapshot() uint64 {
@@ -71,9 +71,9 @@
 	return h.Snapshots[0]
 }
 
-func readHead(ctx context.Context, table platform.Table) (head, error) {
+func readHead(ctx context.Context, table store.Table) (head, error) {
 	item, err := table.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return head{}, nil
 	}
 	if err != nil {
@@ -103,7 +103,7 @@
 }
 
 // decodeRow decodes a row's JSON value.
-func decodeRow(item platform.Item, into any) error {
+func decodeRow(item store.Item, into any) error {
 	if err := json.Unmarshal(item.Value, into); err != nil {
 		return errors.Mark(errors.Wrapf(err, "row %s", item.Key), ErrInconsistent)
 	}
@@ -115,10 +115,10 @@
 	return errors.Mark(errors.Wrap(err, doing), ErrUnavailable)
 }
 
-func putJSON(key string, value any, condition platform.Condition) (platform.Write, error) {
+func putJSON(key string, value any, condition store.Condition) (store.Write, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		return platform.Write{}, errors.Wrapf(err, "encoding row %s", key)
+		return store.Write{}, errors.Wrapf(err, "encoding row %s", key)
 	}
-	return platform.Write{Kind: platform.Put, Key: key, Value: data, Condition: condition}, nil
+	return store.Write{Kind: store.Put, Key: key, Value: data, Condition: condition}, nil
 }
--- a/configstore/snapshots.go
+++ b/configstore/snapshots.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"almondstile/contract"
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -94,9 +94,9 @@
 		if decodeRow(item, &stored) != nil || p.now().Sub(stored.Created) <= planLifetime {
 			continue
 		}
-		err := p.transact(ctx, platform.Write{Kind: platform.Delete, Key: item.Key,
-			Condition: platform.Condition{Kind: platform.VersionIs, Version: item.Version}})
-		if err != nil && !errors.Is(err, platform.ErrConditionFailed) {
+		err := p.transact(ctx, store.Write{Kind: store.Delete, Key: item.Key,
+			Condition: store.Condition{Kind: store.VersionIs, Version: item.Version}})
+		if err != nil && !errors.Is(err, store.ErrConditionFailed) {
 			p.log.WithError(err).Warn("expired plan not deleted")
 			return
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,9 +18,9 @@
 	"almondstile/operator"
 	"almondstile/outlier"
 	"almondstile/owner"
-	"almondstile/platform"
 	"almondstile/quota"
 	"almondstile/settings"
+	"almondstile/store"
 	"almondstile/telemetry"
 	"almondstile/upstream"
 	"almondstile/vm"
@@ -36,7 +36,7 @@
 	metrics  *telemetry.Metrics
 	sockets  *listeners
 	stopping atomic.Bool
-	vmList   platform.VMList
+	vmList   store.VMList
 
 	fleet *membership.Fleet
 	// gone is closed when the VM is off the member list for good; its error is
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -1,18 +1,18 @@
 package daemon
 
 import (
-	"almondstile/platform"
-	"almondstile/platform/dynamo"
-	"almondstile/platform/s3"
-	"almondstile/platform/vmlist"
 	"almondstile/settings"
+	"almondstile/store"
+	"almondstile/store/dynamo"
+	"almondstile/store/s3"
+	"almondstile/store/vmlist"
 )
 
 // Platform is the set of platform services that a daemon uses.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.ObjectStore
-	VMs     platform.VMList
+	Table   store.Table
+	Objects store.ObjectStore
+	VMs     store.VMList
 }
 
 // Connect returns clients of the platform services that the settings name. It
--- a/daemon/vmlist.go
+++ b/daemon/vmlist.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 	"almondstile/wait"
 )
@@ -24,7 +24,7 @@
 }
 
 // observe takes in a newer list and reports whether this VM is to leave.
-func (a *announcement) observe(list []platform.ListedVM, self vm.ID) bool {
+func (a *announcement) observe(list []store.ListedVM, self vm.ID) bool {
 	for _, v := range list {
 		if v.ID != string(self) {
 			continue
@@ -39,7 +39,7 @@
 
 // followVMList calls leave when the platform announces that it takes this VM
 // away, so that the stop is graceful even if no signal arrives in time.
-func (d *Daemon) followVMList(ctx context.Context, list platform.VMList, leave func()) {
+func (d *Daemon) followVMList(ctx context.Context, list store.VMList, leave func()) {
 	var a announcement
 	for wait.For(ctx, vmListInterval) {
 		callCtx, cancel := context.WithTimeout(ctx, vmListTimeout)
--- a/daemon/vmlist_test.go
+++ b/daemon/vmlist_test.go
@@ -3,22 +3,22 @@
 import (
 	"testing"
 
-	"almondstile/platform"
+	"almondstile/store"
 )
 
 // Guards against a VM that misses its removal, and against a restarted VM that
 // shuts down because the lagging list still shows the process before it.
 func TestLeavingIsBelievedOnlyAfterLive(t *testing.T) {
-	live := []platform.ListedVM{{ID: "other", Leaving: true}, {ID: "vm1"}}
-	leaving := []platform.ListedVM{{ID: "other"}, {ID: "vm1", Leaving: true}}
+	live := []store.ListedVM{{ID: "other", Leaving: true}, {ID: "vm1"}}
+	leaving := []store.ListedVM{{ID: "other"}, {ID: "vm1", Leaving: true}}
 	for name, c := range map[string]struct {
-		lists [][]platform.ListedVM
+		lists [][]store.ListedVM
 		want  bool
 	}{
-		"announced":               {[][]platform.ListedVM{live, leaving}, true},
-		"left over from before":   {[][]platform.ListedVM{leaving, leaving}, false},
-		"left over, then removed": {[][]platform.ListedVM{leaving, live, leaving}, true},
-		"not listed":              {[][]platform.ListedVM{nil, {{ID: "other", Leaving: true}}}, false},
+		"announced":               {[][]store.ListedVM{live, leaving}, true},
+		"left over from before":   {[][]store.ListedVM{leaving, leaving}, false},
+		"left over, then removed": {[][]store.ListedVM{leaving, live, leaving}, true},
+		"not listed":              {[][]store.ListedVM{nil, {{ID: "other", Leaving: true}}}, false},
 	} {
 		var a announcement
 		got := false
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -13,8 +13,8 @@
 	"almondstile/bench/deployment"
 	"almondstile/bench/fleet"
 	"almondstile/contract"
-	"almondstile/platform"
 	"almondstile/standin/platformsim"
+	"almondstile/store"
 	"almondstile/zone"
 )
 
@@ -64,11 +64,11 @@
 func startFleet(t *testing.T) *testFleet {
 	t.Helper()
 	f := newFleet(t)
-	var listed []platform.ListedVM
+	var listed []store.ListedVM
 	for n := range vmCount {
 		v := f.newVM(t, n)
 		f.vms = append(f.vms, v)
-		listed = append(listed, platform.ListedVM{ID: v.id})
+		listed = append(listed, store.ListedVM{ID: v.id})
 	}
 	f.Platform.SetVMs(listed)
 	for _, v := range f.vms {
--- a/membership/discard.go
+++ b/membership/discard.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -37,7 +37,7 @@
 		return ErrNotListed
 	}
 	if len(remove) > maxRemovals {
-		return errors.Wrapf(platform.ErrNotDone, "%d VMs are too many for one transaction", len(remove))
+		return errors.Wrapf(store.ErrNotDone, "%d VMs are too many for one transaction", len(remove))
 	}
 	// The operator's word takes the place of the proof, so the VMs count as
 	// having left.
--- a/membership/fleet.go
+++ b/membership/fleet.go
@@ -7,7 +7,7 @@
 
 	"almondstile/link"
 	"almondstile/logging"
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -27,7 +27,7 @@
 type Config struct {
 	Self    vm.VM
 	Options Options
-	Table   platform.Table
+	Table   store.Table
 	// Caller sends heartbeats to the other VMs.
 	Caller link.Caller
 	Log    logging.Logger
@@ -51,7 +51,7 @@
 type Fleet struct {
 	config Config
 	member *Member
-	store  store
+	store  storeActions
 
 	mu          sync.Mutex // guards the fields below
 	published   uint64
@@ -61,7 +61,7 @@
 
 // NewFleet returns a Fleet that does nothing until Run.
 func NewFleet(c Config) *Fleet {
-	return &Fleet{config: c, member: NewMember(c.Self, c.Options), store: store{c.Table}}
+	return &Fleet{config: c, member: NewMember(c.Self, c.Options), store: storeActions{c.Table}}
 }
 
 // Run joins the fleet and stays in it until the context ends or the VM is gone
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -10,9 +10,9 @@
 
 	"almondstile/link"
 	"almondstile/logging"
-	"almondstile/platform/dynamo"
 	"almondstile/shard"
 	"almondstile/standin/platformsim"
+	"almondstile/store/dynamo"
 	"almondstile/vm"
 
 	"github.com/sourcegraph/conc"
--- a/membership/session.go
+++ b/membership/session.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -82,9 +82,9 @@
 		s.row = a.Session
 		s.row.Version++
 		s.tookEffect(now, a.Sent)
-	case errors.Is(r.Err, platform.ErrNotDone):
+	case errors.Is(r.Err, store.ErrNotDone):
 		s.nextRenew = time.Time{}
-	case errors.Is(r.Err, platform.ErrConditionFailed):
+	case errors.Is(r.Err, store.ErrConditionFailed):
 		s.known = false
 	default:
 		s.known = false
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"almondstile/link"
-	"almondstile/platform"
 	"almondstile/standin/platformsim"
+	"almondstile/store"
 	"almondstile/vm"
 )
 
@@ -153,9 +153,9 @@
 	case AskPeer:
 		return link.ErrNoReply
 	case WriteSession, ChangeRoster:
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	default:
-		return platform.ErrNotDone
+		return store.ErrNotDone
 	}
 }
 
@@ -188,10 +188,10 @@
 		case v.toStore || s.storeDown && s.hang:
 			return
 		case s.storeDown:
-			finish(Result{Err: platform.ErrNotDone})
+			finish(Result{Err: store.ErrNotDone})
 			return
 		}
-		result := store{s.platform.Client(string(self))}.run(context.Background(), self, a)
+		result := storeActions{s.platform.Client(string(self))}.run(context.Background(), self, a)
 		if v.dropAfterWrite && a.Kind == WriteSession {
 			v.dropAfterWrite, v.toStore = false, true
 			return
--- a/membership/store.go
+++ b/membership/store.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strings"
 
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -20,9 +20,9 @@
 	sessionPrefix = "session/"
 )
 
-// store carries out the actions of a Member on the platform's table.
-type store struct {
-	table platform.Table
+// storeActions carries out the actions of a Member on the platform's table.
+type storeActions struct {
+	table store.Table
 }
 
 // sessionValue is the value of a session row. Its names are short because every
@@ -39,7 +39,7 @@
 }
 
 // run carries out an action on the store.
-func (s store) run(ctx context.Context, self vm.ID, a Action) Result {
+func (s storeActions) run(ctx context.Context, self vm.ID, a Action) Result {
 	switch a.Kind {
 	case ReadHead:
 		item, err := s.get(ctx, headKey)
@@ -67,15 +67,15 @@
 }
 
 // get returns an item of version 0 if the row does not exist.
-func (s store) get(ctx context.Context, key string) (platform.Item, error) {
+func (s storeActions) get(ctx context.Context, key string) (store.Item, error) {
 	item, err := s.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Item{}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Item{}, nil
 	}
 	return item, err
 }
 
-func (s store) readRoster(ctx context.Context) (Roster, error) {
+func (s storeActions) readRoster(ctx context.Context) (Roster, error) {
 	item, err := s.get(ctx, listKey)
 	if err != nil || item.Version == 0 {
 		return Roster{}, err
@@ -87,7 +87,7 @@
 	return Roster{List: vm.MemberList{Version: item.Version, VMs: value.VMs}, Steps: value.Steps}, nil
 }
 
-func (s store) readSessions(ctx context.Context) ([]SessionRow, error) {
+func (s storeActions) readSessions(ctx context.Context) ([]SessionRow, error) {
 	items, err := s.table.Query(ctx, sessionPrefix)
 	if err != nil {
 		return nil, err
@@ -101,7 +101,7 @@
 	return rows, nil
 }
 
-func decodeSession(item platform.Item) (SessionRow, error) {
+func decodeSession(item store.Item) (SessionRow, error) {
 	id := vm.ID(strings.TrimPrefix(item.Key, sessionPrefix))
 	var value sessionValue
 	if err := json.Unmarshal(item.Value, &value); err != nil {
@@ -110,31 +110,31 @@
 	return SessionRow{ID: id, Version: item.Version, Nonce: value.Nonce, VM: value.VM}, nil
 }
 
-func (s store) writeSession(ctx context.Context, row SessionRow) error {
+func (s storeActions) writeSession(ctx context.Context, row SessionRow) error {
 	value, err := json.Marshal(sessionValue{Nonce: row.Nonce, VM: row.VM})
 	if err != nil {
-		return errors.Mark(err, platform.ErrNotDone)
+		return errors.Mark(err, store.ErrNotDone)
 	}
-	return s.table.Transact(ctx, []platform.Write{{
-		Kind: platform.Put, Key: sessionPrefix + string(row.ID), Value: value, Condition: unchanged(row.Version),
+	return s.table.Transact(ctx, []store.Write{{
+		Kind: store.Put, Key: sessionPrefix + string(row.ID), Value: value, Condition: unchanged(row.Version),
 	}})
 }
 
-func (s store) changeRoster(ctx context.Context, c RosterChange) error {
-	var writes []platform.Write
+func (s storeActions) changeRoster(ctx context.Context, c RosterChange) error {
+	var writes []store.Write
 	if c.Next.List.Version != c.Base {
 		value, err := json.Marshal(rosterValue{VMs: c.Next.List.VMs, Steps: c.Next.Steps})
 		if err != nil {
-			return errors.Mark(err, platform.ErrNotDone)
+			return errors.Mark(err, store.ErrNotDone)
 		}
 		writes = append(writes,
-			platform.Write{Kind: platform.Put, Key: listKey, Value: value, Condition: unchanged(c.Base)},
-			platform.Write{Kind: platform.Put, Key: headKey, Condition: unchanged(c.Base)})
+			store.Write{Kind: store.Put, Key: listKey, Value: value, Condition: unchanged(c.Base)},
+			store.Write{Kind: store.Put, Key: headKey, Condition: unchanged(c.Base)})
 	}
 	for _, row := range c.Sessions {
-		write := platform.Write{Kind: platform.Delete, Key: sessionPrefix + string(row.ID), Condition: unchanged(row.Version)}
+		write := store.Write{Kind: store.Delete, Key: sessionPrefix + string(row.ID), Condition: unchanged(row.Version)}
 		if row.Version == 0 {
-			write.Kind = platform.Check
+			write.Kind = store.Check
 		}
 		writes = append(writes, write)
 	}
@@ -142,9 +142,9 @@
 }
 
 // unchanged requires that the row has the version, 0 meaning that it is absent.
-func unchanged(version uint64) platform.Condition {
+func unchanged(version uint64) store.Condition {
 	if version == 0 {
-		return platform.Condition{Kind: platform.Absent}
+		return store.Condition{Kind: store.Absent}
 	}
-	return platform.Condition{Kind: platform.VersionIs, Version: version}
+	return store.Condition{Kind: store.VersionIs, Version: version}
 }
--- a/operator/discard.go
+++ b/operator/discard.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"almondstile/membership"
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
@@ -115,9 +115,9 @@
 	switch {
 	case errors.Is(err, membership.ErrNotListed):
 		return failure(fiber.StatusNotFound, CodeNotFound, "none of the VMs is in the member list any more")
-	case errors.Is(err, platform.ErrConditionFailed):
+	case errors.Is(err, store.ErrConditionFailed):
 		return failure(fiber.StatusConflict, CodeBaseChanged, "the member list changed at the same moment; look at it again")
-	case errors.Is(err, platform.ErrNotDone):
+	case errors.Is(err, store.ErrNotDone):
 		return failure(fiber.StatusServiceUnavailable, CodeUnavailable, "the store is unavailable; nothing was changed")
 	}
 	return failure(fiber.StatusGatewayTimeout, CodeOutcomeUnknown, "the VMs may have been discarded; ask again, which is safe")
--- a/operator/discard_test.go
+++ b/operator/discard_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"almondstile/membership"
-	"almondstile/platform"
+	"almondstile/store"
 	"almondstile/vm"
 
 	"github.com/rcrowley/go-metrics"
@@ -53,8 +53,8 @@
 		{operatorToken, both + `,"confirm":true}`, nil, 409, CodeBaseChanged, "", false},
 		{operatorToken, both + `,"confirm":true,"base":6}`, nil, 409, CodeBaseChanged, `"current":7`, false},
 		{operatorToken, both + `,"confirm":true,"base":7}`, nil, 200, "", `"done":true`, true},
-		{operatorToken, both + `,"confirm":true,"base":7}`, platform.ErrUnknownOutcome, 504, CodeOutcomeUnknown, "", true},
-		{operatorToken, both + `,"confirm":true,"base":7}`, platform.ErrNotDone, 503, CodeUnavailable, "", true},
+		{operatorToken, both + `,"confirm":true,"base":7}`, store.ErrUnknownOutcome, 504, CodeOutcomeUnknown, "", true},
+		{operatorToken, both + `,"confirm":true,"base":7}`, store.ErrNotDone, 503, CodeUnavailable, "", true},
 		{operatorToken, both + `,"confirm":true,"base":7}`, membership.ErrNotListed, 404, CodeNotFound, "", true},
 		{operatorToken, `{"vms":["vm-1"],"confirm":true,"base":7}`, nil, 422, CodeRefused, "vm-1 runs", false},
 		{operatorToken, `{"vms":["vm-2"],"confirm":true,"base":7}`, nil, 422, CodeRefused, "vm-2 runs", false},
--- a/settings/load.go
+++ b/settings/load.go
@@ -202,3 +202,19 @@
 	}
 	return Secret(strings.TrimSpace(string(data)))
 }
+
+// FaultsError reports all faults of a settings file, each on a line of its own.
+// It is one error and not a chain of joined ones, because printing such a chain
+// takes time that grows exponentially with its length.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error implements error.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- a/standin/platformsim/clients_test.go
+++ b/standin/platformsim/clients_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"almondstile/platform"
-	"almondstile/platform/dynamo"
-	"almondstile/platform/s3"
-	"almondstile/platform/vmlist"
 	"almondstile/standin/platformsim"
+	"almondstile/store"
+	"almondstile/store/dynamo"
+	"almondstile/store/s3"
+	"almondstile/store/vmlist"
 
 	"github.com/cockroachdb/errors"
 )
@@ -30,7 +30,7 @@
 
 // onBoth runs a test on the in-process client and on the DynamoDB client, so
 // that a difference between the two cannot hide in tests that use only one.
-func onBoth(t *testing.T, test func(t *testing.T, p *platformsim.Platform, table platform.Table)) {
+func onBoth(t *testing.T, test func(t *testing.T, p *platformsim.Platform, table store.Table)) {
 	t.Run("in-process", func(t *testing.T) {
 		p := platformsim.New()
 		test(t, p, p.Client(client))
@@ -43,44 +43,44 @@
 	})
 }
 
-func put(key string, c platform.Condition) platform.Write {
-	return platform.Write{Kind: platform.Put, Key: key, Value: []byte("value of " + key), Condition: c}
+func put(key string, c store.Condition) store.Write {
+	return store.Write{Kind: store.Put, Key: key, Value: []byte("value of " + key), Condition: c}
 }
 
-func versionIs(n uint64) platform.Condition {
-	return platform.Condition{Kind: platform.VersionIs, Version: n}
+func versionIs(n uint64) store.Condition {
+	return store.Condition{Kind: store.VersionIs, Version: n}
 }
 
-var absent = platform.Condition{Kind: platform.Absent}
+var absent = store.Condition{Kind: store.Absent}
 
 // Guards against a condition that is not tested, versions that do not grow by
 // one, and a transaction that applies some of its writes.
 func TestConditionsAndVersions(t *testing.T) {
-	onBoth(t, func(t *testing.T, _ *platformsim.Platform, table platform.Table) {
+	onBoth(t, func(t *testing.T, _ *platformsim.Platform, table store.Table) {
 		ctx := context.Background()
 		steps := []struct {
-			writes  []platform.Write
+			writes  []store.Write
 			want    error
 			version uint64 // of row "members" afterwards, 0 if absent
 		}{
-			{[]platform.Write{put("members", versionIs(1))}, platform.ErrConditionFailed, 0},
-			{[]platform.Write{put("members", absent)}, nil, 1},
-			{[]platform.Write{put("members", absent)}, platform.ErrConditionFailed, 1},
-			{[]platform.Write{put("members", platform.Condition{})}, nil, 2},
-			{[]platform.Write{put("members", versionIs(2)), put("session/a", versionIs(1))}, platform.ErrConditionFailed, 2},
-			{[]platform.Write{{Kind: platform.Check, Key: "session/a", Condition: absent}, put("members", versionIs(2))}, nil, 3},
-			{[]platform.Write{{Kind: platform.Check, Key: "members", Condition: versionIs(2)}, put("session/a", absent)}, platform.ErrConditionFailed, 3},
-			{[]platform.Write{{Kind: platform.Delete, Key: "members", Condition: versionIs(2)}}, platform.ErrConditionFailed, 3},
-			{[]platform.Write{{Kind: platform.Delete, Key: "members", Condition: versionIs(3)}}, nil, 0},
-			{[]platform.Write{put("members", platform.Condition{})}, nil, 1},
-			{[]platform.Write{put("members", platform.Condition{}), put("members", platform.Condition{})}, platform.ErrNotDone, 1},
+			{[]store.Write{put("members", versionIs(1))}, store.ErrConditionFailed, 0},
+			{[]store.Write{put("members", absent)}, nil, 1},
+			{[]store.Write{put("members", absent)}, store.ErrConditionFailed, 1},
+			{[]store.Write{put("members", store.Condition{})}, nil, 2},
+			{[]store.Write{put("members", versionIs(2)), put("session/a", versionIs(1))}, store.ErrConditionFailed, 2},
+			{[]store.Write{{Kind: store.Check, Key: "session/a", Condition: absent}, put("members", versionIs(2))}, nil, 3},
+			{[]store.Write{{Kind: store.Check, Key: "members", Condition: versionIs(2)}, put("session/a", absent)}, store.ErrConditionFailed, 3},
+			{[]store.Write{{Kind: store.Delete, Key: "members", Condition: versionIs(2)}}, store.ErrConditionFailed, 3},
+			{[]store.Write{{Kind: store.Delete, Key: "members", Condition: versionIs(3)}}, nil, 0},
+			{[]store.Write{put("members", store.Condition{})}, nil, 1},
+			{[]store.Write{put("members", store.Condition{}), put("members", store.Condition{})}, store.ErrNotDone, 1},
 		}
 		for i, step := range steps {
 			if err := table.Transact(ctx, step.writes); !errors.Is(err, step.want) {
 				t.Fatalf("step %d: %v, want %v", i, err, step.want)
 			}
 			item, err := table.Get(ctx, "members")
-			if step.version == 0 && !errors.Is(err, platform.ErrNotFound) || item.Version != step.version {
+			if step.version == 0 && !errors.Is(err, store.ErrNotFound) || item.Version != step.version {
 				t.Fatalf("step %d: version %d, %v, want %d", i, item.Version, err, step.version)
 			}
 		}
@@ -90,19 +90,19 @@
 // Guards against a Query that stops at the first page, mixes partitions or
 // loses the order, and against a wrong limit of a transaction.
 func TestQueryPagesAndTransactionLimit(t *testing.T) {
-	onBoth(t, func(t *testing.T, _ *platformsim.Platform, table platform.Table) {
+	onBoth(t, func(t *testing.T, _ *platformsim.Platform, table store.Table) {
 		ctx := context.Background()
-		var writes []platform.Write
+		var writes []store.Write
 		for i := 0; i < 101; i++ {
 			writes = append(writes, put(fmt.Sprintf("session/vm%03d", i), absent))
 		}
-		if err := table.Transact(ctx, writes); !errors.Is(err, platform.ErrNotDone) {
+		if err := table.Transact(ctx, writes); !errors.Is(err, store.ErrNotDone) {
 			t.Fatalf("101 writes: %v", err)
 		}
 		if err := table.Transact(ctx, writes[:100]); err != nil {
 			t.Fatal(err)
 		}
-		if err := table.Transact(ctx, []platform.Write{put("session", absent), writes[100]}); err != nil {
+		if err := table.Transact(ctx, []store.Write{put("session", absent), writes[100]}); err != nil {
 			t.Fatal(err)
 		}
 		items, err := table.Query(ctx, "session/")
@@ -120,36 +120,36 @@
 // Guards against an error class that promises more than is known: a write whose
 // response is lost or late must be unknown although it took effect.
 func TestFaultsMapToErrorClasses(t *testing.T) {
-	onBoth(t, func(t *testing.T, p *platformsim.Platform, table platform.Table) {
+	onBoth(t, func(t *testing.T, p *platformsim.Platform, table store.Table) {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		p.SetClientFaults(client, platformsim.Faults{LoseResponses: true})
-		if err := table.Transact(ctx, []platform.Write{put("lost", absent)}); !errors.Is(err, platform.ErrUnknownOutcome) {
+		if err := table.Transact(ctx, []store.Write{put("lost", absent)}); !errors.Is(err, store.ErrUnknownOutcome) {
 			t.Fatalf("lost response: %v", err)
 		}
-		if err := table.Transact(ctx, []platform.Write{put("lost", absent)}); !errors.Is(err, platform.ErrUnknownOutcome) ||
-			errors.Is(err, platform.ErrConditionFailed) {
+		if err := table.Transact(ctx, []store.Write{put("lost", absent)}); !errors.Is(err, store.ErrUnknownOutcome) ||
+			errors.Is(err, store.ErrConditionFailed) {
 			t.Fatalf("lost response of a failed condition: %v", err)
 		}
 		p.SetClientFaults(client, platformsim.Faults{DelayMillis: 600})
 		short, stop := context.WithTimeout(ctx, 150*time.Millisecond)
 		defer stop()
-		if err := table.Transact(short, []platform.Write{put("late", absent)}); !errors.Is(err, platform.ErrUnknownOutcome) {
+		if err := table.Transact(short, []store.Write{put("late", absent)}); !errors.Is(err, store.ErrUnknownOutcome) {
 			t.Fatalf("late response: %v", err)
 		}
-		if _, err := table.Get(short, "lost"); !errors.Is(err, platform.ErrNotDone) {
+		if _, err := table.Get(short, "lost"); !errors.Is(err, store.ErrNotDone) {
 			t.Fatalf("read without time left: %v", err)
 		}
 		p.SetClientFaults(client, platformsim.Faults{Unavailable: true})
-		if err := table.Transact(ctx, []platform.Write{put("never", absent)}); err == nil || errors.Is(err, platform.ErrConditionFailed) {
+		if err := table.Transact(ctx, []store.Write{put("never", absent)}); err == nil || errors.Is(err, store.ErrConditionFailed) {
 			t.Fatalf("unavailable: %v", err)
 		}
 		p.SetClientFaults(client, platformsim.Faults{})
 		p.SetFaults(platformsim.Faults{WritesPerSecond: 2, ReadsPerSecond: 1000})
 		var refused int
 		for i := 0; i < 5; i++ {
-			err := table.Transact(ctx, []platform.Write{put(fmt.Sprintf("throttled/%d", i), absent)})
-			if err != nil && !errors.Is(err, platform.ErrNotDone) {
+			err := table.Transact(ctx, []store.Write{put(fmt.Sprintf("throttled/%d", i), absent)})
+			if err != nil && !errors.Is(err, store.ErrNotDone) {
 				t.Fatalf("throttled: %v", err)
 			}
 			if err != nil {
@@ -165,14 +165,14 @@
 		if _, err := table.Get(ctx, "lost"); err != nil {
 			t.Fatalf("write with a lost response: %v", err)
 		}
-		if _, err := table.Get(ctx, "never"); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := table.Get(ctx, "never"); !errors.Is(err, store.ErrNotFound) {
 			t.Fatalf("write to an unavailable platform: %v", err)
 		}
 	})
 }
 
 // waitFor polls until a delayed write has taken effect.
-func waitFor(t *testing.T, ctx context.Context, table platform.Table, key string) {
+func waitFor(t *testing.T, ctx context.Context, table store.Table, key string) {
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
 	for {
@@ -199,10 +199,10 @@
 	ctx := context.Background()
 	objects := s3.New(s3.Options{Endpoint: url, Region: "local", Bucket: "b", AccessKey: client, SecretKey: "s"})
 	for name, err := range map[string]error{
-		"transact": tableAt(url).Transact(ctx, []platform.Write{put("a", absent)}),
+		"transact": tableAt(url).Transact(ctx, []store.Write{put("a", absent)}),
 		"put":      objects.Put(ctx, "a", nil),
 	} {
-		if !errors.Is(err, platform.ErrNotDone) || errors.Is(err, platform.ErrUnknownOutcome) {
+		if !errors.Is(err, store.ErrNotDone) || errors.Is(err, store.ErrUnknownOutcome) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -214,31 +214,31 @@
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
 	ctx := context.Background()
-	store := s3.New(s3.Options{
+	objects := s3.New(s3.Options{
 		Endpoint: server.URL, Region: "local", Bucket: "snapshots", AccessKey: client, SecretKey: "s", MaxObjectBytes: 1 << 20,
 	})
 	data := bytes.Repeat([]byte("0123456789"), 50_000)
-	if err := store.Put(ctx, "config/20", data); err != nil {
+	if err := objects.Put(ctx, "config/20", data); err != nil {
 		t.Fatal(err)
 	}
-	if got, err := store.Get(ctx, "config/20"); err != nil || !bytes.Equal(got, data) {
+	if got, err := objects.Get(ctx, "config/20"); err != nil || !bytes.Equal(got, data) {
 		t.Fatalf("%d bytes, %v", len(got), err)
 	}
-	if _, err := store.Get(ctx, "config/40"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := objects.Get(ctx, "config/40"); !errors.Is(err, store.ErrNotFound) {
 		t.Fatalf("missing object: %v", err)
 	}
 	p.SetClientFaults(client, platformsim.Faults{LoseResponses: true})
-	if err := store.Put(ctx, "lost", data); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if err := objects.Put(ctx, "lost", data); !errors.Is(err, store.ErrUnknownOutcome) {
 		t.Fatalf("lost response: %v", err)
 	}
 	p.SetFaults(platformsim.Faults{WritesPerSecond: 1})
 	p.SetClientFaults(client, platformsim.Faults{})
-	_ = store.Put(ctx, "a", nil)
-	if err := store.Put(ctx, "b", nil); !errors.Is(err, platform.ErrNotDone) {
+	_ = objects.Put(ctx, "a", nil)
+	if err := objects.Put(ctx, "b", nil); !errors.Is(err, store.ErrNotDone) {
 		t.Fatalf("throttled: %v", err)
 	}
 	p.SetFaults(platformsim.Faults{Unavailable: true})
-	if _, err := store.Get(ctx, "lost"); !errors.Is(err, platform.ErrNotDone) {
+	if _, err := objects.Get(ctx, "lost"); !errors.Is(err, store.ErrNotDone) {
 		t.Fatalf("unavailable: %v", err)
 	}
 }
@@ -252,14 +252,14 @@
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
 	list := vmlist.New(vmlist.Options{URL: server.URL + platformsim.VMListPath})
-	p.SetVMs([]platform.ListedVM{{ID: "a"}})
+	p.SetVMs([]store.ListedVM{{ID: "a"}})
 	now = now.Add(10 * time.Second)
-	p.SetVMs([]platform.ListedVM{{ID: "a", Leaving: true}})
+	p.SetVMs([]store.ListedVM{{ID: "a", Leaving: true}})
 	for _, step := range []struct {
 		faults  string
 		leaving bool
 		err     error
-	}{{`{}`, true, nil}, {`{"list_lag_ms":5000}`, false, nil}, {`{"unavailable":true}`, false, platform.ErrNotDone}} {
+	}{{`{}`, true, nil}, {`{"list_lag_ms":5000}`, false, nil}, {`{"unavailable":true}`, false, store.ErrNotDone}} {
 		request := httptest.NewRequest("PUT", platformsim.FaultsPath, strings.NewReader(step.faults))
 		p.Handler().ServeHTTP(httptest.NewRecorder(), request)
 		vms, err := list.List(context.Background())
--- a/standin/platformsim/dynamo.go
+++ b/standin/platformsim/dynamo.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -47,7 +47,7 @@
 	return *p + "/" + *s, nil
 }
 
-func attributesOf(item platform.Item) attributes {
+func attributesOf(item store.Item) attributes {
 	partition, sort, found := strings.Cut(item.Key, "/")
 	if !found {
 		sort = soleSortKey
--- a/standin/platformsim/dynamo_ops.go
+++ b/standin/platformsim/dynamo_ops.go
@@ -6,7 +6,7 @@
 	"regexp"
 	"strconv"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -30,7 +30,7 @@
 		return nil, err
 	}
 	item, err := c.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return getItemOutput{}, nil
 	}
 	if err != nil {
@@ -80,7 +80,7 @@
 }
 
 // page returns the items after the key of the last page, up to the page size.
-func page(found []platform.Item, after string, limit int) queryOutput {
+func page(found []store.Item, after string, limit int) queryOutput {
 	size := queryPageItems
 	if limit > 0 {
 		size = min(size, limit)
@@ -125,7 +125,7 @@
 	if err := json.Unmarshal(body, &in); err != nil {
 		return nil, errors.Wrap(errInvalid, err.Error())
 	}
-	writes := make([]platform.Write, len(in.TransactItems))
+	writes := make([]store.Write, len(in.TransactItems))
 	for i, item := range in.TransactItems {
 		write, err := item.write()
 		if err != nil {
@@ -134,22 +134,22 @@
 		writes[i] = write
 	}
 	failed, err := c.transact(ctx, writes)
-	if errors.Is(err, platform.ErrConditionFailed) {
+	if errors.Is(err, store.ErrConditionFailed) {
 		return nil, canceledError{err, failed}
 	}
 	return struct{}{}, err
 }
 
-func (t transactItem) write() (platform.Write, error) {
+func (t transactItem) write() (store.Write, error) {
 	switch {
 	case t.Update != nil:
 		return t.Update.put()
 	case t.Delete != nil:
-		return t.Delete.with(platform.Delete)
+		return t.Delete.with(store.Delete)
 	case t.ConditionCheck != nil && t.ConditionCheck.ConditionExpression != "":
-		return t.ConditionCheck.with(platform.Check)
+		return t.ConditionCheck.with(store.Check)
 	default:
-		return platform.Write{}, errors.Wrap(errInvalid, "the operation of a transaction item is not supported")
+		return store.Write{}, errors.Wrap(errInvalid, "the operation of a transaction item is not supported")
 	}
 }
 
@@ -158,15 +158,15 @@
 var putExpression = regexp.MustCompile(
 	`^\s*SET\s+` + valueAttribute + `\s*=\s*(:\w+)\s+ADD\s+` + versionAttribute + `\s+(:\w+)\s*$`)
 
-func (o *transactOperation) put() (platform.Write, error) {
+func (o *transactOperation) put() (store.Write, error) {
 	match := putExpression.FindStringSubmatch(o.UpdateExpression)
 	if match == nil {
-		return platform.Write{}, errors.Wrapf(errInvalid, "update %q is not supported", o.UpdateExpression)
+		return store.Write{}, errors.Wrapf(errInvalid, "update %q is not supported", o.UpdateExpression)
 	}
 	if step := o.ExpressionAttributeValues[match[2]].N; step == nil || *step != "1" {
-		return platform.Write{}, errors.Wrap(errInvalid, "the version must grow by one")
+		return store.Write{}, errors.Wrap(errInvalid, "the version must grow by one")
 	}
-	write, err := o.with(platform.Put)
+	write, err := o.with(store.Put)
 	write.Value = o.ExpressionAttributeValues[match[1]].B
 	return write, err
 }
@@ -176,14 +176,14 @@
 	versionCondition = regexp.MustCompile(`^\s*` + versionAttribute + `\s*=\s*(:\w+)\s*$`)
 )
 
-func (o *transactOperation) with(kind platform.WriteKind) (platform.Write, error) {
+func (o *transactOperation) with(kind store.WriteKind) (store.Write, error) {
 	key, err := o.Key.key()
-	write := platform.Write{Kind: kind, Key: key}
+	write := store.Write{Kind: kind, Key: key}
 	if err != nil || o.ConditionExpression == "" {
 		return write, err
 	}
 	if absentCondition.MatchString(o.ConditionExpression) {
-		write.Condition.Kind = platform.Absent
+		write.Condition.Kind = store.Absent
 		return write, nil
 	}
 	match := versionCondition.FindStringSubmatch(o.ConditionExpression)
@@ -194,6 +194,6 @@
 	if err != nil {
 		return write, errors.Wrap(errInvalid, err.Error())
 	}
-	write.Condition = platform.Condition{Kind: platform.VersionIs, Version: version}
+	write.Condition = store.Condition{Kind: store.VersionIs, Version: version}
 	return write, nil
 }
--- a/standin/platformsim/faults.go
+++ b/standin/platformsim/faults.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -30,12 +30,12 @@
 	ListLagMillis int `json:"list_lag_ms,omitempty"`
 }
 
-// Errors that refine platform.ErrNotDone, for the HTTP front end.
+// Errors that refine store.ErrNotDone, for the HTTP front end.
 var (
-	errUnavailable = errors.Wrap(platform.ErrNotDone, "platform stand-in is set to unavailable")
-	errThrottled   = errors.Wrap(platform.ErrNotDone, "platform stand-in throttled the call")
-	errInvalid     = errors.Wrap(platform.ErrNotDone, "invalid call")
-	errLost        = errors.Wrap(platform.ErrUnknownOutcome, "platform stand-in dropped the response")
+	errUnavailable = errors.Wrap(store.ErrNotDone, "platform stand-in is set to unavailable")
+	errThrottled   = errors.Wrap(store.ErrNotDone, "platform stand-in throttled the call")
+	errInvalid     = errors.Wrap(store.ErrNotDone, "invalid call")
+	errLost        = errors.Wrap(store.ErrUnknownOutcome, "platform stand-in dropped the response")
 )
 
 // meter is a token bucket that holds one second's worth of calls.
--- a/standin/platformsim/platformsim.go
+++ b/standin/platformsim/platformsim.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"almondstile/platform"
 	"almondstile/shard"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -67,7 +67,7 @@
 }
 
 // SetVMs replaces the platform's VM list.
-func (p *Platform) SetVMs(vms []platform.ListedVM) { p.vms.set(p.now(), vms) }
+func (p *Platform) SetVMs(vms []store.ListedVM) { p.vms.set(p.now(), vms) }
 
 // Client returns the platform as one client sees it.
 func (p *Platform) Client(id string) *Client { return &Client{platform: p, id: id} }
@@ -93,7 +93,7 @@
 	return f
 }
 
-// Client implements platform.Table, platform.ObjectStore and platform.VMList
+// Client implements store.Table, store.ObjectStore and store.VMList
 // in-process.
 type Client struct {
 	platform *Platform
@@ -105,7 +105,7 @@
 	p := c.platform
 	f := p.faultsFor(c.id)
 	if err := f.wait(ctx); err != nil {
-		return errors.Wrap(platform.ErrNotDone, err.Error())
+		return errors.Wrap(store.ErrNotDone, err.Error())
 	}
 	if f.Unavailable {
 		return errUnavailable
@@ -132,7 +132,7 @@
 	err := apply()
 	switch {
 	case gaveUp != nil:
-		return errors.Wrap(platform.ErrUnknownOutcome, gaveUp.Error())
+		return errors.Wrap(store.ErrUnknownOutcome, gaveUp.Error())
 	case f.LoseResponses:
 		return errLost
 	default:
@@ -140,11 +140,11 @@
 	}
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Item, error) {
+// Get implements store.Table.
+func (c *Client) Get(ctx context.Context, key string) (store.Item, error) {
 	c.platform.readCount.Add(1)
 	if err := c.beforeRead(ctx); err != nil {
-		return platform.Item{}, err
+		return store.Item{}, err
 	}
 	item, err := c.platform.rows.get(key)
 	if err == nil {
@@ -153,8 +153,8 @@
 	return item, err
 }
 
-// Query implements platform.Table.
-func (c *Client) Query(ctx context.Context, prefix string) ([]platform.Item, error) {
+// Query implements store.Table.
+func (c *Client) Query(ctx context.Context, prefix string) ([]store.Item, error) {
 	c.platform.readCount.Add(1)
 	if err := c.beforeRead(ctx); err != nil {
 		return nil, err
@@ -164,13 +164,13 @@
 	return found, nil
 }
 
-// Transact implements platform.Table.
-func (c *Client) Transact(ctx context.Context, writes []platform.Write) error {
+// Transact implements store.Table.
+func (c *Client) Transact(ctx context.Context, writes []store.Write) error {
 	_, err := c.transact(ctx, writes)
 	return err
 }
 
-func (c *Client) transact(ctx context.Context, writes []platform.Write) (failed []bool, err error) {
+func (c *Client) transact(ctx context.Context, writes []store.Write) (failed []bool, err error) {
 	if err := validate(writes); err != nil {
 		return nil, err
 	}
@@ -186,10 +186,10 @@
 // Objects returns the client's view of the object store.
 func (c *Client) Objects() *ObjectClient { return &ObjectClient{client: c} }
 
-// ObjectClient implements platform.ObjectStore.
+// ObjectClient implements store.ObjectStore.
 type ObjectClient struct{ client *Client }
 
-// Put implements platform.ObjectStore.
+// Put implements store.ObjectStore.
 func (o *ObjectClient) Put(ctx context.Context, name string, data []byte) error {
 	o.client.platform.objectWrites.Add(1)
 	return o.client.write(ctx, 1, func() error {
@@ -198,7 +198,7 @@
 	})
 }
 
-// Get implements platform.ObjectStore.
+// Get implements store.ObjectStore.
 func (o *ObjectClient) Get(ctx context.Context, name string) ([]byte, error) {
 	o.client.platform.objectReads.Add(1)
 	if err := o.client.beforeRead(ctx); err != nil {
@@ -206,13 +206,13 @@
 	}
 	data, ok := o.client.platform.objects.Load(name)
 	if !ok {
-		return nil, errors.Wrapf(platform.ErrNotFound, "object %q", name)
+		return nil, errors.Wrapf(store.ErrNotFound, "object %q", name)
 	}
 	return slices.Clone(data), nil
 }
 
-// List implements platform.VMList.
-func (c *Client) List(ctx context.Context) ([]platform.ListedVM, error) {
+// List implements store.VMList.
+func (c *Client) List(ctx context.Context) ([]store.ListedVM, error) {
 	f := c.platform.faultsFor(c.id)
 	if err := c.beforeRead(ctx); err != nil {
 		return nil, err
@@ -229,13 +229,13 @@
 
 type vmState struct {
 	since time.Time
-	vms   []platform.ListedVM
+	vms   []store.ListedVM
 }
 
 // maxVMStates bounds the memory of a long run.
 const maxVMStates = 1000
 
-func (h *vmHistory) set(now time.Time, vms []platform.ListedVM) {
+func (h *vmHistory) set(now time.Time, vms []store.ListedVM) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.states) == maxVMStates {
@@ -244,7 +244,7 @@
 	h.states = append(h.states, vmState{now, slices.Clone(vms)})
 }
 
-func (h *vmHistory) at(moment time.Time) []platform.ListedVM {
+func (h *vmHistory) at(moment time.Time) []store.ListedVM {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := len(h.states) - 1; i >= 0; i-- {
--- a/standin/platformsim/rows.go
+++ b/standin/platformsim/rows.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -20,7 +20,7 @@
 
 type rowShard struct {
 	mu    sync.Mutex
-	items map[string]platform.Item
+	items map[string]store.Item
 }
 
 func partitionOf(key string) string {
@@ -32,34 +32,34 @@
 	return int(xxhash.Sum64String(partitionOf(key)) % rowShardCount)
 }
 
-func (r *rows) get(key string) (platform.Item, error) {
+func (r *rows) get(key string) (store.Item, error) {
 	s := &r.shards[shardIndex(key)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	item, ok := s.items[key]
 	if !ok {
-		return platform.Item{}, errors.Wrapf(platform.ErrNotFound, "row %q", key)
+		return store.Item{}, errors.Wrapf(store.ErrNotFound, "row %q", key)
 	}
 	return item, nil
 }
 
-func (r *rows) query(prefix string) []platform.Item {
+func (r *rows) query(prefix string) []store.Item {
 	s := &r.shards[shardIndex(prefix)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []platform.Item
+	var found []store.Item
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, item)
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(found, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
 	return found
 }
 
 // lock locks the shards of all writes in ascending order, which excludes a
 // deadlock between two transactions, and returns the function that unlocks.
-func (r *rows) lock(writes []platform.Write) (unlock func()) {
+func (r *rows) lock(writes []store.Write) (unlock func()) {
 	var touched [rowShardCount]bool
 	for i := range writes {
 		touched[shardIndex(writes[i].Key)] = true
@@ -80,14 +80,14 @@
 
 // transact applies all writes or none. failed has one entry for each write and
 // says whether its condition failed.
-func (r *rows) transact(writes []platform.Write) (failed []bool, err error) {
+func (r *rows) transact(writes []store.Write) (failed []bool, err error) {
 	defer r.lock(writes)()
 	failed = make([]bool, len(writes))
 	for i, w := range writes {
 		item, exists := r.shards[shardIndex(w.Key)].items[w.Key]
 		if !holds(w.Condition, item, exists) {
 			failed[i] = true
-			err = errors.Wrapf(platform.ErrConditionFailed, "row %q", w.Key)
+			err = errors.Wrapf(store.ErrConditionFailed, "row %q", w.Key)
 		}
 	}
 	if err != nil {
@@ -99,32 +99,32 @@
 	return failed, nil
 }
 
-func holds(c platform.Condition, item platform.Item, exists bool) bool {
+func holds(c store.Condition, item store.Item, exists bool) bool {
 	switch c.Kind {
-	case platform.Absent:
+	case store.Absent:
 		return !exists
-	case platform.VersionIs:
+	case store.VersionIs:
 		return exists && item.Version == c.Version
 	default:
 		return true
 	}
 }
 
-func (s *rowShard) apply(w platform.Write) {
+func (s *rowShard) apply(w store.Write) {
 	switch w.Kind {
-	case platform.Delete:
+	case store.Delete:
 		delete(s.items, w.Key)
-	case platform.Put:
+	case store.Put:
 		if s.items == nil {
-			s.items = make(map[string]platform.Item)
+			s.items = make(map[string]store.Item)
 		}
 		version := s.items[w.Key].Version + 1
-		s.items[w.Key] = platform.Item{Key: w.Key, Version: version, Value: slices.Clone(w.Value)}
+		s.items[w.Key] = store.Item{Key: w.Key, Version: version, Value: slices.Clone(w.Value)}
 	}
 }
 
-func validate(writes []platform.Write) error {
-	if len(writes) == 0 || len(writes) > platform.MaxTransactionWrites {
+func validate(writes []store.Write) error {
+	if len(writes) == 0 || len(writes) > store.MaxTransactionWrites {
 		return errors.Wrapf(errInvalid, "a transaction of %d writes", len(writes))
 	}
 	seen := make(map[string]bool, len(writes))
--- a/standin/platformsim/s3.go
+++ b/standin/platformsim/s3.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -48,7 +48,7 @@
 func failS3(w http.ResponseWriter, err error) {
 	switch {
 	case dropIfLost(w, err):
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		writeS3Error(w, http.StatusNotFound, "NoSuchKey", err)
 	case errors.Is(err, errThrottled):
 		writeS3Error(w, http.StatusServiceUnavailable, "SlowDown", err)
--- a/standin/platformsim/server.go
+++ b/standin/platformsim/server.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strings"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -14,7 +14,7 @@
 // Paths of the stand-in's own endpoints. All other paths belong to the DynamoDB
 // and S3 protocols; S3 bucket names cannot start with an underscore.
 const (
-	// VMListPath serves the VM list as a JSON array of platform.ListedVM; PUT
+	// VMListPath serves the VM list as a JSON array of store.ListedVM; PUT
 	// replaces it.
 	VMListPath = "/_vms"
 	// FaultsPath takes Faults by PUT; ?client=<access key> limits them to one client.
@@ -32,7 +32,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+VMListPath, p.serveVMList)
 	mux.HandleFunc("PUT "+VMListPath, func(w http.ResponseWriter, r *http.Request) {
-		var vms []platform.ListedVM
+		var vms []store.ListedVM
 		if decode(w, r, &vms) {
 			p.SetVMs(vms)
 		}
@@ -71,7 +71,7 @@
 		return
 	}
 	if vms == nil {
-		vms = []platform.ListedVM{}
+		vms = []store.ListedVM{}
 	}
 	encode(w, vms)
 }
@@ -79,7 +79,7 @@
 // dropIfLost closes the connection without a response if the call's response
 // is to be lost.
 func dropIfLost(w http.ResponseWriter, err error) bool {
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
+	if !errors.Is(err, store.ErrUnknownOutcome) {
 		return false
 	}
 	if hijacker, ok := w.(http.Hijacker); ok {
--- a/platform/dynamo/doc.go
+++ b/store/dynamo/doc.go
@@ -1,4 +1,4 @@
-// Package dynamo implements platform.Table on a service that speaks the
+// Package dynamo implements store.Table on a service that speaks the
 // DynamoDB protocol.
 //
 // The table has the string partition key "p" (first segment of the platform
--- a/platform/dynamo/table.go
+++ b/store/dynamo/table.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
@@ -32,10 +32,10 @@
 	if !found {
 		sort = soleSortKey
 	} else if sort == "" || sort == soleSortKey {
-		return nil, errors.Wrapf(platform.ErrNotDone, "invalid key %q", key)
+		return nil, errors.Wrapf(store.ErrNotDone, "invalid key %q", key)
 	}
 	if partition == "" {
-		return nil, errors.Wrapf(platform.ErrNotDone, "invalid key %q", key)
+		return nil, errors.Wrapf(store.ErrNotDone, "invalid key %q", key)
 	}
 	return attributes{
 		partitionAttribute: &types.AttributeValueMemberS{Value: partition},
@@ -43,11 +43,11 @@
 	}, nil
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Item, error) {
+// Get implements store.Table.
+func (t *Table) Get(ctx context.Context, key string) (store.Item, error) {
 	primary, err := primaryKey(key)
 	if err != nil {
-		return platform.Item{}, err
+		return store.Item{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.callTimeout)
 	defer cancel()
@@ -55,19 +55,19 @@
 		TableName: &t.name, Key: primary, ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return platform.Item{}, platform.ClassifyRead(errors.Wrapf(err, "reading row %q", key))
+		return store.Item{}, store.ClassifyRead(errors.Wrapf(err, "reading row %q", key))
 	}
 	if len(out.Item) == 0 {
-		return platform.Item{}, errors.Wrapf(platform.ErrNotFound, "row %q", key)
+		return store.Item{}, errors.Wrapf(store.ErrNotFound, "row %q", key)
 	}
 	return itemOf(out.Item)
 }
 
-// Query implements platform.Table.
-func (t *Table) Query(ctx context.Context, prefix string) ([]platform.Item, error) {
+// Query implements store.Table.
+func (t *Table) Query(ctx context.Context, prefix string) ([]store.Item, error) {
 	partition, rest, found := strings.Cut(prefix, "/")
 	if !found || rest != "" || partition == "" {
-		return nil, errors.Wrapf(platform.ErrNotDone, "invalid prefix %q", prefix)
+		return nil, errors.Wrapf(store.ErrNotDone, "invalid prefix %q", prefix)
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.callTimeout)
 	defer cancel()
@@ -77,11 +77,11 @@
 		KeyConditionExpression:    aws.String(partitionAttribute + " = :p"),
 		ExpressionAttributeValues: attributes{":p": &types.AttributeValueMemberS{Value: partition}},
 	})
-	var items []platform.Item
+	var items []store.Item
 	for pages.HasMorePages() {
 		page, err := pages.NextPage(ctx)
 		if err != nil {
-			return nil, platform.ClassifyRead(errors.Wrapf(err, "querying %q", prefix))
+			return nil, store.ClassifyRead(errors.Wrapf(err, "querying %q", prefix))
 		}
 		for _, row := range page.Items {
 			item, err := itemOf(row)
@@ -96,18 +96,18 @@
 	return items, nil
 }
 
-func itemOf(row attributes) (platform.Item, error) {
+func itemOf(row attributes) (store.Item, error) {
 	partition, hasPartition := row[partitionAttribute].(*types.AttributeValueMemberS)
 	sort, hasSort := row[sortAttribute].(*types.AttributeValueMemberS)
 	number, hasVersion := row[versionAttribute].(*types.AttributeValueMemberN)
 	if !hasPartition || !hasSort || !hasVersion {
-		return platform.Item{}, errors.Wrap(platform.ErrNotDone, "a row lacks an attribute")
+		return store.Item{}, errors.Wrap(store.ErrNotDone, "a row lacks an attribute")
 	}
 	version, err := strconv.ParseUint(number.Value, 10, 64)
 	if err != nil {
-		return platform.Item{}, errors.Wrapf(platform.ErrNotDone, "row version %q", number.Value)
+		return store.Item{}, errors.Wrapf(store.ErrNotDone, "row version %q", number.Value)
 	}
-	item := platform.Item{Key: partition.Value, Version: version}
+	item := store.Item{Key: partition.Value, Version: version}
 	if sort.Value != soleSortKey {
 		item.Key += "/" + sort.Value
 	}
@@ -117,17 +117,17 @@
 	return item, nil
 }
 
-// Transact implements platform.Table.
-func (t *Table) Transact(ctx context.Context, writes []platform.Write) error {
-	if len(writes) > platform.MaxTransactionWrites {
-		return errors.Wrapf(platform.ErrNotDone, "%d writes exceed the limit of a transaction", len(writes))
+// Transact implements store.Table.
+func (t *Table) Transact(ctx context.Context, writes []store.Write) error {
+	if len(writes) > store.MaxTransactionWrites {
+		return errors.Wrapf(store.ErrNotDone, "%d writes exceed the limit of a transaction", len(writes))
 	}
 	items, err := t.transactItems(writes)
 	if err != nil || len(items) == 0 {
 		return err
 	}
 	if err := ctx.Err(); err != nil {
-		return errors.Wrap(platform.ErrNotDone, err.Error())
+		return errors.Wrap(store.ErrNotDone, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.callTimeout)
 	defer cancel()
@@ -138,7 +138,7 @@
 	return nil
 }
 
-func (t *Table) transactItems(writes []platform.Write) ([]types.TransactWriteItem, error) {
+func (t *Table) transactItems(writes []store.Write) ([]types.TransactWriteItem, error) {
 	items := make([]types.TransactWriteItem, 0, len(writes))
 	for _, w := range writes {
 		key, err := primaryKey(w.Key)
@@ -146,7 +146,7 @@
 			return nil, err
 		}
 		// A check without a condition always holds, and DynamoDB refuses it.
-		if w.Kind == platform.Check && w.Condition.Kind == platform.Any {
+		if w.Kind == store.Check && w.Condition.Kind == store.Any {
 			continue
 		}
 		items = append(items, t.transactItem(w, key))
@@ -154,14 +154,14 @@
 	return items, nil
 }
 
-func (t *Table) transactItem(w platform.Write, key attributes) types.TransactWriteItem {
+func (t *Table) transactItem(w store.Write, key attributes) types.TransactWriteItem {
 	condition, values := conditionOf(w.Condition)
 	switch w.Kind {
-	case platform.Delete:
+	case store.Delete:
 		return types.TransactWriteItem{Delete: &types.Delete{
 			TableName: &t.name, Key: key, ConditionExpression: condition, ExpressionAttributeValues: values,
 		}}
-	case platform.Check:
+	case store.Check:
 		return types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
 			TableName: &t.name, Key: key, ConditionExpression: condition, ExpressionAttributeValues: values,
 		}}
@@ -178,11 +178,11 @@
 	}
 }
 
-func conditionOf(c platform.Condition) (*string, attributes) {
+func conditionOf(c store.Condition) (*string, attributes) {
 	switch c.Kind {
-	case platform.Absent:
+	case store.Absent:
 		return aws.String("attribute_not_exists(" + partitionAttribute + ")"), nil
-	case platform.VersionIs:
+	case store.VersionIs:
 		version := strconv.FormatUint(c.Version, 10)
 		return aws.String(versionAttribute + " = :v"), attributes{":v": &types.AttributeValueMemberN{Value: version}}
 	default:
@@ -195,12 +195,12 @@
 	if errors.As(err, &canceled) {
 		for _, reason := range canceled.CancellationReasons {
 			if aws.ToString(reason.Code) == "ConditionalCheckFailed" {
-				return errors.Mark(err, platform.ErrConditionFailed)
+				return errors.Mark(err, store.ErrConditionFailed)
 			}
 		}
-		return errors.Mark(err, platform.ErrNotDone)
+		return errors.Mark(err, store.ErrNotDone)
 	}
-	var failure platform.Failure
+	var failure store.Failure
 	var response *awshttp.ResponseError
 	if errors.As(err, &response) {
 		failure.Status = response.HTTPStatusCode()
@@ -209,5 +209,5 @@
 	if errors.As(err, &stated) {
 		failure.Code = stated.ErrorCode()
 	}
-	return platform.ClassifyWrite(err, failure)
+	return store.ClassifyWrite(err, failure)
 }
--- a/platform/failure.go
+++ b/store/failure.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"net"
--- a/platform/s3/store.go
+++ b/store/s3/store.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
@@ -78,10 +78,10 @@
 	return &Store{client: client, bucket: o.Bucket, callTimeout: o.CallTimeout, maxObjectBytes: o.MaxObjectBytes}
 }
 
-// Put implements platform.ObjectStore.
+// Put implements store.ObjectStore.
 func (s *Store) Put(ctx context.Context, name string, data []byte) error {
 	if err := ctx.Err(); err != nil {
-		return errors.Wrap(platform.ErrNotDone, err.Error())
+		return errors.Wrap(store.ErrNotDone, err.Error())
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.callTimeout)
 	defer cancel()
@@ -89,37 +89,37 @@
 		Bucket: &s.bucket, Key: &name, Body: bytes.NewReader(data), ContentLength: aws.Int64(int64(len(data))),
 	})
 	if err != nil {
-		return platform.ClassifyWrite(errors.Wrapf(err, "writing object %q", name), failureOf(err))
+		return store.ClassifyWrite(errors.Wrapf(err, "writing object %q", name), failureOf(err))
 	}
 	return nil
 }
 
-// Get implements platform.ObjectStore.
+// Get implements store.ObjectStore.
 func (s *Store) Get(ctx context.Context, name string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.callTimeout)
 	defer cancel()
 	out, err := s.client.GetObject(ctx, &s3.GetObjectInput{Bucket: &s.bucket, Key: &name})
 	if err != nil {
 		if failureOf(err).Code == "NoSuchKey" {
-			return nil, errors.Mark(errors.Wrapf(err, "object %q", name), platform.ErrNotFound)
+			return nil, errors.Mark(errors.Wrapf(err, "object %q", name), store.ErrNotFound)
 		}
-		return nil, platform.ClassifyRead(errors.Wrapf(err, "reading object %q", name))
+		return nil, store.ClassifyRead(errors.Wrapf(err, "reading object %q", name))
 	}
 	defer func() { _ = out.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(out.Body, s.maxObjectBytes+1))
 	if err != nil {
-		return nil, platform.ClassifyRead(errors.Wrapf(err, "reading object %q", name))
+		return nil, store.ClassifyRead(errors.Wrapf(err, "reading object %q", name))
 	}
 	if int64(len(data)) > s.maxObjectBytes {
-		return nil, errors.Wrapf(platform.ErrNotDone, "object %q exceeds %d bytes", name, s.maxObjectBytes)
+		return nil, errors.Wrapf(store.ErrNotDone, "object %q exceeds %d bytes", name, s.maxObjectBytes)
 	}
 	if out.ContentLength != nil && *out.ContentLength != int64(len(data)) {
-		return nil, errors.Wrapf(platform.ErrNotDone, "object %q is truncated", name)
+		return nil, errors.Wrapf(store.ErrNotDone, "object %q is truncated", name)
 	}
 	return data, nil
 }
 
-func failureOf(err error) (f platform.Failure) {
+func failureOf(err error) (f store.Failure) {
 	var response *awshttp.ResponseError
 	if errors.As(err, &response) {
 		f.Status = response.HTTPStatusCode()
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -10,13 +10,13 @@
 var (
 	// ErrNotDone says that the call certainly had no effect, for instance
 	// because the service throttled it or could not be reached at all.
-	ErrNotDone = errors.New("platform: the call was not done")
+	ErrNotDone = errors.New("store: the call was not done")
 	// ErrConditionFailed says that a condition did not hold; nothing was written.
-	ErrConditionFailed = errors.New("platform: a condition did not hold")
+	ErrConditionFailed = errors.New("store: a condition did not hold")
 	// ErrUnknownOutcome says that the call may have taken effect.
-	ErrUnknownOutcome = errors.New("platform: the outcome is unknown")
+	ErrUnknownOutcome = errors.New("store: the outcome is unknown")
 	// ErrNotFound says that the item or object does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("store: not found")
 )
 
 // Item is one row of the table.
--- a/platform/vmlist/client.go
+++ b/store/vmlist/client.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"almondstile/platform"
+	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
 )
@@ -40,23 +40,23 @@
 	return &Client{http: &http.Client{Timeout: o.CallTimeout, Transport: &http.Transport{}}, url: o.URL}
 }
 
-// List implements platform.VMList.
-func (c *Client) List(ctx context.Context) ([]platform.ListedVM, error) {
+// List implements store.VMList.
+func (c *Client) List(ctx context.Context) ([]store.ListedVM, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
-		return nil, platform.ClassifyRead(errors.Wrap(err, "reading the VM list"))
+		return nil, store.ClassifyRead(errors.Wrap(err, "reading the VM list"))
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, platform.ClassifyRead(errors.Wrap(err, "reading the VM list"))
+		return nil, store.ClassifyRead(errors.Wrap(err, "reading the VM list"))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, errors.Wrapf(platform.ErrNotDone, "reading the VM list: status %d", response.StatusCode)
+		return nil, errors.Wrapf(store.ErrNotDone, "reading the VM list: status %d", response.StatusCode)
 	}
-	var vms []platform.ListedVM
+	var vms []store.ListedVM
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&vms); err != nil {
-		return nil, platform.ClassifyRead(errors.Wrap(err, "decoding the VM list"))
+		return nil, store.ClassifyRead(errors.Wrap(err, "decoding the VM list"))
 	}
 	return vms, nil
 }
--- /dev/null
+++ b/store/vmlist/doc.go
@@ -0,0 +1,3 @@
+// Package vmlist implements store.VMList on a service that returns a JSON
+// array of VMs over HTTP.
+package vmlist
