--- a/contract/contract.go
+++ b/contract/contract.go
@@ -33,6 +33,9 @@
 	Homes int `json:"homes" toml:"homes"`
 	// Weight is the team's share of the slots when a server is short of them.
 	Weight int `json:"weight" toml:"weight"`
+	// Priority is the rank of the team's requests, 0 first. It goes before the
+	// route's. Nil leaves the rank to the route.
+	Priority *int `json:"priority,omitempty" toml:"-"`
 }
 
 // Key lets its bearer act for one team. Only the hash of the secret is kept.
@@ -58,6 +61,68 @@
 	IdempotentMethods []string `json:"idempotent_methods,omitempty" toml:"idempotent_methods"`
 	// TimeoutMillis bounds a request from its arrival to the whole response.
 	TimeoutMillis int `json:"timeout_ms" toml:"timeout_ms"`
+	// Host restricts the route to requests for one host; empty means any. A
+	// route with a host matches paths that begin with PathPrefix and its slash.
+	Host string `json:"host,omitempty" toml:"-"`
+	// AnyTeam lets every team use the route; Teams is then ignored.
+	AnyTeam bool `json:"any_team,omitempty" toml:"-"`
+	// Idempotence says for all methods whether requests may run twice. If it is
+	// empty, IdempotentMethods decides.
+	Idempotence Idempotence `json:"idempotence,omitempty" toml:"-"`
+	// Split, if not empty, divides the route's requests among services.
+	Split []Part `json:"split,omitempty" toml:"-"`
+	// Attempts bounds the backend servers that may run one request; 0 means 1.
+	Attempts int `json:"attempts,omitempty" toml:"-"`
+	// TargetLatencyMillis is the time within which callers want their response.
+	TargetLatencyMillis int `json:"target_latency_ms,omitempty" toml:"-"`
+	// Priority is the rank of the route's requests, 0 first.
+	Priority int `json:"priority,omitempty" toml:"-"`
+}
+
+// Idempotence says whether requests of a route may run more than once.
+type Idempotence string
+
+// The values of Idempotence.
+const (
+	ByMethod      Idempotence = ""
+	Idempotent    Idempotence = "idempotent"
+	NotIdempotent Idempotence = "not-idempotent"
+)
+
+// Part is one service's share of a split route.
+type Part struct {
+	Service ServiceID `json:"service"`
+	// Weight is relative to the sum of the weights of the route's parts.
+	Weight int `json:"weight"`
+}
+
+// TargetLatency returns the time within which callers want their response, or
+// the timeout if the route names none.
+func (r *Route) TargetLatency() time.Duration {
+	if r.TargetLatencyMillis == 0 {
+		return r.Timeout()
+	}
+	return time.Duration(r.TargetLatencyMillis) * time.Millisecond
+}
+
+// ServiceAt returns the service for a point of the route's split, which is
+// uniform in [0, 1). Without a split it is the route's only service.
+func (r *Route) ServiceAt(point float64) ServiceID {
+	total := 0
+	for _, part := range r.Split {
+		total += part.Weight
+	}
+	if total <= 0 {
+		return r.Service
+	}
+	position := point * float64(total)
+	for _, part := range r.Split {
+		position -= float64(part.Weight)
+		if position < 0 {
+			return part.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
 }
 
 // Timeout returns the route's time limit for a request.
@@ -67,6 +132,9 @@
 
 // Idempotent reports whether a request with the method may run twice.
 func (r *Route) Idempotent(method string) bool {
+	if r.Idempotence != ByMethod {
+		return r.Idempotence == Idempotent
+	}
 	for _, m := range r.IdempotentMethods {
 		if strings.EqualFold(m, method) {
 			return true
@@ -77,7 +145,7 @@
 
 // Allows reports whether the team may use the route.
 func (r *Route) Allows(team TeamID) bool {
-	if r.OpenToAll {
+	if r.OpenToAll || r.AnyTeam {
 		return true
 	}
 	for _, t := range r.Teams {
@@ -95,6 +163,19 @@
 	// the slots of the service's servers that take new work.
 	FloorShare float64  `json:"floor_share" toml:"floor_share"`
 	Servers    []Server `json:"servers" toml:"servers"`
+	// HealthPath is the path of the servers' health check.
+	HealthPath string `json:"health_path,omitempty" toml:"-"`
+	// SlowStartMillis is how long a server stays cold after its start.
+	SlowStartMillis int `json:"slow_start_ms,omitempty" toml:"-"`
+	// RampPerSecond is the rate of requests that a cold server bears.
+	RampPerSecond float64 `json:"ramp_per_second,omitempty" toml:"-"`
+	// MaxConnections is what one server accepts from all VMs together.
+	MaxConnections int `json:"max_connections,omitempty" toml:"-"`
+}
+
+// SlowStart returns how long a server of the service stays cold.
+func (s *Service) SlowStart() time.Duration {
+	return time.Duration(s.SlowStartMillis) * time.Millisecond
 }
 
 // Server is one backend server as the operators describe it.
--- a/contract/index.go
+++ b/contract/index.go
@@ -26,24 +26,32 @@
 	keys     map[KeyID]*Key
 	// prefixes maps a path prefix without its trailing slash to its route.
 	prefixes map[string]*Route
-	routes   map[RouteID]*Route
+	// hostPrefixes maps a host and a path prefix with its trailing slash.
+	hostPrefixes map[hostPrefix]*Route
+	routes       map[RouteID]*Route
 	// serviceOf names the service of each server.
 	serviceOf map[ServerID]ServiceID
 }
 
+type hostPrefix struct {
+	host, prefix string
+}
+
 // NewIndex builds the look-up tables of a configuration, which the caller must
 // not modify afterwards.
 func NewIndex(c *Configuration) *Index {
 	x := &Index{
-		config:    c,
-		zones:     make(map[zone.ID]*zone.AvailabilityZone, len(c.Zones)),
-		services:  make(map[ServiceID]*Service, len(c.Services)),
-		servers:   make(map[ServerID]*Server),
-		teams:     make(map[TeamID]*Team, len(c.Teams)),
-		keys:      make(map[KeyID]*Key, len(c.Keys)),
-		prefixes:  make(map[string]*Route, len(c.Routes)),
-		routes:    make(map[RouteID]*Route, len(c.Routes)),
-		serviceOf: make(map[ServerID]ServiceID),
+		config:   c,
+		zones:    make(map[zone.ID]*zone.AvailabilityZone, len(c.Zones)),
+		services: make(map[ServiceID]*Service, len(c.Services)),
+		servers:  make(map[ServerID]*Server),
+		teams:    make(map[TeamID]*Team, len(c.Teams)),
+		keys:     make(map[KeyID]*Key, len(c.Keys)),
+		prefixes: make(map[string]*Route, len(c.Routes)),
+		routes:   make(map[RouteID]*Route, len(c.Routes)),
+
+		hostPrefixes: make(map[hostPrefix]*Route),
+		serviceOf:    make(map[ServerID]ServiceID),
 	}
 	for i := range c.Zones {
 		x.zones[c.Zones[i].ID] = &c.Zones[i]
@@ -58,8 +66,7 @@
 		x.keys[c.Keys[i].ID] = &c.Keys[i]
 	}
 	for i := range c.Routes {
-		x.prefixes[strings.TrimSuffix(c.Routes[i].PathPrefix, "/")] = &c.Routes[i]
-		x.routes[c.Routes[i].ID] = &c.Routes[i]
+		x.addRoute(&c.Routes[i])
 	}
 	return x
 }
@@ -72,6 +79,16 @@
 	}
 }
 
+func (x *Index) addRoute(r *Route) {
+	x.routes[r.ID] = r
+	prefix := strings.TrimSuffix(r.PathPrefix, "/")
+	if r.Host == "" {
+		x.prefixes[prefix] = r
+		return
+	}
+	x.hostPrefixes[hostPrefix{strings.ToLower(r.Host), prefix + "/"}] = r
+}
+
 // Version returns the version of the indexed configuration.
 func (x *Index) Version() uint64 { return x.config.Version }
 
@@ -114,6 +131,21 @@
 	}
 }
 
+// MatchHost returns the route of the host with the longest prefix that begins
+// the path. Routes without a host serve the hosts that have no matching route.
+func (x *Index) MatchHost(host, path string) (*Route, error) {
+	host = strings.ToLower(host)
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := x.hostPrefixes[hostPrefix{host, path[:end+1]}]; ok {
+			return r, nil
+		}
+	}
+	return x.Match(path)
+}
+
 // KeyValid reports whether a key that authenticated before still stands for
 // the team. It is asked again after a request has waited in a queue.
 func (x *Index) KeyValid(id KeyID, team TeamID) bool {
--- /dev/null
+++ b/direct/choose.go
@@ -0,0 +1,83 @@
+package direct
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"almondstile/catalog"
+	"almondstile/contract"
+	"almondstile/evidence"
+	"almondstile/placement"
+	"almondstile/request"
+)
+
+const (
+	// coldShare is the part of a cold server's rate that VMs use up. The rest
+	// covers what they send before they hear of each other.
+	coldShare = 0.7
+	// minLatency is the least mean latency that says anything about a service.
+	minLatency = time.Millisecond
+)
+
+// chosen is the server of one attempt.
+type chosen struct {
+	server *catalog.Registration
+	state  evidence.State
+	// typical is the mean latency of the service's servers, 0 if not known.
+	typical time.Duration
+}
+
+// choose selects a server for the next attempt of a request. refused says that
+// no server may take it at the moment though some are registered.
+func (d *Dispatcher) choose(now time.Time, view *catalog.View, req *request.Request, tried map[contract.ServerID]bool) (chosen, bool) {
+	terms := view.Index.Service(req.Service)
+	var options []chosen
+	var latencies time.Duration
+	known := 0
+	for _, r := range view.ByService[req.Service] {
+		if !view.TakesNewWork(r) {
+			continue
+		}
+		c := chosen{server: r, state: d.parts.Knowledge.Servers.State(now, evidence.SubjectOf(r.Server.ID))}
+		if c.state.Latency > minLatency {
+			latencies += c.state.Latency
+			known++
+		}
+		if terms != nil && d.cold(r) && float64(c.state.LastSecond+1) > max(terms.RampPerSecond*coldShare, 1) {
+			continue
+		}
+		options = append(options, c)
+	}
+	candidates := make([]placement.Candidate, len(options))
+	for i := range options {
+		if known > 0 {
+			options[i].typical = latencies / time.Duration(known)
+		}
+		candidates[i] = d.candidate(&options[i], tried)
+	}
+	i := placement.Pick(candidates, req.Idempotent && len(tried) == 0, rand.Float64())
+	if i < 0 {
+		return chosen{}, false
+	}
+	return options[i], true
+}
+
+func (d *Dispatcher) candidate(c *chosen, tried map[contract.ServerID]bool) placement.Candidate {
+	out := placement.Candidate{
+		OwnZone: c.server.Server.Zone == d.parts.Self.Zone,
+		Slots:   c.server.Server.Slots,
+		Running: c.state.Running,
+		Failing: c.state.Failing, Refusals: c.state.Refusals,
+		Slowness: 1,
+		Tried:    tried[c.server.Server.ID],
+	}
+	if c.typical > 0 && c.state.Latency > 0 {
+		out.Slowness = float64(c.state.Latency) / float64(c.typical)
+	}
+	return out
+}
+
+// cold reports whether the server has just started.
+func (d *Dispatcher) cold(r *catalog.Registration) bool {
+	return r.ColdUntil > d.parts.BootTime()
+}
--- /dev/null
+++ b/direct/dispatcher.go
@@ -0,0 +1,152 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"almondstile/catalog"
+	"almondstile/contract"
+	"almondstile/entry"
+	"almondstile/logging"
+	"almondstile/request"
+	"almondstile/tally"
+	"almondstile/upstream"
+	"almondstile/vm"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+)
+
+// Source gives what is known of the deployment.
+type Source interface {
+	View() *catalog.View
+	Age(catalog.Table) time.Duration
+}
+
+// Exchanger runs one attempt at a server.
+type Exchanger interface {
+	Do(ctx context.Context, server *contract.Server, req *request.Request) upstream.Exchange
+	Refuses(ctx context.Context, server *contract.Server) bool
+}
+
+// Connected tells with which part of the fleet this VM is connected.
+type Connected interface {
+	Share(now time.Time) float64
+}
+
+// Observer counts results. Its methods must not block.
+type Observer interface {
+	Finished(req *request.Request, result request.Result, attempts int, elapsed time.Duration)
+	Count(decision string)
+}
+
+// Limits bound what the VM does with old knowledge.
+type Limits struct {
+	// MaxKeyAge is the age of the operators' table beyond which requests with a
+	// key are rejected, because the key may have been withdrawn.
+	MaxKeyAge time.Duration
+}
+
+// Parts are what a Dispatcher needs.
+type Parts struct {
+	Self      vm.VM
+	Source    Source
+	Knowledge *Knowledge
+	Ledger    *tally.Ledger
+	Exchanger Exchanger
+	Connected Connected
+	Observer  Observer
+	Limits    Limits
+	Log       logging.Logger
+	Clock     func() time.Time
+	BootTime  func() time.Duration
+}
+
+// Dispatcher takes callers' requests to backend servers.
+type Dispatcher struct {
+	parts    Parts
+	counters counters
+	// background holds what outlives a request: looking whether a server crashed.
+	background conc.WaitGroup
+}
+
+// NewDispatcher returns a dispatcher.
+func NewDispatcher(parts Parts) *Dispatcher {
+	return &Dispatcher{parts: parts, counters: counters{parts.Knowledge, parts.Ledger}}
+}
+
+// Do serves one request. The context ends when the caller goes away. The first
+// result is the request's ID.
+func (d *Dispatcher) Do(ctx context.Context, in entry.Incoming) (string, request.Result) {
+	req := &request.Request{ID: in.ID}
+	if req.ID == "" {
+		req.ID = uuid.NewString()
+	}
+	result, attempts := d.serve(ctx, in, req)
+	elapsed := d.parts.Clock().Sub(in.Arrived)
+	d.parts.Observer.Finished(req, result, attempts, elapsed)
+	d.logResult(req, result, attempts, elapsed)
+	return req.ID, result
+}
+
+// Close waits for what outlives requests.
+func (d *Dispatcher) Close() { d.background.Wait() }
+
+// Ready reports whether the VM can serve, and why not.
+func (d *Dispatcher) Ready() (ready bool, reason request.Reason) {
+	switch {
+	case d.parts.Source.View().Index == nil:
+		return false, request.ReasonNotReady
+	case d.parts.Source.Age(catalog.Operator) > d.parts.Limits.MaxKeyAge:
+		return false, request.ReasonStoreAway
+	default:
+		return true, request.ReasonNone
+	}
+}
+
+func (d *Dispatcher) serve(ctx context.Context, in entry.Incoming, req *request.Request) (request.Result, int) {
+	view := d.parts.Source.View()
+	if view.Index == nil {
+		return request.Rejected(request.ReasonNotReady), 0
+	}
+	route, err := entry.Authorize(view.Index, in, req)
+	if err != nil {
+		return request.Rejected(entry.ReasonOf(err)), 0
+	}
+	if req.Key != "" && d.parts.Source.Age(catalog.Operator) > d.parts.Limits.MaxKeyAge {
+		return request.Rejected(request.ReasonStoreAway), 0
+	}
+	req.Service = route.ServiceAt(rand.Float64())
+	req.Deadline = in.Arrived.Add(route.Timeout())
+	if in.Patience > 0 && in.Patience < route.Timeout() {
+		req.Deadline = in.Arrived.Add(in.Patience)
+	}
+	now := d.parts.Clock()
+	if d.parts.Knowledge.Crashes.quarantined(now, request.FingerprintOf(req)) {
+		return request.Rejected(request.ReasonQuarantined), 0
+	}
+	if team := view.Index.Team(req.Team); team != nil {
+		if retryAfter, ok := d.counters.admit(now, team, d.parts.Connected.Share(now)); !ok {
+			rejected := request.Rejected(request.ReasonRate)
+			rejected.RetryAfter = retryAfter
+			return rejected, 0
+		}
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	return d.run(ctx, route, req)
+}
+
+// logResult writes a line for each request that did not simply succeed.
+func (d *Dispatcher) logResult(req *request.Request, result request.Result, attempts int, elapsed time.Duration) {
+	if result.Outcome == request.Answered && result.Status < firstServerError && attempts <= 1 {
+		return
+	}
+	d.parts.Log.WithField("request", req.ID).WithField("route", req.Route).WithField("service", req.Service).
+		WithField("team", req.Team).WithField("idempotent", req.Idempotent).
+		WithField("outcome", result.Outcome).WithField("reason", result.Reason).WithField("status", result.Status).
+		WithField("attempts", attempts).WithField("elapsed_ms", elapsed.Milliseconds()).
+		WithField("operator_age_ms", d.parts.Source.Age(catalog.Operator).Milliseconds()).
+		Info("A request ended.")
+}
--- /dev/null
+++ b/direct/knowledge.go
@@ -0,0 +1,100 @@
+package direct
+
+import (
+	"time"
+
+	"almondstile/contract"
+	"almondstile/evidence"
+	"almondstile/quota"
+	"almondstile/request"
+	"almondstile/retry"
+	"almondstile/tally"
+)
+
+// Knowledge is what a VM keeps in common with the others by counters.
+type Knowledge struct {
+	Servers evidence.Servers
+	Quota   *quota.Shared
+	Budget  *retry.Shared
+	Crashes crashes
+}
+
+// NewKnowledge returns the knowledge of a process that starts now.
+func NewKnowledge(now time.Time, budget retry.Terms) *Knowledge {
+	return &Knowledge{Quota: quota.NewShared(now), Budget: retry.NewShared(budget)}
+}
+
+// Observe implements tally.Observer.
+func (k *Knowledge) Observe(now time.Time, subject tally.Subject, d tally.Counts) {
+	switch subject.Kind() {
+	case tally.Server:
+		k.Servers.Observe(now, subject, d)
+	case tally.Team:
+		k.Quota.Spent(subject, d[tally.Admitted])
+	case tally.Service:
+		k.Budget.Sent(now, subject, d[tally.First], d[tally.Repeat])
+	case tally.Crash:
+		k.Crashes.add(now, subject, int(d[tally.Crashes]))
+	}
+}
+
+// counters writes what happens at this VM into its knowledge and its ledger.
+type counters struct {
+	knowledge *Knowledge
+	ledger    *tally.Ledger
+}
+
+func (c counters) started(now time.Time, server tally.Subject) {
+	c.knowledge.Servers.Started(now, server)
+	c.ledger.Add(now, server, tally.Started, 1)
+}
+
+func (c counters) finished(now time.Time, server tally.Subject, result evidence.Result, latency time.Duration) {
+	c.knowledge.Servers.Finished(now, server, result, latency)
+	switch result {
+	case evidence.Good:
+		c.ledger.Add(now, server, tally.LatencyMillis, uint32(latency.Milliseconds()))
+		c.ledger.Add(now, server, tally.Succeeded, 1)
+	case evidence.Bad:
+		c.ledger.Add(now, server, tally.Failed, 1)
+	case evidence.Refused:
+		c.ledger.Add(now, server, tally.Refused, 1)
+	}
+}
+
+func (c counters) suspect(now time.Time, server tally.Subject) {
+	c.knowledge.Servers.Suspect(now, server)
+	c.ledger.Add(now, server, tally.Failed, 1)
+}
+
+func (c counters) first(now time.Time, service contract.ServiceID) {
+	c.knowledge.Budget.First(now, service)
+	c.ledger.Add(now, tally.SubjectOf(tally.Service, string(service)), tally.First, 1)
+}
+
+// repeat counts a repeat if the budget allows it.
+func (c counters) repeat(now time.Time, service contract.ServiceID, share float64) bool {
+	if !c.knowledge.Budget.Spend(now, service, share) {
+		return false
+	}
+	c.ledger.Add(now, tally.SubjectOf(tally.Service, string(service)), tally.Repeat, 1)
+	return true
+}
+
+// admit takes a token of the team.
+func (c counters) admit(now time.Time, team *contract.Team, share float64) (time.Duration, bool) {
+	retryAfter, ok := c.knowledge.Quota.Admit(now, team, share)
+	if ok {
+		c.ledger.Add(now, tally.SubjectOf(tally.Team, string(team.ID)), tally.Admitted, 1)
+	}
+	return retryAfter, ok
+}
+
+func (c counters) crashed(now time.Time, f request.Fingerprint) {
+	subject := tally.SubjectOf(tally.Crash, string(f))
+	c.knowledge.Crashes.add(now, subject, 1)
+	c.ledger.Add(now, subject, tally.Crashes, 1)
+}
+
+// Sweep frees what is no longer needed.
+func (k *Knowledge) Sweep(now time.Time) { k.Crashes.sweep(now) }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -58,6 +58,12 @@
 	// Credential is what the caller presented as its key, "" if nothing.
 	Credential string
 	Arrived    time.Time
+	// Host is the host that the caller asked for, "" if it does not count.
+	Host string
+	// ID is the caller's own ID of the request, "" if it gave none.
+	ID string
+	// Patience is how long the caller waits for a response, 0 if it did not say.
+	Patience time.Duration
 }
 
 // Parts are what a Dispatcher needs.
@@ -104,9 +110,9 @@
 		return request.Rejected(request.ReasonNotReady), 0
 	}
 	index := d.parts.Source.Index()
-	route, err := authorize(index, in, req)
+	route, err := Authorize(index, in, req)
 	if err != nil {
-		return request.Rejected(reasonOf(err)), 0
+		return request.Rejected(ReasonOf(err)), 0
 	}
 	if !d.inFlight.enter(req.Team) {
 		return request.Rejected(request.ReasonOverloaded), 0
@@ -127,9 +133,9 @@
 	return result, attempts
 }
 
-// authorize fills the request from the configuration and the caller's input.
-func authorize(index *contract.Index, in Incoming, req *request.Request) (*contract.Route, error) {
-	route, err := index.Match(in.Path)
+// Authorize fills the request from the configuration and the caller's input.
+func Authorize(index *contract.Index, in Incoming, req *request.Request) (*contract.Route, error) {
+	route, err := index.MatchHost(in.Host, in.Path)
 	if err != nil {
 		return nil, err
 	}
@@ -152,7 +158,8 @@
 	return route, nil
 }
 
-func reasonOf(err error) request.Reason {
+// ReasonOf returns the reason for a caller of an error of Authorize.
+func ReasonOf(err error) request.Reason {
 	switch {
 	case errors.Is(err, contract.ErrNoRoute):
 		return request.ReasonNoRoute
--- a/entry/httpfront/response.go
+++ b/entry/httpfront/response.go
@@ -122,6 +122,7 @@
 	request.ReasonLeaving:          "The backend server is leaving.",
 	request.ReasonQuarantined:      "The same request crashed backend servers and is refused for a time.",
 	request.ReasonShed:             "The backend server shed the request.",
+	request.ReasonMisdirected:      "Another backend server has the address.",
 	request.ReasonConnect:          "The backend server or its owner cannot be reached.",
 	request.ReasonLostResponse:     "The connection to the backend server was lost before its response.",
 	request.ReasonTruncated:        "The backend server's response was incomplete.",
--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -24,6 +24,15 @@
 	Do(ctx context.Context, in entry.Incoming) (id string, result request.Result)
 }
 
+// Protocol translates between HTTP messages and requests and results. The
+// default is almondstile's own.
+type Protocol interface {
+	// Incoming copies a request, because fasthttp reuses its buffers.
+	Incoming(r *fasthttp.Request, arrived time.Time) entry.Incoming
+	// Write writes the response of a result; id is the request's ID.
+	Write(ctx *fasthttp.RequestCtx, id string, result request.Result)
+}
+
 // Options bound what callers may send and how long they may take.
 type Options struct {
 	MaxHeaderBytes int
@@ -35,11 +44,14 @@
 	WriteTimeout time.Duration
 	// IdleTimeout closes connections without requests.
 	IdleTimeout time.Duration
+	// Protocol is nil for almondstile's own.
+	Protocol Protocol
 }
 
 // Server is the callers' listener.
 type Server struct {
 	dispatcher Dispatcher
+	protocol   Protocol
 	log        logging.Logger
 	http       *fasthttp.Server
 	watches    conc.WaitGroup
@@ -48,7 +60,10 @@
 
 // New returns a server that hands requests to the dispatcher.
 func New(dispatcher Dispatcher, options Options, log logging.Logger) *Server {
-	s := &Server{dispatcher: dispatcher, log: log}
+	s := &Server{dispatcher: dispatcher, protocol: options.Protocol, log: log}
+	if s.protocol == nil {
+		s.protocol = native{}
+	}
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
 		ErrorHandler:                  s.handleParseError,
@@ -97,18 +112,24 @@
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	in := incoming(&ctx.Request, arrived)
+	in := s.protocol.Incoming(&ctx.Request, arrived)
 	stop := httpconn.WatchHangup(ctx.Conn(), s.watches.Go, cancel)
 	id, result := s.dispatcher.Do(runCtx, in)
 	stop()
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	s.protocol.Write(ctx, id, result)
+}
+
+// native is almondstile's own protocol with callers.
+type native struct{}
+
+func (native) Write(ctx *fasthttp.RequestCtx, id string, result request.Result) {
 	write(ctx, id, result)
 }
 
-// incoming copies the request, because fasthttp reuses its buffers.
-func incoming(r *fasthttp.Request, arrived time.Time) entry.Incoming {
+func (native) Incoming(r *fasthttp.Request, arrived time.Time) entry.Incoming {
 	in := entry.Incoming{
 		Method:     string(r.Header.Method()),
 		Path:       string(r.URI().Path()),
--- /dev/null
+++ b/evidence/servers.go
@@ -0,0 +1,199 @@
+package evidence
+
+import (
+	"math"
+	"time"
+
+	"almondstile/contract"
+	"almondstile/shard"
+	"almondstile/tally"
+)
+
+const (
+	// memory is the time constant with which results are forgotten.
+	memory = 4 * time.Second
+	// runningMemory is the time constant with which requests of other VMs are
+	// taken to have ended if nothing more is heard of them.
+	runningMemory = 2 * time.Second
+	// priorRequests and priorFailures stand for what is expected of a server
+	// before anything is known: a few failures in a hundred.
+	priorRequests = 3.0
+	priorFailures = 0.06
+	// rateSlots divide the last second for counting what was sent in it.
+	rateSlots   = 10
+	rateSlotLen = time.Second / rateSlots
+)
+
+// Result is what one exchange says about its server.
+type Result int
+
+// The results.
+const (
+	// Good is a whole response without a server's failure.
+	Good Result = iota
+	// Bad is a failure that the server is to blame for.
+	Bad
+	// Refused is a request that the server did not run because it was full.
+	Refused
+	// Neutral says nothing about the server.
+	Neutral
+)
+
+// State is what is known of a server at one time.
+type State struct {
+	// Failing is the estimated share of requests that fail, from 0 to 1.
+	Failing float64
+	// Weight is the number of recent results behind it.
+	Weight float64
+	// Running is the estimated number of requests at the server.
+	Running float64
+	// Refusals counts recent refusals, with the memory of results.
+	Refusals float64
+	// Latency is the mean of recent responses, 0 if there was none.
+	Latency time.Duration
+	// LastSecond is the number of requests sent in the last second.
+	LastSecond int
+}
+
+// Servers holds the record of each server.
+type Servers struct {
+	records shard.Map[tally.Subject, *record]
+}
+
+type record struct {
+	at        time.Time
+	good, bad float64
+	refused   float64
+	latencyMS float64 // decayed sum over good responses
+	answered  float64 // decayed number of responses in latencyMS
+	own       int
+	others    float64
+	started   [rateSlots]struct {
+		number int64
+		count  int
+	}
+}
+
+// SubjectOf returns the subject under which a server is counted.
+func SubjectOf(id contract.ServerID) tally.Subject {
+	return tally.SubjectOf(tally.Server, string(id))
+}
+
+// Started counts a request of this VM.
+func (s *Servers) Started(now time.Time, subject tally.Subject) {
+	s.records.Do(subject, newRecord, func(r *record) {
+		r.own++
+		r.send(now, 1)
+	})
+}
+
+// Finished takes in the result of a request of this VM.
+func (s *Servers) Finished(now time.Time, subject tally.Subject, result Result, latency time.Duration) {
+	s.records.Do(subject, newRecord, func(r *record) {
+		r.own--
+		r.decay(now)
+		switch result {
+		case Good:
+			r.answer(1, float64(latency.Milliseconds()))
+		case Bad:
+			r.bad++
+		case Refused:
+			r.refused++
+		}
+	})
+}
+
+// Suspect takes in a sign of failure before the exchange has ended.
+func (s *Servers) Suspect(now time.Time, subject tally.Subject) {
+	s.records.Do(subject, newRecord, func(r *record) {
+		r.decay(now)
+		r.bad++
+	})
+}
+
+// Observe takes in the counts of another VM.
+func (s *Servers) Observe(now time.Time, subject tally.Subject, d tally.Counts) {
+	s.records.Do(subject, newRecord, func(r *record) {
+		r.decay(now)
+		r.bad += float64(d[tally.Failed])
+		r.refused += float64(d[tally.Refused])
+		r.answer(float64(d[tally.Succeeded]), float64(d[tally.LatencyMillis]))
+		r.send(now, int(d[tally.Started]))
+		ended := d[tally.Succeeded] + d[tally.Failed] + d[tally.Refused]
+		r.others = max(0, r.others+float64(d[tally.Started])-float64(ended))
+	})
+}
+
+// State returns what is known of a server.
+func (s *Servers) State(now time.Time, subject tally.Subject) State {
+	var out State
+	s.records.DoExisting(subject, func(r *record) {
+		r.decay(now)
+		out = r.state(now)
+	})
+	if out.Weight == 0 {
+		out.Failing = priorFailures / priorRequests
+	}
+	return out
+}
+
+// Forget drops the record of a server that is gone or was started anew.
+func (s *Servers) Forget(subject tally.Subject) { s.records.Delete(subject) }
+
+func (r *record) state(now time.Time) State {
+	st := State{
+		Failing:    (r.bad + priorFailures) / (r.good + r.bad + priorRequests),
+		Weight:     r.good + r.bad,
+		Running:    float64(r.own) + r.others,
+		Refusals:   r.refused,
+		LastSecond: r.lastSecond(now),
+	}
+	if r.answered > 0.05 {
+		st.Latency = time.Duration(r.latencyMS / r.answered * float64(time.Millisecond))
+	}
+	return st
+}
+
+func (r *record) answer(n, latencyMS float64) {
+	r.good += n
+	r.answered += n
+	r.latencyMS += latencyMS
+}
+
+func (r *record) decay(now time.Time) {
+	elapsed := now.Sub(r.at)
+	if elapsed <= 0 {
+		return
+	}
+	if !r.at.IsZero() {
+		f := math.Exp(-elapsed.Seconds() / memory.Seconds())
+		r.good *= f
+		r.bad *= f
+		r.refused *= f
+		r.latencyMS *= f
+		r.answered *= f
+		r.others *= math.Exp(-elapsed.Seconds() / runningMemory.Seconds())
+	}
+	r.at = now
+}
+
+func (r *record) send(now time.Time, n int) {
+	number := now.UnixNano() / int64(rateSlotLen)
+	slot := &r.started[number%rateSlots]
+	if slot.number != number {
+		slot.number, slot.count = number, 0
+	}
+	slot.count += n
+}
+
+func (r *record) lastSecond(now time.Time) int {
+	number, sum := now.UnixNano()/int64(rateSlotLen), 0
+	for i := range r.started {
+		if slot := &r.started[i]; slot.number > number-rateSlots && slot.number <= number {
+			sum += slot.count
+		}
+	}
+	return sum
+}
+
+func newRecord() *record { return &record{} }
--- /dev/null
+++ b/fleet/roster.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"almondstile/shard"
+	"almondstile/vm"
+	"almondstile/zone"
+)
+
+const (
+	// RelaysPerZone is the number of VMs of a zone that pass messages on. With
+	// two, the loss of one is no gap.
+	RelaysPerZone = 2
+	// relaySilence is the time without a message after which a relay is
+	// replaced. Relays send at least each 200 ms.
+	relaySilence = 500 * time.Millisecond
+	// zoneSilence is the time without a message from a zone after which it
+	// counts as unreachable.
+	zoneSilence = 1000 * time.Millisecond
+	// relayRole ranks the VMs of a zone.
+	relayRole vm.RoleKind = "relay"
+)
+
+// member is what is known of another VM.
+type member struct {
+	vm vm.VM
+	// heardAsRelay is when it last sent a message as a relay of its zone.
+	heardAsRelay time.Time
+	heard        time.Time
+}
+
+// Roster is one VM's knowledge of the fleet.
+type Roster struct {
+	self    vm.VM
+	members shard.Map[vm.ID, *member]
+	// zones holds when each zone was last heard, directly or by a relay of this
+	// VM's zone; direct holds the messages that came here themselves.
+	zones  shard.Map[zone.ID, time.Time]
+	direct shard.Map[zone.ID, time.Time]
+}
+
+// NewRoster returns a roster that knows only this VM.
+func NewRoster(self vm.VM) *Roster {
+	return &Roster{self: self}
+}
+
+// Self returns this VM.
+func (r *Roster) Self() vm.VM { return r.self }
+
+// Learn adds a VM that this VM was told of, or updates its address. It reports
+// whether anything was new.
+func (r *Roster) Learn(v vm.VM) (changed bool) {
+	if v.ID == r.self.ID || v.ID == "" || v.ControlAddress == "" {
+		return false
+	}
+	r.members.Do(v.ID, func() *member { return &member{} }, func(m *member) {
+		if m.vm.ControlAddress == v.ControlAddress && m.vm.Zone == v.Zone {
+			return
+		}
+		if !m.heard.IsZero() && v.Incarnation == "" {
+			return // hearsay does not replace what the VM itself said
+		}
+		m.vm, changed = v, true
+	})
+	return changed
+}
+
+// Heard notes a message that came from the VM itself.
+func (r *Roster) Heard(now time.Time, v vm.VM, relay bool) (restarted bool) {
+	if v.ID == r.self.ID {
+		return false
+	}
+	r.members.Do(v.ID, func() *member { return &member{} }, func(m *member) {
+		restarted = m.vm.Incarnation != v.Incarnation
+		m.vm, m.heard = v, now
+		if relay {
+			m.heardAsRelay = now
+		}
+	})
+	r.zones.Store(v.Zone, now)
+	r.direct.Store(v.Zone, now)
+	return restarted
+}
+
+// Connected notes the zones that a relay of this VM's zone hears.
+func (r *Roster) Connected(now time.Time, zones []zone.ID) {
+	for _, z := range zones {
+		if z != r.self.Zone {
+			r.zones.Store(z, now)
+		}
+	}
+}
+
+// HeardZones returns the zones whose messages arrive at this VM itself.
+func (r *Roster) HeardZones(now time.Time) []zone.ID {
+	var out []zone.ID
+	r.direct.Range(func(z zone.ID, at time.Time) bool {
+		if now.Sub(at) < relaySilence {
+			out = append(out, z)
+		}
+		return true
+	})
+	return out
+}
+
+// All returns all known VMs but this one.
+func (r *Roster) All() []vm.VM {
+	var out []vm.VM
+	r.members.Range(func(_ vm.ID, m *member) bool {
+		out = append(out, m.vm)
+		return true
+	})
+	return out
+}
+
+// InZone returns the known VMs of a zone but this one.
+func (r *Roster) InZone(z zone.ID) []vm.VM {
+	var out []vm.VM
+	for _, v := range r.All() {
+		if v.Zone == z {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Relays returns the VMs that relay for the zone, best first, at most
+// RelaysPerZone; this VM may be among them.
+func (r *Roster) Relays(now time.Time, z zone.ID) []vm.VM {
+	var out []vm.VM
+	for _, v := range r.rank(z) {
+		if len(out) == RelaysPerZone {
+			break
+		}
+		if v.ID == r.self.ID || r.relayHeard(now, v.ID) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Rank returns this VM's place among the VMs of its zone that could relay, not
+// counting those that are not heard as relays: 0 for the first relay.
+func (r *Roster) Rank(now time.Time) int {
+	rank := 0
+	for _, v := range r.rank(r.self.Zone) {
+		if v.ID == r.self.ID {
+			break
+		}
+		if r.relayHeard(now, v.ID) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// IsRelay reports whether this VM relays for its zone: fewer than RelaysPerZone
+// VMs of a better rank do.
+func (r *Roster) IsRelay(now time.Time) bool { return r.Rank(now) < RelaysPerZone }
+
+// Contacts returns VMs of another zone to send a relay's messages to: its
+// relays, or one VM at random if none is heard.
+func (r *Roster) Contacts(now time.Time, z zone.ID) []vm.VM {
+	if relays := r.Relays(now, z); len(relays) > 0 {
+		return relays
+	}
+	all := r.InZone(z)
+	if len(all) == 0 {
+		return nil
+	}
+	return []vm.VM{all[rand.IntN(len(all))]}
+}
+
+// Zones returns the zones of all known VMs, this VM's zone first.
+func (r *Roster) Zones() []zone.ID {
+	seen := map[zone.ID]bool{r.self.Zone: true}
+	out := []zone.ID{r.self.Zone}
+	for _, v := range r.All() {
+		if !seen[v.Zone] {
+			seen[v.Zone] = true
+			out = append(out, v.Zone)
+		}
+	}
+	return out
+}
+
+// Share returns the part of the fleet whose admissions this VM hears of: all
+// VMs of the zones it is connected with, or only itself if it hears no other.
+// Groups of VMs that are cut off from each other have shares that add up to 1
+// at most.
+func (r *Roster) Share(now time.Time) float64 {
+	total, connected := 1, 1
+	own := r.zoneHeard(now, r.self.Zone)
+	for _, v := range r.All() {
+		total++
+		if v.Zone == r.self.Zone && own || v.Zone != r.self.Zone && r.zoneHeard(now, v.Zone) {
+			connected++
+		}
+	}
+	return float64(connected) / float64(total)
+}
+
+// Size returns the number of known VMs, this one included.
+func (r *Roster) Size() int { return r.members.Len() + 1 }
+
+func (r *Roster) zoneHeard(now time.Time, z zone.ID) bool {
+	at, ok := r.zones.Load(z)
+	return ok && now.Sub(at) < zoneSilence
+}
+
+func (r *Roster) relayHeard(now time.Time, id vm.ID) bool {
+	heard := false
+	r.members.DoExisting(id, func(m *member) {
+		heard = !m.heardAsRelay.IsZero() && now.Sub(m.heardAsRelay) < relaySilence
+	})
+	return heard
+}
+
+// rank orders the VMs of a zone, this one included, by rendezvous hashing.
+func (r *Roster) rank(z zone.ID) []vm.VM {
+	list := vm.MemberList{VMs: r.InZone(z)}
+	if z == r.self.Zone {
+		list.VMs = append(list.VMs, r.self)
+	}
+	return list.Rank(vm.Role{Kind: relayRole, Name: string(z)})
+}
--- /dev/null
+++ b/hosted/hosted.go
@@ -0,0 +1,111 @@
+package hosted
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"almondstile/boottime"
+	"almondstile/catalog"
+	"almondstile/direct"
+	"almondstile/entry/httpfront"
+	"almondstile/fleet"
+	"almondstile/gossip"
+	"almondstile/httpconn"
+	"almondstile/logging"
+	"almondstile/request"
+	"almondstile/tally"
+	"almondstile/telemetry"
+	"almondstile/upstream"
+	"almondstile/vm"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Store is what a VM needs from the platform's store.
+type Store interface {
+	catalog.Store
+	// VMs returns the VMs that announced themselves.
+	VMs(ctx context.Context) ([]vm.VM, error)
+	// Announce makes a VM known to those that start later. It may be repeated.
+	Announce(ctx context.Context, v vm.VM) error
+}
+
+// Platform is what differs from one platform to another.
+type Platform struct {
+	Store   Store
+	Decoder catalog.Decoder
+	Callers httpfront.Protocol
+	Servers upstream.Protocol
+}
+
+// Limits of callers' connections.
+const (
+	maxHeaderBytes = 32 << 10
+	maxBodyBytes   = 64 << 20
+	// readTimeout bounds receiving one request.
+	readTimeout = 20 * time.Second
+	// writeTimeout bounds sending one response to a slow caller.
+	writeTimeout = 20 * time.Second
+	// callerIdle is above the time for which callers keep connections.
+	callerIdle = 90 * time.Second
+)
+
+// VM is one VM's process.
+type VM struct {
+	settings   *Settings
+	log        *logging.Log
+	metrics    *telemetry.Metrics
+	catalog    *catalog.Catalog
+	roster     *fleet.Roster
+	ledger     *tally.Ledger
+	knowledge  *direct.Knowledge
+	node       *gossip.Node
+	upstream   *upstream.Client
+	dispatcher *direct.Dispatcher
+	front      *httpfront.Server
+	callers    net.Listener
+	ready      *readyServer
+	store      Store
+}
+
+// New opens the VM's listeners.
+func New(s *Settings, p Platform, log *logging.Log) (*VM, error) {
+	now := time.Now()
+	v := &VM{
+		settings: s, log: log, store: p.Store, metrics: telemetry.New(),
+		catalog:   catalog.New(p.Decoder, boottime.Now, log.Part("catalog")),
+		roster:    fleet.NewRoster(s.Self),
+		knowledge: direct.NewKnowledge(now, s.Budget),
+		upstream:  upstream.NewClientFor(p.Servers, httpconn.DefaultOptions()),
+	}
+	v.ledger = tally.NewLedger(tally.OriginOf(s.Self.ID, s.Self.Incarnation), v.knowledge)
+	v.dispatcher = direct.NewDispatcher(direct.Parts{
+		Self: s.Self, Source: v.catalog, Knowledge: v.knowledge, Ledger: v.ledger, Exchanger: v.upstream,
+		Connected: v.roster, Observer: v.metrics, Limits: direct.Limits{MaxKeyAge: s.maxKeyAge()},
+		Log: log.Part("request"), Clock: time.Now, BootTime: boottime.Now,
+	})
+	v.front = httpfront.New(v.dispatcher, httpfront.Options{
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdle,
+		Protocol: p.Callers,
+	}, log.Part("callers"))
+	return v, v.listen()
+}
+
+func (v *VM) listen() error {
+	node, err := gossip.Listen(gossip.Parts{
+		Roster: v.roster, Ledger: v.ledger, Catalog: v.catalog, Seeds: v.settings.Seeds, Log: v.log.Part("gossip"),
+	})
+	if err != nil {
+		return err
+	}
+	v.node = node
+	if v.callers, err = net.Listen("tcp4", v.settings.CallersAddress); err != nil {
+		return errors.Wrapf(err, "listening for callers on %s", v.settings.CallersAddress)
+	}
+	v.ready, err = listenReady(v.settings.ReadyAddress, v.isReady, v.metrics)
+	return err
+}
+
+func (v *VM) isReady() (bool, request.Reason) { return v.dispatcher.Ready() }
--- a/request/request.go
+++ b/request/request.go
@@ -73,6 +73,7 @@
 	ReasonLeaving          Reason = "leaving"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonShed             Reason = "shed-by-server"
+	ReasonMisdirected      Reason = "misdirected"
 	ReasonConnect          Reason = "connect-failed"
 	ReasonLostResponse     Reason = "response-lost"
 	ReasonTruncated        Reason = "response-truncated"
@@ -97,6 +98,8 @@
 	Status int
 	Header []Field
 	Body   []byte
+	// Shed is the server's own status if it said that it did not run the request.
+	Shed int
 	// RetryAfter tells a rejected caller when to come again; 0 if not known.
 	RetryAfter time.Duration
 	// ServiceState is the owner's newest view of the service, opaque here.
--- /dev/null
+++ b/retry/shared.go
@@ -0,0 +1,92 @@
+package retry
+
+import (
+	"time"
+
+	"almondstile/contract"
+	"almondstile/shard"
+	"almondstile/tally"
+)
+
+// Terms bound the repeats of a service over all VMs: in any window, at most
+// Ratio × requests + Slack.
+type Terms struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+const (
+	// sharedSlots divides the window; a slot is the resolution of its start.
+	sharedSlots = 20
+	// slackUsed is the part of the slack that is given out. The rest covers
+	// repeats that VMs send before they hear of each other.
+	slackUsed = 0.6
+)
+
+// Shared is a retry budget that all VMs keep alike from the counts of their own
+// sends and those that they hear of. The zero value allows nothing.
+type Shared struct {
+	terms    Terms
+	services shard.Map[tally.Subject, *sends]
+}
+
+// NewShared returns a budget in which nothing was sent.
+func NewShared(t Terms) *Shared { return &Shared{terms: t} }
+
+// sends counts first sends and repeats in the slots of the window.
+type sends struct {
+	slots [sharedSlots]struct {
+		number        int64 // the slot's number since the epoch
+		first, repeat float64
+	}
+}
+
+// First counts the first send of a request.
+func (s *Shared) First(now time.Time, service contract.ServiceID) {
+	s.Sent(now, tally.SubjectOf(tally.Service, string(service)), 1, 0)
+}
+
+// Spend counts a repeat and reports whether it may be sent. share is the part
+// of the fleet that hears of it.
+func (s *Shared) Spend(now time.Time, service contract.ServiceID, share float64) (ok bool) {
+	slot := s.slot(now)
+	s.services.Do(tally.SubjectOf(tally.Service, string(service)), newSends, func(c *sends) {
+		first, repeat := c.sum(slot)
+		if ok = repeat+1 <= s.terms.Ratio*first+s.terms.Slack*slackUsed*share; ok {
+			c.add(slot, 0, 1)
+		}
+	})
+	return ok
+}
+
+// Sent counts sends of other VMs.
+func (s *Shared) Sent(now time.Time, subject tally.Subject, first, repeat uint32) {
+	slot := s.slot(now)
+	s.services.Do(subject, newSends, func(c *sends) { c.add(slot, float64(first), float64(repeat)) })
+}
+
+func (s *Shared) slot(now time.Time) int64 {
+	return now.UnixNano() / int64(max(s.terms.Window/sharedSlots, time.Millisecond))
+}
+
+func (c *sends) add(number int64, first, repeat float64) {
+	slot := &c.slots[number%sharedSlots]
+	if slot.number != number {
+		slot.number, slot.first, slot.repeat = number, 0, 0
+	}
+	slot.first += first
+	slot.repeat += repeat
+}
+
+func (c *sends) sum(now int64) (first, repeat float64) {
+	for i := range c.slots {
+		if slot := &c.slots[i]; slot.number > now-sharedSlots && slot.number <= now {
+			first += slot.first
+			repeat += slot.repeat
+		}
+	}
+	return first, repeat
+}
+
+func newSends() *sends { return &sends{} }
--- /dev/null
+++ b/tally/ledger.go
@@ -0,0 +1,270 @@
+package tally
+
+import (
+	"encoding/binary"
+	"time"
+
+	"almondstile/shard"
+	"almondstile/vm"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says what a subject is.
+type Kind byte
+
+// The kinds of subjects.
+const (
+	Server  Kind = 's'
+	Team    Kind = 't'
+	Service Kind = 'v'
+	Crash   Kind = 'c'
+)
+
+// Subject identifies what is counted: a kind and the hash of a name. Hashes keep
+// datagrams small; the chance that two of 5,100 servers share one is below 1 in
+// 10^12.
+type Subject string
+
+// SubjectOf returns the subject of a named thing.
+func SubjectOf(kind Kind, name string) Subject {
+	var b [9]byte
+	b[0] = byte(kind)
+	binary.BigEndian.PutUint64(b[1:], xxhash.Sum64String(name))
+	return Subject(b[:])
+}
+
+// Kind returns the kind of the subject.
+func (s Subject) Kind() Kind {
+	if s == "" {
+		return 0
+	}
+	return Kind(s[0])
+}
+
+// Field is an index into Counts. Its meaning depends on the kind.
+type Field int
+
+// The fields of the kinds.
+const (
+	// Started counts requests sent to a server.
+	Started Field = iota
+	// Succeeded and Failed count their responses; Refused those that the server
+	// did not run.
+	Succeeded
+	Failed
+	Refused
+	// LatencyMillis sums the time that answered requests took.
+	LatencyMillis
+	fieldCount
+)
+
+const (
+	// Admitted counts a team's requests within its rate.
+	Admitted Field = 0
+	// First and Repeat count the sends of a service's requests.
+	First  Field = 0
+	Repeat Field = 1
+	// Crashes counts the servers that a request brought down.
+	Crashes Field = 0
+)
+
+// Counts are running totals or a difference of two.
+type Counts [fieldCount]uint32
+
+// minus returns c-o, and whether no field of it is negative.
+func (c Counts) minus(o Counts) (Counts, bool) {
+	var out Counts
+	for i := range c {
+		if c[i] < o[i] {
+			return Counts{}, false
+		}
+		out[i] = c[i] - o[i]
+	}
+	return out, true
+}
+
+// Origin is one start of one VM.
+type Origin string
+
+// OriginOf returns the origin of a VM's process.
+func OriginOf(id vm.ID, incarnation string) Origin {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], xxhash.Sum64String(string(id)+"/"+incarnation))
+	return Origin(b[:])
+}
+
+// Record is one origin's totals of a subject.
+type Record struct {
+	Origin  Origin
+	Subject Subject
+	Counts  Counts
+}
+
+// Observer takes in what happened at other VMs.
+type Observer interface {
+	Observe(now time.Time, subject Subject, delta Counts)
+}
+
+const (
+	// zoneSends and remoteSends are how often a change is sent inside the zone
+	// and to other zones. A datagram that is lost then costs one interval.
+	zoneSends   = 2
+	remoteSends = 2
+	// baselinePeriod is how long after an origin was first heard its totals are
+	// taken as what had happened before.
+	baselinePeriod = 1 * time.Second
+	// originIdle is how long the totals of a silent origin are kept.
+	originIdle = 60 * time.Second
+)
+
+// entry is what is known of one record and whether it must be sent on.
+type entry struct {
+	record      Record
+	changed     time.Time
+	zoneSends   int
+	remoteSends int
+}
+
+// Ledger holds the totals of this VM and the last totals of all others.
+type Ledger struct {
+	self     Origin
+	observer Observer
+	entries  shard.Map[string, *entry] // by origin and subject
+	// pending holds the keys of entries with sends left. Its locks are taken
+	// before those of entries.
+	pending shard.Map[string, struct{}]
+	origins shard.Map[Origin, *originState]
+}
+
+type originState struct {
+	firstHeard time.Time
+	lastHeard  time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(self Origin, observer Observer) *Ledger {
+	return &Ledger{self: self, observer: observer}
+}
+
+// Add counts something at this VM.
+func (l *Ledger) Add(now time.Time, s Subject, f Field, n uint32) {
+	key := string(l.self) + string(s)
+	l.entries.Do(key, newEntry, func(e *entry) {
+		e.record.Origin, e.record.Subject = l.self, s
+		e.record.Counts[f] += n
+		e.changed = now
+		e.zoneSends, e.remoteSends = zoneSends, remoteSends
+	})
+	l.pending.Store(key, struct{}{})
+}
+
+// Heard notes that a process of another VM lives.
+func (l *Ledger) Heard(now time.Time, o Origin) {
+	l.origins.Do(o, func() *originState { return &originState{firstHeard: now} }, func(s *originState) {
+		s.lastHeard = now
+	})
+}
+
+// Onward says where merged records have to be passed on to.
+type Onward struct {
+	Zone, OtherZones bool
+}
+
+// Merge takes in records of other VMs.
+func (l *Ledger) Merge(now time.Time, records []Record, onward Onward) {
+	for _, r := range records {
+		if r.Origin != l.self {
+			l.merge(now, r, onward)
+		}
+	}
+}
+
+func (l *Ledger) merge(now time.Time, r Record, onward Onward) {
+	key := string(r.Origin) + string(r.Subject)
+	l.Heard(now, r.Origin)
+	baseline := false
+	l.origins.DoExisting(r.Origin, func(s *originState) { baseline = now.Sub(s.firstHeard) < baselinePeriod })
+	var delta Counts
+	newer := false
+	l.entries.Update(key, func(e *entry, exists bool) (*entry, bool) {
+		if !exists {
+			e = &entry{}
+			if baseline {
+				e.record.Counts = r.Counts
+			}
+			newer = true
+		}
+		d, ok := r.Counts.minus(e.record.Counts)
+		if !ok || (exists && d == Counts{}) {
+			return e, true
+		}
+		delta, newer = d, true
+		e.record, e.changed = r, now
+		if onward.Zone {
+			e.zoneSends = zoneSends
+		}
+		if onward.OtherZones {
+			e.remoteSends = remoteSends
+		}
+		return e, true
+	})
+	if newer && (onward.Zone || onward.OtherZones) {
+		l.pending.Store(key, struct{}{})
+	}
+	if newer && delta != (Counts{}) {
+		l.observer.Observe(now, r.Subject, delta)
+	}
+}
+
+// Own returns this VM's changed records that were not sent often enough.
+func (l *Ledger) Own() []Record {
+	return l.take(func(e *entry) bool { return e.record.Origin == l.self && useUp(&e.zoneSends) })
+}
+
+// ForZone returns all changed records for the VMs of the zone.
+func (l *Ledger) ForZone() []Record {
+	return l.take(func(e *entry) bool { return useUp(&e.zoneSends) })
+}
+
+// ForOtherZones returns the changed records of this zone for other zones.
+func (l *Ledger) ForOtherZones() []Record {
+	return l.take(func(e *entry) bool { return useUp(&e.remoteSends) })
+}
+
+func useUp(sends *int) bool {
+	if *sends == 0 {
+		return false
+	}
+	*sends--
+	return true
+}
+
+func (l *Ledger) take(wanted func(*entry) bool) []Record {
+	var out []Record
+	l.pending.Range(func(key string, _ struct{}) (keep bool) {
+		l.entries.DoExisting(key, func(e *entry) {
+			if wanted(e) {
+				out = append(out, e.record)
+			}
+			keep = e.zoneSends > 0 || e.remoteSends > 0
+		})
+		return keep
+	})
+	return out
+}
+
+// Sweep forgets origins that were silent for long.
+func (l *Ledger) Sweep(now time.Time) {
+	silent := make(map[Origin]bool)
+	l.origins.Range(func(o Origin, s *originState) bool {
+		if now.Sub(s.lastHeard) < originIdle {
+			return true
+		}
+		silent[o] = true
+		return false
+	})
+	l.entries.Range(func(_ string, e *entry) bool { return !silent[e.record.Origin] })
+}
+
+func newEntry() *entry { return &entry{} }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"syscall"
 	"time"
 
 	"almondstile/contract"
-	"almondstile/header"
 	"almondstile/httpconn"
 	"almondstile/request"
 
@@ -16,8 +14,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-var errCrossed = errors.New("upstream: the response belongs to another request")
-
 // Exchange is what became of one attempt at a backend server.
 type Exchange struct {
 	Result request.Result
@@ -40,14 +36,41 @@
 	Crashed bool
 }
 
+// Protocol names the fields in which a request and its response carry what
+// almondstile and a backend server tell each other.
+type Protocol interface {
+	// Encode writes the request. left is the time that it may still take.
+	Encode(dst *fasthttp.Request, server *contract.Server, req *request.Request, left time.Duration)
+	// Check returns an error if a whole response does not belong to the request
+	// or is not what a server of this protocol sends. It marks the error with
+	// ErrCrossed or ErrGarbled.
+	Check(req *request.Request, resp *fasthttp.Response) error
+	// Decode translates a checked response. The instance identifies the
+	// server's process, "" if it did not say.
+	Decode(resp *fasthttp.Response) (result request.Result, instance string)
+}
+
+// Errors that a Protocol marks responses with.
+var (
+	ErrCrossed = errors.New("upstream: the response belongs to another request")
+	ErrGarbled = errors.New("upstream: the response is not one of the server")
+)
+
 // Client sends requests to backend servers.
 type Client struct {
-	pool *httpconn.Pool
+	pool     *httpconn.Pool
+	protocol Protocol
 }
 
-// NewClient returns a client with its own connections.
+// NewClient returns a client with its own connections that speaks almondstile's
+// own protocol.
 func NewClient(options httpconn.Options) *Client {
-	return &Client{pool: httpconn.NewPool(options)}
+	return NewClientFor(native{}, options)
+}
+
+// NewClientFor returns a client that speaks another protocol.
+func NewClientFor(protocol Protocol, options httpconn.Options) *Client {
+	return &Client{pool: httpconn.NewPool(options), protocol: protocol}
 }
 
 // CloseIdle closes unused connections that are past their time, or all.
@@ -63,9 +86,9 @@
 	defer fasthttp.ReleaseRequest(httpReq)
 	defer fasthttp.ReleaseResponse(httpResp)
 	start := time.Now()
-	encode(httpReq, server, req, start)
+	c.protocol.Encode(httpReq, server, req, req.Deadline.Sub(start))
 	progress, err := c.pool.Do(ctx, server.Address, httpReq, httpResp, func(resp *fasthttp.Response) error {
-		return checkEcho(req, resp)
+		return c.protocol.Check(req, resp)
 	})
 	e := Exchange{Latency: time.Since(start)}
 	if err != nil {
@@ -76,8 +99,7 @@
 		e.Cut = progress == request.Written && errors.Is(err, httpconn.ErrClosed) && ctx.Err() == nil && !e.Silent
 		return e
 	}
-	e.Instance = string(httpResp.Header.Peek(header.ServerInstance))
-	e.Result = response(httpResp)
+	e.Result, e.Instance = c.protocol.Decode(httpResp)
 	return e
 }
 
@@ -96,24 +118,6 @@
 	return false
 }
 
-func encode(dst *fasthttp.Request, server *contract.Server, req *request.Request, now time.Time) {
-	dst.Header.SetNoDefaultContentType(true)
-	dst.Header.SetMethod(req.Method)
-	dst.SetRequestURI(req.Target)
-	for _, f := range req.Header {
-		dst.Header.Add(f.Name, f.Value)
-	}
-	if len(dst.Header.Host()) == 0 {
-		dst.Header.SetHost(server.Address)
-	}
-	dst.Header.Set(header.RequestID, req.ID)
-	dst.Header.Set(header.DeadlineMillis, strconv.FormatInt(max(req.Deadline.Sub(now).Milliseconds(), 1), 10))
-	if req.Team != "" {
-		dst.Header.Set(header.Team, string(req.Team))
-	}
-	dst.SetBodyRaw(req.Body)
-}
-
 // failure translates an exchange without a whole response.
 func failure(progress request.Progress, err error) request.Result {
 	return request.Result{
@@ -132,48 +136,15 @@
 		return request.ReasonConnect
 	case errors.Is(err, httpconn.ErrTooLarge):
 		return request.ReasonResponseTooLarge
-	case errors.Is(err, httpconn.ErrTruncated), errors.Is(err, httpconn.ErrMalformed):
+	case errors.Is(err, httpconn.ErrTruncated), errors.Is(err, httpconn.ErrMalformed), errors.Is(err, ErrGarbled):
 		return request.ReasonTruncated
-	case errors.Is(err, errCrossed):
+	case errors.Is(err, ErrCrossed):
 		return request.ReasonCrossed
 	default:
 		return request.ReasonLostResponse
 	}
 }
 
-// checkEcho rejects the response to another request, which proves nothing about
-// this one and means that the connection is out of step.
-func checkEcho(req *request.Request, resp *fasthttp.Response) error {
-	if echo := resp.Header.Peek(header.RequestID); len(echo) > 0 && string(echo) != req.ID {
-		return errCrossed
-	}
-	return nil
-}
-
-// response copies a whole response out of the codec's buffers.
-func response(resp *fasthttp.Response) request.Result {
-	saidNotRun := resp.StatusCode() == fasthttp.StatusServiceUnavailable &&
-		string(resp.Header.Peek(header.NotRun)) == "true"
-	outcome := request.Classify(request.ResponseComplete, saidNotRun)
-	if outcome == request.NotRun {
-		return request.Rejected(request.ReasonShed)
-	}
-	return request.Result{
-		Outcome: outcome,
-		Status:  resp.StatusCode(),
-		Header:  header.Sanitize(fields(&resp.Header)),
-		Body:    append([]byte(nil), resp.Body()...),
-	}
-}
-
-func fields(h *fasthttp.ResponseHeader) []request.Field {
-	var out []request.Field
-	for name, value := range h.All() {
-		out = append(out, request.Field{Name: string(name), Value: string(value)})
-	}
-	return out
-}
-
 // crashCheckTimeout bounds the connection attempt of Refuses.
 const crashCheckTimeout = 200 * time.Millisecond
 
