--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -15,7 +15,7 @@
 	memory = 3 * time.Second
 	// runningMemory is the time constant with which requests of other VMs are
 	// taken to have ended if nothing more is heard of them.
-	runningMemory = 2 * time.Second
+	runningMemory = 3 * time.Second
 	// rateSlots divide the last second for counting what was sent in it.
 	rateSlots   = 10
 	rateSlotLen = time.Second / rateSlots
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,9 +30,9 @@
 	// temperature is the cost at which the chance of a server falls to 1/e.
 	temperature = 1.0
 	// loadCost is the cost of a server whose slots are all taken.
-	loadCost = 6.0
+	loadCost = 2.0
 	// queueCost is the cost of each further request in units of the slots.
-	queueCost = 9.0
+	queueCost = 8.0
 	// distanceCost keeps requests in their zone while it has free slots.
 	distanceCost = 3.5
 	// failingCost is the cost of a server all of whose requests fail.
@@ -42,7 +42,7 @@
 	// slownessCost is the cost of a server that takes twice as long.
 	slownessCost = 2.0
 	// refusalCost is the cost of each recent refusal.
-	refusalCost = 1.5
+	refusalCost = 1.0
 	// idleGain makes servers attractive that got nothing for a second, up to
 	// mostIdleGain, so that no sound server stays unused because of a failure
 	// that is past. It is below distanceCost: a server's own zone tries it.
