gossip: group records, strong relays, urgent records only; ready needs the servers

Relays could be VMs with 10 Mbit/s; each urgent failure sent all changes to 32 VMs each 10 ms, about 18 Mbit/s. Heartbeats were late, all VMs of the zone became relays at once and dropped the role again (966 changes in 22 s). Strong VMs relay first, urgent sends hold the urgent records only and are 20 ms apart, records are grouped by origin, the second relay sends at a third of the rate, and VMs take over in their order. 2. A dark server cost 500 ms for each attempt to connect (requests were refused after 2.4 s). The limit is 200 ms. 3. Found by a test that failed three times of eight: a VM was ready before it knew any server and rejected its first requests. Also: at the start a VM waits for the list of VMs before it reads the tables. Ruled out: loss of datagrams between zones; the servers were in the VMs' own zone.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -144,6 +144,12 @@
 	return store - asOf
 }
 
+// Known reports whether there is a copy of the table.
+func (c *Catalog) Known(t Table) bool {
+	version, _ := c.Mark(t)
+	return version > 0
+}
+
 // Expire drops registrations that did not return after an outage.
 func (c *Catalog) Expire() {
 	store, known := c.Clock.At(c.clock())
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -56,8 +56,10 @@
 // Run follows a table until the context ends.
 func (r *Reader) Run(ctx context.Context, t Table) {
 	failures := 0
+	started := time.Now()
 	for ctx.Err() == nil {
-		if r.Catalog.Age(t) < r.Duty.ReadAfter() {
+		// Before the first copy, the time since the start counts as its age.
+		if min(r.Catalog.Age(t), time.Since(started)) < r.Duty.ReadAfter() {
 			wait.For(ctx, idlePause)
 			continue
 		}
--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -22,6 +22,8 @@
 type Source interface {
 	View() *catalog.View
 	Age(catalog.Table) time.Duration
+	// Known reports whether the table was ever read.
+	Known(catalog.Table) bool
 }
 
 // Exchanger runs one attempt at a server.
@@ -99,7 +101,7 @@
 // Ready reports whether the VM can serve, and why not.
 func (d *Dispatcher) Ready() (ready bool, reason request.Reason) {
 	switch {
-	case d.parts.Source.View().Index == nil:
+	case d.parts.Source.View().Index == nil || !d.parts.Source.Known(catalog.Servers):
 		return false, request.ReasonNotReady
 	case d.parts.Source.Age(catalog.Operator) > d.parts.Limits.MaxKeyAge:
 		return false, request.ReasonStoreAway
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"almondstile/shard"
@@ -19,6 +22,10 @@
 	// zoneSilence is the time without a message from a zone after which it
 	// counts as unreachable.
 	zoneSilence = 1000 * time.Millisecond
+	// takeoverStep is what each place in the order adds to the wait before a VM
+	// relays, mostSteps bounds it.
+	takeoverStep = 60 * time.Millisecond
+	mostSteps    = 10
 	// relayRole ranks the VMs of a zone.
 	relayRole vm.RoleKind = "relay"
 )
@@ -33,8 +40,12 @@
 
 // Roster is one VM's knowledge of the fleet.
 type Roster struct {
-	self    vm.VM
-	members shard.Map[vm.ID, *member]
+	self vm.VM
+	// mu guards wantedSince, the time from which fewer relays were heard than
+	// there should be; zero while there are enough.
+	mu          sync.Mutex
+	wantedSince time.Time
+	members     shard.Map[vm.ID, *member]
 	// zones holds when each zone was last heard, directly or by a relay of this
 	// VM's zone; direct holds the messages that came here themselves.
 	zones  shard.Map[zone.ID, time.Time]
@@ -157,8 +168,29 @@
 }
 
 // IsRelay reports whether this VM relays for its zone: fewer than RelaysPerZone
-// VMs of a better rank do.
-func (r *Roster) IsRelay(now time.Time) bool { return r.Rank(now) < RelaysPerZone }
+// VMs of a better rank do. VMs far down the order wait longer before they take
+// the place of a relay that fell silent, so that not all of them do.
+func (r *Roster) IsRelay(now time.Time) bool {
+	if r.Rank(now) >= RelaysPerZone {
+		r.setWanted(time.Time{})
+		return false
+	}
+	since := r.setWanted(now)
+	place := slices.IndexFunc(r.rank(r.self.Zone), func(v vm.VM) bool { return v.ID == r.self.ID })
+	wait := time.Duration(min(max(place-RelaysPerZone+1, 0), mostSteps)) * takeoverStep
+	return now.Sub(since) >= wait
+}
+
+// setWanted notes since when another relay is wanted; the zero time says that
+// none is. It returns the time noted.
+func (r *Roster) setWanted(now time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.IsZero() || r.wantedSince.IsZero() {
+		r.wantedSince = now
+	}
+	return r.wantedSince
+}
 
 // Contact returns the VM of another zone to which this VM, a relay, sends its
 // messages: each relay of this zone has another relay there, so that a change
@@ -220,11 +252,28 @@
 	return heard
 }
 
-// rank orders the VMs of a zone, this one included, by rendezvous hashing.
+// rank orders the VMs of a zone, this one included: strong ones first, which
+// have at least half of the strength of the strongest, then by rendezvous
+// hashing.
 func (r *Roster) rank(z zone.ID) []vm.VM {
 	list := vm.MemberList{VMs: r.InZone(z)}
 	if z == r.self.Zone {
 		list.VMs = append(list.VMs, r.self)
 	}
-	return list.Rank(vm.Role{Kind: relayRole, Name: string(z)})
+	strongest := 0
+	for _, v := range list.VMs {
+		strongest = max(strongest, v.Strength)
+	}
+	ranked := list.Rank(vm.Role{Kind: relayRole, Name: string(z)})
+	slices.SortStableFunc(ranked, func(a, b vm.VM) int {
+		return cmp.Compare(weakness(a, strongest), weakness(b, strongest))
+	})
+	return ranked
+}
+
+func weakness(v vm.VM, strongest int) int {
+	if 2*v.Strength >= strongest {
+		return 0
+	}
+	return 1
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -17,7 +17,7 @@
 	maxDatagramBytes = 1400
 	// maxRecords and maxMembers bound what one datagram holds, so that it stays
 	// below maxDatagramBytes.
-	maxRecords = 30
+	maxRecords = 50
 	maxMembers = 4
 )
 
@@ -32,14 +32,22 @@
 	AsOfMillis int64
 }
 
-// record is a tally.Record on the wire.
+// group holds the records of one origin.
+type group struct {
+	_      struct{} `cbor:",toarray"`
+	Origin []byte
+	// UptimeDeciseconds is how long the origin had run, in tenths of a second,
+	// at the last change of the records.
+	UptimeDeciseconds int64
+	Records           []record
+}
+
+// record is the rest of a tally.Record. Trailing zeros of the counts are left
+// out.
 type record struct {
 	_       struct{} `cbor:",toarray"`
-	Origin  []byte
 	Subject []byte
-	Counts  tally.Counts
-	// UptimeMillis is how long the origin had run at the last change.
-	UptimeMillis int64
+	Counts  []uint32
 }
 
 // member introduces a VM.
@@ -49,6 +57,7 @@
 	Zone        zone.ID
 	Address     string
 	Incarnation string
+	Strength    int
 }
 
 // message is a datagram.
@@ -62,7 +71,7 @@
 	// Zones are those that the sender, a relay, hears.
 	Zones   []zone.ID
 	Members []member
-	Records []record
+	Groups  []group
 }
 
 // copies is the answer to a pull.
@@ -85,29 +94,53 @@
 	return nil
 }
 
-func toRecords(records []tally.Record) []record {
-	out := make([]record, len(records))
-	for i, r := range records {
-		out[i] = record{Origin: []byte(r.Origin), Subject: []byte(r.Subject), Counts: r.Counts, UptimeMillis: millis(r.Uptime)}
+const uptimeUnit = 100 * time.Millisecond
+
+// toGroups gathers records by origin.
+func toGroups(records []tally.Record) []group {
+	var out []group
+	at := make(map[tally.Origin]int)
+	for _, r := range records {
+		i, ok := at[r.Origin]
+		if !ok {
+			i = len(out)
+			at[r.Origin] = i
+			out = append(out, group{Origin: []byte(r.Origin)})
+		}
+		g := &out[i]
+		g.UptimeDeciseconds = max(g.UptimeDeciseconds, int64(r.Uptime/uptimeUnit))
+		g.Records = append(g.Records, record{Subject: []byte(r.Subject), Counts: trim(r.Counts)})
 	}
 	return out
 }
 
-func fromRecords(records []record) []tally.Record {
-	out := make([]tally.Record, len(records))
-	for i, r := range records {
-		out[i] = tally.Record{Origin: tally.Origin(r.Origin), Subject: tally.Subject(r.Subject), Counts: r.Counts,
-			Uptime: fromMillis(r.UptimeMillis)}
+func trim(c tally.Counts) []uint32 {
+	n := len(c)
+	for n > 0 && c[n-1] == 0 {
+		n--
+	}
+	return c[:n]
+}
+
+func fromGroups(groups []group) []tally.Record {
+	var out []tally.Record
+	for _, g := range groups {
+		for _, r := range g.Records {
+			t := tally.Record{Origin: tally.Origin(g.Origin), Subject: tally.Subject(r.Subject),
+				Uptime: time.Duration(g.UptimeDeciseconds) * uptimeUnit}
+			copy(t.Counts[:], r.Counts)
+			out = append(out, t)
+		}
 	}
 	return out
 }
 
 func toMember(v vm.VM) member {
-	return member{ID: v.ID, Zone: v.Zone, Address: v.ControlAddress, Incarnation: v.Incarnation}
+	return member{ID: v.ID, Zone: v.Zone, Address: v.ControlAddress, Incarnation: v.Incarnation, Strength: v.Strength}
 }
 
 func (m member) vm() vm.VM {
-	return vm.VM{ID: m.ID, Zone: m.Zone, ControlAddress: m.Address, Incarnation: m.Incarnation}
+	return vm.VM{ID: m.ID, Zone: m.Zone, ControlAddress: m.Address, Incarnation: m.Incarnation, Strength: m.Strength}
 }
 
 func millis(d time.Duration) int64      { return d.Milliseconds() }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -24,13 +24,13 @@
 const (
 	// sendInterval is how often changes leave a VM or a relay.
 	sendInterval = 80 * time.Millisecond
-	// remoteInterval is how often a relay sends changes to other zones, where
-	// bytes have a price.
-	remoteInterval = 80 * time.Millisecond
+	// standbyIntervals is how many intervals a relay that is not its zone's
+	// first waits: its messages only fill the gaps of the first one's.
+	standbyIntervals = 3
 	// heartbeatInterval is how often a message leaves without changes.
 	heartbeatInterval = 200 * time.Millisecond
 	// urgentGap is the least time between two urgent sends.
-	urgentGap = 10 * time.Millisecond
+	urgentGap = 20 * time.Millisecond
 	// introductions is the share of a relay's messages that introduce VMs.
 	introductions = 0.1
 	// pullTimeout bounds one pull of table copies.
@@ -66,7 +66,10 @@
 	pool     *httpconn.Pool
 	pulling  shard.Map[vm.ID, time.Time]
 	slots    chan struct{}
-	wasRelay bool
+	// wasRelay, lastZone and lastRemote belong to the sending goroutine: whether
+	// this VM relayed, and when it last sent to its zone and to others.
+	wasRelay             bool
+	lastZone, lastRemote time.Time
 	// seeds may be replaced while the node runs.
 	seeds atomic.Pointer[[]string]
 }
@@ -121,15 +124,16 @@
 	wg.Wait()
 }
 
-// send sends changes and heartbeats at their intervals.
+// send sends changes and heartbeats at their intervals, and urgent changes at
+// once.
 func (n *Node) send(ctx context.Context) {
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
-	var lastZone, lastRemote time.Time
-	for {
+	var lastUrgent time.Time
+	for tick := 0; ; {
 		urgent := n.parts.Urgent
 		var again <-chan time.Time
-		if gap := time.Since(lastZone); gap < urgentGap {
+		if gap := time.Since(lastUrgent); gap < urgentGap {
 			urgent, again = nil, time.After(urgentGap-gap)
 		}
 		select {
@@ -137,48 +141,49 @@
 			return
 		case <-again:
 		case <-urgent:
-			now := time.Now()
-			n.sendToZone(now, false)
-			n.sendToOthers(now, false)
-			lastZone = now
+			lastUrgent = time.Now()
+			n.sendNews(lastUrgent, tally.Urgent)
 		case now := <-ticker.C:
-			if n.sendToZone(now, now.Sub(lastZone) >= heartbeatInterval) {
-				lastZone = now
-			}
-			if now.Sub(lastRemote) >= remoteInterval && n.sendToOthers(now, now.Sub(lastRemote) >= heartbeatInterval) {
-				lastRemote = now
+			tick++
+			if n.parts.Roster.Rank(now) == 0 || !n.isRelay(now) || tick%standbyIntervals == 0 {
+				n.sendNews(now, tally.Changed)
 			}
 		}
 	}
 }
 
-// sendToZone sends a relay's news to all VMs of the zone, and another VM's to
-// the relays. It reports whether anything was sent.
-func (n *Node) sendToZone(now time.Time, heartbeat bool) bool {
+// isRelay reports whether this VM relays, and logs changes of that.
+func (n *Node) isRelay(now time.Time) bool {
 	relay := n.parts.Roster.IsRelay(now)
 	if relay != n.wasRelay {
 		n.wasRelay = relay
 		n.parts.Log.WithField("relay", relay).WithField("rank", n.parts.Roster.Rank(now)).
 			WithField("fleet", n.parts.Roster.Size()).Info("This VM's part as a relay changed.")
 	}
-	self := n.parts.Roster.Self()
-	if relay {
-		return n.sendRecords(now, n.parts.Ledger.ForZone(), n.parts.Roster.InZone(self.Zone), heartbeat)
-	}
-	return n.sendRecords(now, n.parts.Ledger.Own(), n.parts.Roster.Relays(now, self.Zone), heartbeat)
+	return relay
 }
 
-// sendToOthers sends the news of the zone to the other zones.
-func (n *Node) sendToOthers(now time.Time, heartbeat bool) bool {
-	if !n.parts.Roster.IsRelay(now) {
-		return false
+// sendNews sends a relay's news to the VMs of its zone and to the other zones,
+// and another VM's to the relays.
+func (n *Node) sendNews(now time.Time, scope tally.Scope) {
+	roster, ledger, self := n.parts.Roster, n.parts.Ledger, n.parts.Roster.Self()
+	zoneBeat := now.Sub(n.lastZone) >= heartbeatInterval
+	if !n.isRelay(now) {
+		if n.sendRecords(now, ledger.Own(scope), roster.Relays(now, self.Zone), zoneBeat) {
+			n.lastZone = now
+		}
+		return
 	}
-	records := n.parts.Ledger.ForOtherZones()
-	sent := false
-	for _, z := range n.parts.Roster.Zones()[1:] {
-		sent = n.sendRecords(now, records, n.parts.Roster.Contact(now, z), heartbeat) || sent
+	if n.sendRecords(now, ledger.ForZone(scope), roster.InZone(self.Zone), zoneBeat) {
+		n.lastZone = now
+	}
+	remoteBeat := now.Sub(n.lastRemote) >= heartbeatInterval
+	records := ledger.ForOtherZones(scope)
+	for _, z := range roster.Zones()[1:] {
+		if n.sendRecords(now, records, roster.Contact(now, z), remoteBeat) {
+			n.lastRemote = now
+		}
 	}
-	return sent
 }
 
 func (n *Node) sendRecords(now time.Time, records []tally.Record, to []vm.VM, heartbeat bool) bool {
@@ -195,7 +200,7 @@
 
 func (n *Node) message(now time.Time, records []tally.Record) message {
 	roster := n.parts.Roster
-	m := message{Sender: toMember(roster.Self()), Relay: roster.IsRelay(now), Records: toRecords(records)}
+	m := message{Sender: toMember(roster.Self()), Relay: roster.IsRelay(now), Groups: toGroups(records)}
 	if store, known := n.parts.Catalog.Clock.At(boottime.Now()); known {
 		m.StoreMillis = millis(store)
 	}
@@ -288,7 +293,7 @@
 		roster.Connected(now, m.Zones)
 	}
 	relay := roster.IsRelay(now)
-	n.parts.Ledger.Merge(now, fromRecords(m.Records), tally.Onward{Zone: relay, OtherZones: relay && inZone && !m.Relay})
+	n.parts.Ledger.Merge(now, fromGroups(m.Groups), tally.Onward{Zone: relay, OtherZones: relay && inZone && !m.Relay})
 	n.compare(ctx, wg, sender, m, local)
 }
 
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -58,6 +58,10 @@
 	// unannouncedServerIdle applies to servers that do not say how long they
 	// keep one: they announce whole seconds only.
 	unannouncedServerIdle = 400 * time.Millisecond
+	// serverConnect bounds opening a connection. Servers are a few milliseconds
+	// away, at most a region; one that does not answer is dark, and another may
+	// still serve the request in time.
+	serverConnect = 200 * time.Millisecond
 	// maxIdlePerServer bounds the unused connections to one server, which all
 	// VMs share out among them.
 	maxIdlePerServer = 6
@@ -67,6 +71,7 @@
 	options := httpconn.DefaultOptions()
 	options.IdleTimeout, options.UnannouncedIdle = serverIdle, unannouncedServerIdle
 	options.MaxIdlePerAddress = maxIdlePerServer
+	options.ConnectTimeout = serverConnect
 	options.CloseDelimited = true
 	return options
 }
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -25,6 +25,9 @@
 	// time to the next.
 	announceTimeout = 1 * time.Second
 	announcePause   = 700 * time.Millisecond
+	// introductionLimit is how long a VM waits for the store's list of VMs before
+	// it reads the tables.
+	introductionLimit = 1 * time.Second
 	// readAfterFirst is the age of a copy from which the relays that are not
 	// the first read it themselves, readAfterEach what each further rank adds.
 	readAfterFirst = 1600 * time.Millisecond
@@ -35,11 +38,12 @@
 // ReadAfter implements catalog.Duty: the first relay of each zone reads the
 // store for the zone, the others only when what they hear grows old.
 func (v *VM) ReadAfter() time.Duration {
-	rank := v.roster.Rank(time.Now())
-	if rank == 0 {
+	now := time.Now()
+	rank := v.roster.Rank(now)
+	if rank == 0 && v.roster.IsRelay(now) {
 		return 0
 	}
-	return readAfterFirst + time.Duration(min(rank, mostRanks)-1)*readAfterEach
+	return readAfterFirst + time.Duration(min(max(rank, 1), mostRanks)-1)*readAfterEach
 }
 
 // Run serves until stop ends, then shuts down gracefully: it reports that it is
@@ -50,10 +54,16 @@
 	background, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { v.node.Run(background) })
-	wg.Go(func() { v.announce(background) })
+	introduced := make(chan struct{})
+	wg.Go(func() { v.announce(background, introduced) })
 	for _, t := range catalog.Tables {
 		reader := catalog.Reader{Catalog: v.catalog, Store: v.store, Duty: v, Log: v.log.Part("store")}
-		wg.Go(func() { reader.Run(background, t) })
+		wg.Go(func() {
+			// Without knowing the others, every VM of a fleet that starts would
+			// take itself for the reader of its zone.
+			waitFor(background, introduced, introductionLimit)
+			reader.Run(background, t)
+		})
 	}
 	wg.Go(func() { v.sweep(background) })
 	v.serve(&wg, stop, "readiness", func() error { return v.ready.http.Serve(v.ready.listener) })
@@ -97,12 +107,26 @@
 	return errors.CombineErrors(v.scraped.http.Shutdown(), v.ready.http.Shutdown())
 }
 
-// announce makes this VM known and learns the others, until both succeeded.
-func (v *VM) announce(ctx context.Context) {
+// waitFor returns when done is closed, the limit has passed or the context ends.
+func waitFor(ctx context.Context, done <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// announce makes this VM known and learns the others, until both succeeded. It
+// closes introduced when the others are known.
+func (v *VM) announce(ctx context.Context, introduced chan<- struct{}) {
 	known, announced := false, false
 	for ctx.Err() == nil && !(known && announced) {
 		if !known {
-			known = v.learnVMs(ctx, &announced)
+			if known = v.learnVMs(ctx, &announced); known {
+				close(introduced)
+			}
 		}
 		if !announced {
 			announced = v.announceOnce(ctx)
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -135,8 +135,13 @@
 	record      Record
 	zoneSends   int
 	remoteSends int
+	// urgentZone and urgentRemote say that the change must not wait for the next
+	// regular message.
+	urgentZone, urgentRemote bool
 }
 
+func (e *entry) hasten() { e.urgentZone, e.urgentRemote = true, true }
+
 // Ledger holds the totals of this VM and the last totals of all others.
 type Ledger struct {
 	self     Origin
@@ -173,16 +178,20 @@
 // Add counts something at this VM.
 func (l *Ledger) Add(now time.Time, s Subject, f Field, n uint32) {
 	key := string(l.self) + string(s)
+	var delta Counts
+	delta[f] = n
+	urgent := isUrgent(s, delta)
 	l.entries.Do(key, newEntry, func(e *entry) {
 		e.record.Origin, e.record.Subject = l.self, s
 		e.record.Counts[f] += n
 		e.record.Uptime = now.Sub(l.started)
 		e.zoneSends, e.remoteSends = ownSends, remoteSends
+		if urgent {
+			e.hasten()
+		}
 	})
 	l.pending.Store(key, struct{}{})
-	var delta Counts
-	delta[f] = n
-	if isUrgent(s, delta) {
+	if urgent {
 		l.urgent()
 	}
 }
@@ -237,6 +246,9 @@
 		if onward.OtherZones {
 			e.remoteSends = remoteSends
 		}
+		if isUrgent(r.Subject, delta) {
+			e.hasten()
+		}
 		return e, true
 	})
 	if newer && (onward.Zone || onward.OtherZones) {
@@ -250,26 +262,39 @@
 	}
 }
 
+// Scope says which records to take: all changed ones or the urgent ones only.
+type Scope int
+
+// The scopes.
+const (
+	Changed Scope = iota
+	Urgent
+)
+
 // Own returns this VM's changed records that were not sent often enough.
-func (l *Ledger) Own() []Record {
-	return l.take(func(e *entry) bool { return e.record.Origin == l.self && useUp(&e.zoneSends) })
+func (l *Ledger) Own(scope Scope) []Record {
+	return l.take(func(e *entry) bool { return e.record.Origin == l.self && e.forZone(scope) })
 }
 
 // ForZone returns all changed records for the VMs of the zone.
-func (l *Ledger) ForZone() []Record {
-	return l.take(func(e *entry) bool { return useUp(&e.zoneSends) })
+func (l *Ledger) ForZone(scope Scope) []Record {
+	return l.take(func(e *entry) bool { return e.forZone(scope) })
 }
 
 // ForOtherZones returns the changed records of this zone for other zones.
-func (l *Ledger) ForOtherZones() []Record {
-	return l.take(func(e *entry) bool { return useUp(&e.remoteSends) })
+func (l *Ledger) ForOtherZones(scope Scope) []Record {
+	return l.take(func(e *entry) bool { return useUp(scope, &e.remoteSends, &e.urgentRemote) })
 }
 
-func useUp(sends *int) bool {
-	if *sends == 0 {
+func (e *entry) forZone(scope Scope) bool { return useUp(scope, &e.zoneSends, &e.urgentZone) }
+
+// useUp counts a send and reports whether it is due.
+func useUp(scope Scope, sends *int, urgent *bool) bool {
+	if *sends == 0 || scope == Urgent && !*urgent {
 		return false
 	}
 	*sends--
+	*urgent = false
 	return true
 }
 
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -40,13 +40,13 @@
 				a.Add(now, subject, Admitted, n)
 				total += n
 			}
-			sent = append(sent, a.Own())
+			sent = append(sent, a.Own(Changed))
 			if i := rapid.IntRange(-1, len(sent)-1).Draw(t, "delivered"); i >= 0 {
 				b.Merge(now, sent[i], Onward{})
 			}
 		}
 		a.Add(now, subject, Admitted, 1)
-		b.Merge(now, a.Own(), Onward{})
+		b.Merge(now, a.Own(Changed), Onward{})
 		if got := observed[subject][Admitted]; got != total+1 {
 			t.Fatalf("observed %d admissions, want %d", got, total+1)
 		}
@@ -60,12 +60,12 @@
 	a.Add(start.Add(time.Minute), subject, Admitted, 500)
 	observed := sum{}
 	b := NewLedger(start.Add(time.Minute), "origin-b", observed, nil)
-	b.Merge(start.Add(time.Minute+100*time.Millisecond), a.Own(), Onward{})
+	b.Merge(start.Add(time.Minute+100*time.Millisecond), a.Own(Changed), Onward{})
 	if got := observed[subject][Admitted]; got != 0 {
 		t.Errorf("observed %d admissions from before the start", got)
 	}
 	a.Add(start.Add(time.Minute+time.Second), subject, Admitted, 2)
-	b.Merge(start.Add(time.Minute+time.Second), a.Own(), Onward{})
+	b.Merge(start.Add(time.Minute+time.Second), a.Own(Changed), Onward{})
 	if got := observed[subject][Admitted]; got != 2 {
 		t.Errorf("observed %d admissions, want 2", got)
 	}
@@ -78,7 +78,7 @@
 	observed := sum{}
 	b := NewLedger(start.Add(200*time.Millisecond), "origin-b", observed, nil)
 	a.Add(start.Add(400*time.Millisecond), subject, Admitted, 3)
-	b.Merge(start.Add(450*time.Millisecond), a.Own(), Onward{})
+	b.Merge(start.Add(450*time.Millisecond), a.Own(Changed), Onward{})
 	if got := observed[subject][Admitted]; got != 3 {
 		t.Errorf("observed %d admissions, want 3", got)
 	}
@@ -91,16 +91,16 @@
 	relay := NewLedger(start, "origin-r", sum{}, nil)
 	now := start.Add(10 * time.Second)
 	a.Add(now, subject, Admitted, 1)
-	relay.Merge(now, a.Own(), Onward{Zone: true, OtherZones: true})
-	if len(relay.ForZone()) != 1 || len(relay.ForOtherZones()) != 1 {
+	relay.Merge(now, a.Own(Changed), Onward{Zone: true, OtherZones: true})
+	if len(relay.ForZone(Changed)) != 1 || len(relay.ForOtherZones(Changed)) != 1 {
 		t.Error("the relay does not pass on the change")
 	}
-	if len(relay.ForZone()) != 0 || len(relay.ForOtherZones()) != 0 {
+	if len(relay.ForZone(Changed)) != 0 || len(relay.ForOtherZones(Changed)) != 0 {
 		t.Error("the relay passes on the change again")
 	}
 	far := NewLedger(start, "origin-f", sum{}, nil)
-	far.Merge(now, a.Own(), Onward{Zone: true})
-	if len(far.ForOtherZones()) != 0 {
+	far.Merge(now, a.Own(Changed), Onward{Zone: true})
+	if len(far.ForOtherZones(Changed)) != 0 {
 		t.Error("a change from another zone is sent to other zones")
 	}
 }
@@ -119,4 +119,14 @@
 	if calls != 1 {
 		t.Errorf("%d urgent calls after a failure, want 1", calls)
 	}
+	l.Add(start, subject, Admitted, 1)
+	if got := l.Own(Urgent); len(got) != 1 || got[0].Subject != server {
+		t.Errorf("urgent records %+v, want the server's only", got)
+	}
+	if got := l.Own(Urgent); len(got) != 0 {
+		t.Errorf("a failure is urgent twice: %+v", got)
+	}
+	if got := l.Own(Changed); len(got) != 2 {
+		t.Errorf("%d changed records, want 2", len(got))
+	}
 }
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -23,6 +23,9 @@
 	ForwardAddress string `json:"forward_address"`
 	// ControlAddress is the IP:port that accepts control messages (jsonrpc2).
 	ControlAddress string `json:"control_address"`
+	// Strength compares the processor and network shares of VMs; duties that
+	// take more than the usual go to strong ones. 0 if not known.
+	Strength int `json:"strength,omitempty"`
 }
 
 // MemberList is the list of VMs that hold roles. Version grows by one with
