fleet: keep the order of relays until a VM changes

The order was made several times at each message, by sorting all VMs of the zone. Readers without the duty look for it each 250 ms instead of 100 ms.

--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -39,7 +39,7 @@
 	// counts as silent.
 	callSlack = 700 * time.Millisecond
 	// idlePause is how long a VM without the duty waits before it looks again.
-	idlePause = 100 * time.Millisecond
+	idlePause = 250 * time.Millisecond
 	// failurePause grows to maxFailurePause while calls fail.
 	failurePause    = 250 * time.Millisecond
 	maxFailurePause = 1500 * time.Millisecond
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondstile/shard"
@@ -45,7 +46,10 @@
 	// there should be; zero while there are enough.
 	mu          sync.Mutex
 	wantedSince time.Time
-	members     shard.Map[vm.ID, *member]
+	// changes counts the changes of members; zoneOrders was made at one of them.
+	changes    atomic.Uint64
+	zoneOrders atomic.Pointer[zoneOrders]
+	members    shard.Map[vm.ID, *member]
 	// zones holds when each zone was last heard, directly or by a relay of this
 	// VM's zone; direct holds the messages that came here themselves.
 	zones  shard.Map[zone.ID, time.Time]
@@ -75,6 +79,9 @@
 		}
 		m.vm, changed = v, true
 	})
+	if changed {
+		r.changes.Add(1)
+	}
 	return changed
 }
 
@@ -83,13 +90,18 @@
 	if v.ID == r.self.ID {
 		return false
 	}
+	changed := false
 	r.members.Do(v.ID, func() *member { return &member{} }, func(m *member) {
 		restarted = m.vm.Incarnation != v.Incarnation
+		changed = m.vm != v
 		m.vm, m.heard = v, now
 		if relay {
 			m.heardAsRelay = now
 		}
 	})
+	if changed {
+		r.changes.Add(1)
+	}
 	r.zones.Store(v.Zone, now)
 	r.direct.Store(v.Zone, now)
 	return restarted
@@ -129,8 +141,8 @@
 // InZone returns the known VMs of a zone but this one.
 func (r *Roster) InZone(z zone.ID) []vm.VM {
 	var out []vm.VM
-	for _, v := range r.All() {
-		if v.Zone == z {
+	for _, v := range r.rank(z) {
+		if v.ID != r.self.ID {
 			out = append(out, v)
 		}
 	}
@@ -209,12 +221,10 @@
 
 // Zones returns the zones of all known VMs, this VM's zone first.
 func (r *Roster) Zones() []zone.ID {
-	seen := map[zone.ID]bool{r.self.Zone: true}
 	out := []zone.ID{r.self.Zone}
-	for _, v := range r.All() {
-		if !seen[v.Zone] {
-			seen[v.Zone] = true
-			out = append(out, v.Zone)
+	for z := range r.orders() {
+		if z != r.self.Zone {
+			out = append(out, z)
 		}
 	}
 	return out
@@ -225,11 +235,13 @@
 // Groups of VMs that are cut off from each other have shares that add up to 1
 // at most.
 func (r *Roster) Share(now time.Time) float64 {
-	total, connected := 1, 1
-	own := r.zoneHeard(now, r.self.Zone)
-	for _, v := range r.All() {
-		total++
-		if v.Zone == r.self.Zone && own || v.Zone != r.self.Zone && r.zoneHeard(now, v.Zone) {
+	total, connected := 0, 0
+	for z, vms := range r.orders() {
+		total += len(vms)
+		switch {
+		case r.zoneHeard(now, z):
+			connected += len(vms)
+		case z == r.self.Zone:
 			connected++
 		}
 	}
@@ -252,19 +264,41 @@
 	return heard
 }
 
-// rank orders the VMs of a zone, this one included: strong ones first, which
-// have at least half of the strength of the strongest, then by rendezvous
-// hashing.
-func (r *Roster) rank(z zone.ID) []vm.VM {
-	list := vm.MemberList{VMs: r.InZone(z)}
-	if z == r.self.Zone {
-		list.VMs = append(list.VMs, r.self)
+// rank returns the VMs of a zone in the order in which they relay.
+func (r *Roster) rank(z zone.ID) []vm.VM { return r.orders()[z] }
+
+// zoneOrders holds the VMs of each zone in the order in which they relay, after
+// a number of changes.
+type zoneOrders struct {
+	changes uint64
+	zones   map[zone.ID][]vm.VM
+}
+
+// orders returns the order of each zone, made anew if a VM has changed.
+func (r *Roster) orders() map[zone.ID][]vm.VM {
+	changes := r.changes.Load()
+	if known := r.zoneOrders.Load(); known != nil && known.changes == changes {
+		return known.zones
+	}
+	zones := map[zone.ID][]vm.VM{r.self.Zone: {r.self}}
+	for _, v := range r.All() {
+		zones[v.Zone] = append(zones[v.Zone], v)
+	}
+	for z, vms := range zones {
+		zones[z] = order(z, vms)
 	}
+	r.zoneOrders.Store(&zoneOrders{changes, zones})
+	return zones
+}
+
+// order sorts the VMs of a zone: strong ones first, which have at least half of
+// the strength of the strongest, then by rendezvous hashing.
+func order(z zone.ID, vms []vm.VM) []vm.VM {
 	strongest := 0
-	for _, v := range list.VMs {
+	for _, v := range vms {
 		strongest = max(strongest, v.Strength)
 	}
-	ranked := list.Rank(vm.Role{Kind: relayRole, Name: string(z)})
+	ranked := vm.MemberList{VMs: vms}.Rank(vm.Role{Kind: relayRole, Name: string(z)})
 	slices.SortStableFunc(ranked, func(a, b vm.VM) int {
 		return cmp.Compare(weakness(a, strongest), weakness(b, strongest))
 	})
