--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -34,7 +34,10 @@
 const (
 	// followWait is how long the store may hold a call without changes. It
 	// bounds the age of a copy on a quiet day.
-	followWait = 1 * time.Second
+	followWait = 1200 * time.Millisecond
+	// gatherPause follows changes, which often come several at a time. It is
+	// short against the two seconds in which a change has to be in force.
+	gatherPause = 100 * time.Millisecond
 	// callSlack is what a call may take beyond its wait before its connection
 	// counts as silent.
 	callSlack = 700 * time.Millisecond
@@ -97,6 +100,9 @@
 		changes, err := r.follow(ctx, t, version)
 		if err == nil {
 			r.Catalog.Apply(t, changes)
+			if len(changes.Rows) > 0 {
+				wait.For(ctx, gatherPause)
+			}
 			return nil
 		}
 		if !errors.Is(err, ErrHistoryLost) {
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -30,8 +30,8 @@
 	introductionLimit = 1 * time.Second
 	// readAfterFirst is the age of a copy from which the relays that are not
 	// the first read it themselves, readAfterEach what each further rank adds.
-	readAfterFirst = 1600 * time.Millisecond
-	readAfterEach  = 250 * time.Millisecond
+	readAfterFirst = 1800 * time.Millisecond
+	readAfterEach  = 200 * time.Millisecond
 	mostRanks      = 4
 )
 
