quota, fleet: tell at once when a team's tokens run out; notice cuts in half a second

A team sends eight times its usual; news of admissions took up to 0.3 s across zones, and both sides of a zone cut admitted the whole rate for up to 1.5 s, because a VM believed its relay, which believed its own last message. Change: admissions below half the burst are urgent; a zone counts as cut after 0.45 s at a relay and 0.5 s at the others. Not measured yet.

--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -94,7 +94,11 @@
 func (c counters) admit(now time.Time, team *contract.Team, share float64) quota.Decision {
 	decision := c.knowledge.Quota.Admit(now, team, share)
 	if decision.Admitted {
-		c.ledger.Add(now, tally.SubjectOf(tally.Team, string(team.ID)), tally.Admitted, 1)
+		subject := tally.SubjectOf(tally.Team, string(team.ID))
+		c.ledger.Add(now, subject, tally.Admitted, 1)
+		if decision.Scarce() {
+			c.ledger.Add(now, subject, tally.Scarce, 1)
+		}
 	}
 	return decision
 }
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -20,9 +20,12 @@
 	// relaySilence is the time without a message after which a relay is
 	// replaced. Relays send at least each 200 ms.
 	relaySilence = 500 * time.Millisecond
-	// zoneSilence is the time without a message from a zone after which it
-	// counts as unreachable.
-	zoneSilence = 1000 * time.Millisecond
+	// zoneSilence is the time without word of a zone after which it counts as
+	// unreachable, directSilence the same for a relay, which hears the zone
+	// itself. Until then both sides of a cut admit the whole rate of a team, so
+	// both are little more than two heartbeats.
+	zoneSilence   = 500 * time.Millisecond
+	directSilence = 450 * time.Millisecond
 	// takeoverStep is what each place in the order adds to the wait before a VM
 	// relays, mostSteps bounds it.
 	takeoverStep = 60 * time.Millisecond
@@ -120,7 +123,7 @@
 func (r *Roster) HeardZones(now time.Time) []zone.ID {
 	var out []zone.ID
 	r.direct.Range(func(z zone.ID, at time.Time) bool {
-		if now.Sub(at) < relaySilence {
+		if now.Sub(at) < directSilence {
 			out = append(out, z)
 		}
 		return true
--- a/quota/shared.go
+++ b/quota/shared.go
@@ -8,6 +8,13 @@
 	"almondstile/tally"
 )
 
+// scarceShare is the part of the burst below which tokens are scarce.
+const scarceShare = 0.5
+
+// Scarce reports whether the team's tokens run out, so that what other VMs do
+// not know yet would let them admit more than the rate.
+func (d Decision) Scarce() bool { return d.Level < scarceShare*d.Burst }
+
 // Shared admits a team's requests at every VM by one bucket that all VMs keep
 // alike: each takes out what it admits itself and what it hears that others
 // admitted. What two VMs admit before they hear of each other puts the bucket
--- a/quota/shared_test.go
+++ b/quota/shared_test.go
@@ -93,3 +93,67 @@
 		t.Error("a rejected caller is not told when to come again")
 	}
 }
+
+// Guards against both sides of a cut admitting a team's whole rate for too long:
+// the team sends eight times its usual while a third of the VMs is cut off, and
+// the sum over any window must stay inside the operators' terms with their slack
+// (a tenth and 20 requests). A cut counts after detection; news take a delay.
+func TestCutZonesStayInsideTheTerms(t *testing.T) {
+	const detection, delay = 950 * time.Millisecond, 60 * time.Millisecond
+	const cutFrom, cutTo, length = 3 * time.Second, 8 * time.Second, 12 * time.Second
+	const window, step = 5 * time.Second, 5 * time.Millisecond
+	const groups = 3
+	for seed := uint64(1); seed <= 20; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		rate := float64(5 + rng.IntN(40))
+		team := &contract.Team{ID: "team-1", RatePerSecond: rate, Burst: int(rate)}
+		start := time.Unix(1000, 0)
+		var buckets [groups]*Shared
+		for i := range buckets {
+			buckets[i] = NewShared(start.Add(-10 * time.Second))
+		}
+		type admission struct {
+			at    time.Duration
+			group int
+			heard [groups]bool
+		}
+		var all []admission
+		separated := func(at time.Duration, a, b int) bool {
+			return at >= cutFrom && at < cutTo && (a == 0) != (b == 0)
+		}
+		for at := time.Duration(0); at < length; at += step {
+			now := start.Add(at)
+			for i := range all {
+				for g := range groups {
+					if g != all[i].group && !all[i].heard[g] && at-all[i].at >= delay && !separated(at, g, all[i].group) {
+						all[i].heard[g] = true
+						buckets[g].Spent(tally.SubjectOf(tally.Team, "team-1"), 1)
+					}
+				}
+			}
+			if rng.Float64() > 5*rate*step.Seconds() { // eight times the usual, of which the rate is 1.6
+				continue
+			}
+			g := rng.IntN(groups)
+			share := 1.0
+			if at >= cutFrom+detection && at < cutTo+detection {
+				share = map[bool]float64{true: 1.0 / 3, false: 2.0 / 3}[g == 0]
+			}
+			if buckets[g].Admit(now, team, share).Admitted {
+				all = append(all, admission{at: at, group: g})
+			}
+		}
+		allowed := (rate*window.Seconds()+float64(team.Burst))*1.1 + 20
+		for i := range all {
+			n := 0
+			for _, a := range all[i:] {
+				if a.at-all[i].at < window {
+					n++
+				}
+			}
+			if float64(n) > allowed {
+				t.Fatalf("seed %d, rate %v: %d admitted in %s, allowed %.1f", seed, rate, n, window, allowed)
+			}
+		}
+	}
+}
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -62,8 +62,10 @@
 )
 
 const (
-	// Admitted counts a team's requests within its rate.
+	// Admitted counts a team's requests within its rate, Scarce those that were
+	// admitted when few tokens were left, which others must know at once.
 	Admitted Field = 0
+	Scarce   Field = 1
 	// First and Repeat count the sends of a service's requests.
 	First  Field = 0
 	Repeat Field = 1
@@ -170,9 +172,17 @@
 	return &Ledger{started: now, self: self, observer: observer, urgent: urgent}
 }
 
-// isUrgent reports whether counts hold a server's failure.
+// isUrgent reports whether counts hold news that must not wait: a server's
+// failure, or that a team's tokens run out.
 func isUrgent(s Subject, delta Counts) bool {
-	return s.Kind() == Server && delta[Failed] > 0 || s.Kind() == Crash
+	switch s.Kind() {
+	case Server:
+		return delta[Failed] > 0
+	case Team:
+		return delta[Scarce] > 0
+	default:
+		return s.Kind() == Crash
+	}
 }
 
 // Add counts something at this VM.
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -126,6 +126,10 @@
 	if got := l.Own(Urgent); len(got) != 0 {
 		t.Errorf("a failure is urgent twice: %+v", got)
 	}
+	l.Add(start, subject, Scarce, 1)
+	if got := l.Own(Urgent); len(got) != 1 || got[0].Subject != subject {
+		t.Errorf("urgent records %+v, want those of the team whose tokens run out", got)
+	}
 	if got := l.Own(Changed); len(got) != 2 {
 		t.Errorf("%d changed records, want 2", len(got))
 	}
