--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -20,12 +20,11 @@
 	// relaySilence is the time without a message after which a relay is
 	// replaced. Relays send at least each 200 ms.
 	relaySilence = 500 * time.Millisecond
-	// zoneSilence is the time without word of a zone after which it counts as
-	// unreachable, directSilence the same for a relay, which hears the zone
-	// itself. Until then both sides of a cut admit the whole rate of a team, so
-	// both are little more than two heartbeats.
-	zoneSilence   = 500 * time.Millisecond
-	directSilence = 450 * time.Millisecond
+	// zoneSilence is the time since a zone was last heard, by this VM or by a
+	// relay of its zone, after which it counts as unreachable. Until then both
+	// sides of a cut admit the whole rate of a team, so it is little more than
+	// two heartbeats.
+	zoneSilence = 550 * time.Millisecond
 	// takeoverStep is what each place in the order adds to the wait before a VM
 	// relays, mostSteps bounds it.
 	takeoverStep = 60 * time.Millisecond
@@ -110,21 +109,34 @@
 	return restarted
 }
 
+// HeardZone says how long ago a VM last heard a zone.
+type HeardZone struct {
+	Zone zone.ID
+	Age  time.Duration
+}
+
 // Connected notes the zones that a relay of this VM's zone hears.
-func (r *Roster) Connected(now time.Time, zones []zone.ID) {
+func (r *Roster) Connected(now time.Time, zones []HeardZone) {
 	for _, z := range zones {
-		if z != r.self.Zone {
-			r.zones.Store(z, now)
+		if z.Zone == r.self.Zone {
+			continue
 		}
+		at := now.Add(-z.Age)
+		r.zones.Update(z.Zone, func(known time.Time, _ bool) (time.Time, bool) {
+			if at.After(known) {
+				known = at
+			}
+			return known, true
+		})
 	}
 }
 
 // HeardZones returns the zones whose messages arrive at this VM itself.
-func (r *Roster) HeardZones(now time.Time) []zone.ID {
-	var out []zone.ID
+func (r *Roster) HeardZones(now time.Time) []HeardZone {
+	var out []HeardZone
 	r.direct.Range(func(z zone.ID, at time.Time) bool {
-		if now.Sub(at) < directSilence {
-			out = append(out, z)
+		if age := now.Sub(at); age < zoneSilence {
+			out = append(out, HeardZone{z, age})
 		}
 		return true
 	})
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstile/catalog"
+	"almondstile/fleet"
 	"almondstile/tally"
 	"almondstile/vm"
 	"almondstile/zone"
@@ -60,6 +61,13 @@
 	Strength    int
 }
 
+// heardZone says how long ago the sender last heard a zone.
+type heardZone struct {
+	_         struct{} `cbor:",toarray"`
+	Zone      zone.ID
+	AgeMillis int64
+}
+
 // message is a datagram.
 type message struct {
 	_      struct{} `cbor:",toarray"`
@@ -69,7 +77,7 @@
 	StoreMillis int64
 	Tables      []tableMark // in the order of catalog.Tables
 	// Zones are those that the sender, a relay, hears.
-	Zones   []zone.ID
+	Zones   []heardZone
 	Members []member
 	Groups  []group
 }
@@ -94,6 +102,22 @@
 	return nil
 }
 
+func toZones(heard []fleet.HeardZone) []heardZone {
+	out := make([]heardZone, len(heard))
+	for i, z := range heard {
+		out[i] = heardZone{Zone: z.Zone, AgeMillis: millis(z.Age)}
+	}
+	return out
+}
+
+func fromZones(zones []heardZone) []fleet.HeardZone {
+	out := make([]fleet.HeardZone, len(zones))
+	for i, z := range zones {
+		out[i] = fleet.HeardZone{Zone: z.Zone, Age: fromMillis(z.AgeMillis)}
+	}
+	return out
+}
+
 const uptimeUnit = 100 * time.Millisecond
 
 // toGroups gathers records by origin.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -209,7 +209,7 @@
 		m.Tables = append(m.Tables, tableMark{Version: version, AsOfMillis: millis(asOf)})
 	}
 	if m.Relay {
-		m.Zones = roster.HeardZones(now)
+		m.Zones = toZones(roster.HeardZones(now))
 		if rand.Float64() < introductions {
 			m.Members = someMembers(roster.All(), maxMembers)
 		}
@@ -290,7 +290,7 @@
 	}
 	inZone := sender.Zone == self.Zone
 	if inZone && m.Relay {
-		roster.Connected(now, m.Zones)
+		roster.Connected(now, fromZones(m.Zones))
 	}
 	relay := roster.IsRelay(now)
 	n.parts.Ledger.Merge(now, fromGroups(m.Groups), tally.Onward{Zone: relay, OtherZones: relay && inZone && !m.Relay})
