quota: keep idle VMs' buckets; tally: relays do not repeat each other

Terms are known from the configuration now and a bucket is refilled before another VM's admissions are taken out. Ruled out: lost messages (offsets did not grow) and the cut (shares were right from 0.5 s after it).

--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"sync/atomic"
 	"time"
 
 	"almondstile/contract"
@@ -18,6 +19,8 @@
 	Quota   *quota.Shared
 	Budget  *retry.Shared
 	Crashes crashes
+	// configured is the configuration whose terms are in use.
+	configured atomic.Pointer[contract.Index]
 }
 
 // NewKnowledge returns the knowledge of a process that starts now.
@@ -25,13 +28,21 @@
 	return &Knowledge{Quota: quota.NewShared(now), Budget: retry.NewShared(budget)}
 }
 
+// Configure takes over the teams' terms of a configuration, if it is another one
+// than before.
+func (k *Knowledge) Configure(now time.Time, index *contract.Index) {
+	if index != nil && k.configured.Swap(index) != index {
+		k.Quota.SetTerms(now, index.Configuration().Teams)
+	}
+}
+
 // Observe implements tally.Observer.
 func (k *Knowledge) Observe(now time.Time, subject tally.Subject, d tally.Counts) {
 	switch subject.Kind() {
 	case tally.Server:
 		k.Servers.Observe(now, subject, d)
 	case tally.Team:
-		k.Quota.Spent(subject, d[tally.Admitted])
+		k.Quota.Spent(now, subject, d[tally.Admitted])
 	case tally.Service:
 		k.Budget.Sent(now, subject, d[tally.First], d[tally.Repeat])
 	case tally.Route:
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -29,8 +29,13 @@
 	standbyIntervals = 3
 	// heartbeatInterval is how often a message leaves without changes.
 	heartbeatInterval = 200 * time.Millisecond
-	// urgentGap is the least time between two urgent sends.
-	urgentGap = 20 * time.Millisecond
+	// urgentGap is the least time between two urgent sends, urgentGapEach what
+	// each VM of the zone adds to it at a relay, which sends to all of them.
+	urgentGap     = 15 * time.Millisecond
+	urgentGapEach = 1 * time.Millisecond
+	// standbyDelay is how long a relay that is not its zone's first holds urgent
+	// news back: usually the first one has told the zone by then.
+	standbyDelay = 40 * time.Millisecond
 	// introductions is the share of a relay's messages that introduce VMs.
 	introductions = 0.1
 	// pullTimeout bounds one pull of table copies.
@@ -130,18 +135,17 @@
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
 	var lastUrgent time.Time
+	var due <-chan time.Time // when urgent news are sent, nil if there are none
 	for tick := 0; ; {
-		urgent := n.parts.Urgent
-		var again <-chan time.Time
-		if gap := time.Since(lastUrgent); gap < urgentGap {
-			urgent, again = nil, time.After(urgentGap-gap)
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-again:
-		case <-urgent:
-			lastUrgent = time.Now()
+		case <-n.parts.Urgent:
+			if due == nil {
+				due = time.After(n.urgentWait(time.Since(lastUrgent)))
+			}
+		case <-due:
+			due, lastUrgent = nil, time.Now()
 			n.sendNews(lastUrgent, tally.Urgent)
 		case now := <-ticker.C:
 			tick++
@@ -152,6 +156,19 @@
 	}
 }
 
+// urgentWait returns how long urgent news wait, given the time since the last.
+func (n *Node) urgentWait(since time.Duration) time.Duration {
+	gap, now := urgentGap, time.Now()
+	least := time.Duration(0)
+	if n.isRelay(now) {
+		gap += urgentGapEach * time.Duration(len(n.parts.Roster.InZone(n.parts.Roster.Self().Zone)))
+		if n.parts.Roster.Rank(now) > 0 {
+			least = standbyDelay
+		}
+	}
+	return max(gap-since, least)
+}
+
 // isRelay reports whether this VM relays, and logs changes of that.
 func (n *Node) isRelay(now time.Time) bool {
 	relay := n.parts.Roster.IsRelay(now)
@@ -293,7 +310,9 @@
 		roster.Connected(now, fromZones(m.Zones))
 	}
 	relay := roster.IsRelay(now)
-	n.parts.Ledger.Merge(now, fromGroups(m.Groups), tally.Onward{Zone: relay, OtherZones: relay && inZone && !m.Relay})
+	n.parts.Ledger.Merge(now, fromGroups(m.Groups), tally.Onward{
+		Zone: relay && !(inZone && m.Relay), OtherZones: relay && inZone && !m.Relay, Told: inZone && m.Relay,
+	})
 	n.compare(ctx, wg, sender, m, local)
 }
 
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -173,8 +173,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-expire.C:
+		case now := <-expire.C:
 			v.catalog.Expire()
+			v.knowledge.Configure(now, v.catalog.View().Index)
 		case now := <-sweep.C:
 			v.upstream.CloseIdle(false)
 			v.ledger.Sweep(now)
--- a/quota/shared.go
+++ b/quota/shared.go
@@ -8,6 +8,17 @@
 	"almondstile/tally"
 )
 
+// Decision says whether a request was admitted, and from what that follows.
+type Decision struct {
+	Admitted bool
+	// Level is the number of tokens before the request; below 0 it is a debt.
+	Level float64
+	// RatePerSecond and Burst are this VM's part of the team's terms.
+	RatePerSecond, Burst float64
+	// RetryAfter is when a request that was not admitted can be.
+	RetryAfter time.Duration
+}
+
 // scarceShare is the part of the burst below which tokens are scarce.
 const scarceShare = 0.5
 
@@ -32,6 +43,9 @@
 type sharedBucket struct {
 	level float64
 	at    time.Time
+	// rate and burst are the team's terms, 0 before they are known; share is the
+	// part of them that this VM counted with last.
+	rate, burst, share float64
 }
 
 // NewShared returns buckets that are empty at the time.
@@ -39,15 +53,14 @@
 	return &Shared{started: started}
 }
 
-// Decision says whether a request was admitted, and from what that follows.
-type Decision struct {
-	Admitted bool
-	// Level is the number of tokens before the request; below 0 it is a debt.
-	Level float64
-	// RatePerSecond and Burst are this VM's part of the team's terms.
-	RatePerSecond, Burst float64
-	// RetryAfter is when a request that was not admitted can be.
-	RetryAfter time.Duration
+// SetTerms takes over the terms of the teams. Without them a bucket cannot be
+// kept while others admit.
+func (s *Shared) SetTerms(now time.Time, teams []contract.Team) {
+	for i := range teams {
+		s.buckets.Do(tally.SubjectOf(tally.Team, string(teams[i].ID)), s.empty, func(b *sharedBucket) {
+			b.setTerms(now, &teams[i])
+		})
+	}
 }
 
 // Admit takes a token for a request of the team. share is the part of the fleet
@@ -57,9 +70,11 @@
 	if team.RatePerSecond <= 0 {
 		return Decision{Admitted: true}
 	}
-	rate, burst := team.RatePerSecond*share, max(float64(team.Burst)*share, 1)
 	s.buckets.Do(tally.SubjectOf(tally.Team, string(team.ID)), s.empty, func(b *sharedBucket) {
-		b.refill(now, rate, burst)
+		b.setTerms(now, team)
+		b.share = share
+		b.refill(now)
+		rate, burst := b.terms()
 		d = Decision{Admitted: b.level >= 1, Level: b.level, RatePerSecond: rate, Burst: burst}
 		if d.Admitted {
 			b.level--
@@ -70,20 +85,37 @@
 	return d
 }
 
-// Return puts back the token of a request that was not sent to any server.
-func (s *Shared) Return(team contract.TeamID) {
-	s.buckets.DoExisting(tally.SubjectOf(tally.Team, string(team)), func(b *sharedBucket) { b.level++ })
+// Spent takes out what another VM admitted. The bucket is refilled first: its
+// level must have been at the burst at most when the tokens were taken.
+func (s *Shared) Spent(now time.Time, subject tally.Subject, n uint32) {
+	s.buckets.Do(subject, s.empty, func(b *sharedBucket) {
+		b.refill(now)
+		b.level -= float64(n)
+	})
 }
 
-// Spent takes out what another VM admitted.
-func (s *Shared) Spent(subject tally.Subject, n uint32) {
-	s.buckets.Do(subject, s.empty, func(b *sharedBucket) { b.level -= float64(n) })
+func (s *Shared) empty() *sharedBucket { return &sharedBucket{at: s.started, share: 1} }
+
+func (b *sharedBucket) setTerms(now time.Time, team *contract.Team) {
+	if b.rate == team.RatePerSecond && b.burst == float64(team.Burst) {
+		return
+	}
+	b.refill(now)
+	b.rate, b.burst = team.RatePerSecond, float64(team.Burst)
+	b.refill(now)
 }
 
-func (s *Shared) empty() *sharedBucket { return &sharedBucket{at: s.started} }
+// terms returns the part of the team's terms that this VM counts with.
+func (b *sharedBucket) terms() (rate, burst float64) {
+	return b.rate * b.share, max(b.burst*b.share, 1)
+}
 
 // refill adds what the rate yields since the last time, up to the burst.
-func (b *sharedBucket) refill(now time.Time, rate, burst float64) {
+func (b *sharedBucket) refill(now time.Time) {
+	if b.rate <= 0 {
+		return
+	}
+	rate, burst := b.terms()
 	if elapsed := now.Sub(b.at).Seconds(); elapsed > 0 {
 		b.level += elapsed * rate
 		b.at = now
--- a/quota/shared_test.go
+++ b/quota/shared_test.go
@@ -47,7 +47,7 @@
 				}
 				for i := range buckets {
 					if i != admissions[heard].vm {
-						buckets[i].Spent(tally.SubjectOf(tally.Team, "team-1"), 1)
+						buckets[i].Spent(now, tally.SubjectOf(tally.Team, "team-1"), 1)
 					}
 				}
 			}
@@ -127,7 +127,7 @@
 				for g := range groups {
 					if g != all[i].group && !all[i].heard[g] && at-all[i].at >= delay && !separated(at, g, all[i].group) {
 						all[i].heard[g] = true
-						buckets[g].Spent(tally.SubjectOf(tally.Team, "team-1"), 1)
+						buckets[g].Spent(now, tally.SubjectOf(tally.Team, "team-1"), 1)
 					}
 				}
 			}
@@ -157,3 +157,29 @@
 		}
 	}
 }
+
+// Guards against a VM forgetting what others admitted while it had no request of
+// the team itself: it refilled its bucket for the whole time afterwards, and many
+// such VMs admitted several bursts.
+func TestIdleVMKeepsCountOfOthers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	team := contract.Team{ID: "team-1", RatePerSecond: 20, Burst: 20}
+	busy, idle := NewShared(start), NewShared(start)
+	busy.SetTerms(start, []contract.Team{team})
+	idle.SetTerms(start, []contract.Team{team})
+	subject := tally.SubjectOf(tally.Team, "team-1")
+	var now time.Time
+	for at := time.Duration(0); at < 10*time.Second; at += 5 * time.Millisecond {
+		now = start.Add(at)
+		if busy.Admit(now, &team, 1).Admitted {
+			idle.Spent(now, subject, 1)
+		}
+	}
+	admitted := 0
+	for idle.Admit(now, &team, 1).Admitted {
+		admitted++
+	}
+	if admitted > 1 {
+		t.Errorf("the idle VM admits %d at once although the team's tokens are used up", admitted)
+	}
+}
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -216,6 +216,8 @@
 // Onward says where merged records have to be passed on to.
 type Onward struct {
 	Zone, OtherZones bool
+	// Told says that all VMs of the zone got the records from another relay.
+	Told bool
 }
 
 // Merge takes in records of other VMs.
@@ -245,6 +247,9 @@
 			newer = true
 		}
 		d, ok := r.Counts.minus(e.record.Counts)
+		if ok && onward.Told {
+			e.zoneSends, e.urgentZone = 0, false
+		}
 		if !ok || (exists && d == Counts{}) {
 			return e, true
 		}
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -105,6 +105,26 @@
 	}
 }
 
+// Guards against both relays of a zone sending the same news to all its VMs.
+func TestRelayDoesNotRepeatTheOther(t *testing.T) {
+	a := NewLedger(start, "origin-a", sum{}, nil)
+	relay := NewLedger(start, "origin-r", sum{}, nil)
+	now := start.Add(10 * time.Second)
+	a.Add(now, subject, Admitted, 1)
+	news := a.Own(Changed)
+	relay.Merge(now, news, Onward{Zone: true, OtherZones: true})
+	relay.Merge(now, news, Onward{Zone: true, Told: true})
+	if got := relay.ForZone(Changed); len(got) != 0 {
+		t.Errorf("the relay repeats %+v", got)
+	}
+	a.Add(now, subject, Admitted, 1)
+	relay.Merge(now, a.Own(Changed), Onward{Zone: true})
+	relay.Merge(now, news, Onward{Zone: true, Told: true})
+	if got := relay.ForZone(Changed); len(got) != 1 {
+		t.Errorf("the relay keeps back newer totals than the other sent: %+v", got)
+	}
+}
+
 // Guards against a failure that waits for the next regular message.
 func TestFailuresAreUrgent(t *testing.T) {
 	calls := 0
