--- a/gossip/node.go
+++ b/gossip/node.go
@@ -12,7 +12,6 @@
 	"almondstile/fleet"
 	"almondstile/httpconn"
 	"almondstile/logging"
-	"almondstile/shard"
 	"almondstile/tally"
 	"almondstile/vm"
 
@@ -69,7 +68,6 @@
 	server   *fasthttp.Server
 	listener net.Listener
 	pool     *httpconn.Pool
-	pulling  shard.Map[vm.ID, time.Time]
 	slots    chan struct{}
 	// wasRelay, lastZone and lastRemote belong to the sending goroutine: whether
 	// this VM relayed, and when it last sent to its zone and to others.
