--- a/entry/httpfront/response.go
+++ b/entry/httpfront/response.go
@@ -60,7 +60,7 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetStatusCode(statusOf(result))
+	ctx.SetStatusCode(StatusOf(result))
 	setOutcome(ctx, id, result)
 	if result.RetryAfter > 0 {
 		seconds := int(math.Ceil(result.RetryAfter.Seconds()))
@@ -73,8 +73,9 @@
 	ctx.SetBody(encoded)
 }
 
-// statusOf maps a result without a response to a status.
-func statusOf(result request.Result) int {
+// StatusOf returns the status of a result without a backend server's response. 429
+// and 503 are used only for requests that certainly did not run.
+func StatusOf(result request.Result) int {
 	switch result.Reason {
 	case request.ReasonKeyReused:
 		return fasthttp.StatusUnprocessableEntity
@@ -144,7 +145,7 @@
 
 // withRetryAfter tells callers of temporary rejections when to come again.
 func withRetryAfter(result request.Result) request.Result {
-	if result.RetryAfter == 0 && result.Outcome == request.NotRun && statusOf(result) == fasthttp.StatusServiceUnavailable {
+	if result.RetryAfter == 0 && result.Outcome == request.NotRun && StatusOf(result) == fasthttp.StatusServiceUnavailable {
 		result.RetryAfter = minRetryAfter
 	}
 	return result
