quota: let the test of the idle VM fail without the refill

Taking the refill out did not fail the test, because the bucket never reached its burst. A quiet time comes first now; without the refill the idle VM admits 20.

--- a/quota/shared_test.go
+++ b/quota/shared_test.go
@@ -169,7 +169,8 @@
 	idle.SetTerms(start, []contract.Team{team})
 	subject := tally.SubjectOf(tally.Team, "team-1")
 	var now time.Time
-	for at := time.Duration(0); at < 10*time.Second; at += 5 * time.Millisecond {
+	// For ten seconds nobody asks, then one VM gets more than the rate.
+	for at := 10 * time.Second; at < 20*time.Second; at += 5 * time.Millisecond {
 		now = start.Add(at)
 		if busy.Admit(now, &team, 1).Admitted {
 			idle.Spent(now, subject, 1)
