--- a/gossip/message.go
+++ b/gossip/message.go
@@ -16,10 +16,11 @@
 const (
 	// maxDatagramBytes keeps a datagram in one packet of a usual link.
 	maxDatagramBytes = 1400
-	// maxRecords and maxMembers bound what one datagram holds, so that it stays
-	// below maxDatagramBytes.
-	maxRecords = 50
-	maxMembers = 4
+	// maxRecordBytes is what the records of a datagram may take; the rest is for
+	// its head: the sender, the marks of tables, zones and introduced VMs.
+	maxRecordBytes = 850
+	// maxMembers bounds the VMs that one datagram introduces.
+	maxMembers = 3
 )
 
 // ErrMalformed marks a message that cannot be decoded.
@@ -118,6 +119,47 @@
 	return out
 }
 
+// Upper bounds of encoded lengths in bytes.
+const (
+	groupBytes      = 18 // origin, uptime and the heads around them
+	recordHeadBytes = 14 // subject and the heads around it and the counts
+	maxCountBytes   = 5
+)
+
+// fitting returns how many of the records fit into one datagram, at least one.
+func fitting(records []tally.Record) int {
+	origins := make(map[tally.Origin]bool)
+	size := 0
+	for i, r := range records {
+		if !origins[r.Origin] {
+			origins[r.Origin] = true
+			size += groupBytes
+		}
+		size += recordHeadBytes
+		for _, n := range trim(r.Counts) {
+			size += countBytes(n)
+		}
+		if size > maxRecordBytes && i > 0 {
+			return i
+		}
+	}
+	return len(records)
+}
+
+// countBytes returns the encoded length of a count.
+func countBytes(n uint32) int {
+	switch {
+	case n < 24:
+		return 1
+	case n < 1<<8:
+		return 2
+	case n < 1<<16:
+		return 3
+	default:
+		return maxCountBytes
+	}
+}
+
 const uptimeUnit = 100 * time.Millisecond
 
 // toGroups gathers records by origin.
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -91,7 +91,7 @@
 		return false
 	}
 	for first := true; first || len(records) > 0; first = false {
-		count := min(len(records), maxRecords)
+		count := fitting(records)
 		n.sendMessage(n.message(now, records[:count]), to)
 		records = records[count:]
 	}
