--- a/contract/contract.go
+++ b/contract/contract.go
@@ -33,9 +33,6 @@
 	Homes int `json:"homes" toml:"homes"`
 	// Weight is the team's share of the slots when a server is short of them.
 	Weight int `json:"weight" toml:"weight"`
-	// Priority is the rank of the team's requests, 0 first. It goes before the
-	// route's. Nil leaves the rank to the route.
-	Priority *int `json:"priority,omitempty" toml:"-"`
 }
 
 // Key lets its bearer act for one team. Only the hash of the secret is kept.
@@ -75,8 +72,6 @@
 	Attempts int `json:"attempts,omitempty" toml:"-"`
 	// TargetLatencyMillis is the time within which callers want their response.
 	TargetLatencyMillis int `json:"target_latency_ms,omitempty" toml:"-"`
-	// Priority is the rank of the route's requests, 0 first.
-	Priority int `json:"priority,omitempty" toml:"-"`
 }
 
 // Idempotence says whether requests of a route may run more than once.
@@ -163,19 +158,8 @@
 	// the slots of the service's servers that take new work.
 	FloorShare float64  `json:"floor_share" toml:"floor_share"`
 	Servers    []Server `json:"servers" toml:"servers"`
-	// HealthPath is the path of the servers' health check.
-	HealthPath string `json:"health_path,omitempty" toml:"-"`
-	// SlowStartMillis is how long a server stays cold after its start.
-	SlowStartMillis int `json:"slow_start_ms,omitempty" toml:"-"`
 	// RampPerSecond is the rate of requests that a cold server bears.
 	RampPerSecond float64 `json:"ramp_per_second,omitempty" toml:"-"`
-	// MaxConnections is what one server accepts from all VMs together.
-	MaxConnections int `json:"max_connections,omitempty" toml:"-"`
-}
-
-// SlowStart returns how long a server of the service stays cold.
-func (s *Service) SlowStart() time.Duration {
-	return time.Duration(s.SlowStartMillis) * time.Millisecond
 }
 
 // Server is one backend server as the operators describe it.
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -25,8 +25,8 @@
 	state  evidence.State
 }
 
-// choose selects a server for the next attempt of a request. refused says that
-// no server may take it at the moment though some are registered.
+// choose selects a server for the next attempt of a request. It reports false if
+// no server may take it at the moment.
 func (d *Dispatcher) choose(now time.Time, view *catalog.View, req *request.Request, tried map[contract.ServerID]bool) (chosen, bool) {
 	terms := view.Index.Service(req.Service)
 	var options []chosen
