owner: the test of a faulty server keeps its own clock

Cause: TestFaultyServerIsBlamed ran in real time between two limits of the code: one second without new suspicion after a blame, and the 25 ms that a relay's word may take before the caller gives up. On a busy machine the word came too late, which counts against the relay, not the server. Ruled out: a fault of the owner; with the relay's word in time the counts are as before. Now the owner's clock moves between requests only and the caller waits a minute past the deadline. The checks are the same.

--- a/owner/serverlink_test.go
+++ b/owner/serverlink_test.go
@@ -67,16 +67,23 @@
 }
 
 // Guards against hiding a faulty server behind its link: when the relay finds it
-// silent as well, or it refuses connections, every failure counts.
+// silent as well, or it refuses connections, every failure counts. The owner's
+// clock moves by the time of one request between requests only: after a blame,
+// failures count at once for a second, however long the machine takes.
 func TestFaultyServerIsBlamed(t *testing.T) {
+	const timeout = 300 * time.Millisecond
 	s := newSite(t)
+	now := time.Now()
+	s.clock = func() time.Time { return now }
+	s.patience = time.Minute
 	if err := s.host.SetMode(serverID, backendsim.Mode{HangShare: 1}); err != nil {
 		t.Fatal(err)
 	}
 	for _, idempotent := range []bool{false, true, true, false} {
-		if r := s.send(idempotent, 300*time.Millisecond); r.Outcome != request.Unknown {
+		if r := s.send(idempotent, timeout); r.Outcome != request.Unknown {
 			t.Errorf("silent server: got %s, %s", r.Outcome, r.Reason)
 		}
+		now = now.Add(timeout)
 	}
 	relayed := s.counter("relay-exchange")
 	s.link.Reset()
--- a/owner/site_test.go
+++ b/owner/site_test.go
@@ -79,6 +79,11 @@
 	owner   *owner.Owner
 	metrics *telemetry.Metrics
 	sent    int
+	// clock is the owner's clock.
+	clock func() time.Time
+	// patience is how long a caller waits for the answer after its deadline. It
+	// keeps the word of a relay from coming too late on a busy machine.
+	patience time.Duration
 	// once holds the outcomes of the requests that must not run twice.
 	once map[string]request.Outcome
 }
@@ -88,7 +93,7 @@
 	s := &site{
 		t: t, ctx: context.Background(), host: backendsim.NewHost(), servers: backend.NewServers(backend.DefaultOptions()),
 		peers: &link.Links{}, direct: upstream.NewClient(httpconn.DefaultOptions()),
-		metrics: telemetry.New(), once: make(map[string]request.Outcome),
+		metrics: telemetry.New(), once: make(map[string]request.Outcome), clock: time.Now,
 	}
 	t.Cleanup(s.host.Close)
 	t.Cleanup(s.network.Close)
@@ -136,7 +141,7 @@
 	s.owner = owner.New(owner.Parts{
 		Source: v, Members: v, Servers: s.servers, Exchanger: direct,
 		Quarantine: &outlier.Quarantine{}, Crashes: noCrashes{s.t},
-		Relays: relays, Peers: s.peers, Observer: observer{s.metrics}, Clock: time.Now, Log: logging.Discard().Part("owner"),
+		Relays: relays, Peers: s.peers, Observer: observer{s.metrics}, Clock: func() time.Time { return s.clock() }, Log: logging.Discard().Part("owner"),
 	})
 	s.owner.Sync(time.Now())
 }
@@ -164,7 +169,7 @@
 		ID: fmt.Sprintf("r%d", s.sent), Service: "loandesk", Server: serverID, Weight: 1,
 		Method: "POST", Target: "/loans", Idempotent: idempotent, Deadline: time.Now().Add(timeout),
 	}
-	ctx, cancel := context.WithDeadline(s.ctx, req.Deadline)
+	ctx, cancel := context.WithDeadline(s.ctx, req.Deadline.Add(s.patience))
 	defer cancel()
 	result := s.owner.Run(ctx, req)
 	if !idempotent {
