--- a/backend/servers_test.go
+++ b/backend/servers_test.go
@@ -10,6 +10,7 @@
 
 	"almondstile/contract"
 	"almondstile/request"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 
 	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"almondstile/request"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/store"
 	"almondstile/vm"
 
--- a/configstore/configstore_test.go
+++ b/configstore/configstore_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondstile/contract"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/store"
 	"almondstile/vm"
 
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
+
 	"github.com/cockroachdb/errors"
+
 	"pgregory.net/rapid"
 )
 
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/vm"
 	"almondstile/zone"
 
--- a/membership/member_test.go
+++ b/membership/member_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstile/logging"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -9,6 +9,7 @@
 
 	"almondstile/backend"
 	"almondstile/request"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 
 	"pgregory.net/rapid"
 )
--- a/quota/bucketid_test.go
+++ b/quota/bucketid_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"almondstile/contract"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 
 	"pgregory.net/rapid"
 )
--- a/quota/exact_test.go
+++ b/quota/exact_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondstile/contract"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/vm"
 
 	"pgregory.net/rapid"
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondstile/request"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 
 	"pgregory.net/rapid"
 )
--- a/retry/shared_test.go
+++ b/retry/shared_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstile/contract"
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/tally"
 
 	"pgregory.net/rapid"
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
+
 	"pgregory.net/rapid"
 )
 
--- a/vm/vm_test.go
+++ b/vm/vm_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/zone"
 
 	"pgregory.net/rapid"
