tally: totals of older VMs that are heard late are history

A VM that had run for two seconds took the totals of an origin that it saw first then as new, although the origin was older and the totals had not changed since. The same made sound servers look failing and used up retry budgets. Ruled out: cuts (share 1 in all lines), configuration (terms unchanged). Totals of an older origin are history, but for one admission. TestOldTotalsThatAreHeardLateAreHistory failed before: 501 admissions and 20 failures instead of 1 and 0.

--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -125,8 +125,8 @@
 	// startSlack is by how much uptimes of VMs that started together differ when
 	// they are compared.
 	startSlack = 300 * time.Millisecond
-	// settledUptime is the uptime from which a VM has heard all others, so that
-	// totals which it sees first are new.
+	// settledUptime is the uptime from which a VM hears of each change, so that
+	// totals which it sees first have just changed.
 	settledUptime = 2 * time.Second
 	// originIdle is how long the totals of a silent origin are kept.
 	originIdle = 60 * time.Second
@@ -232,18 +232,13 @@
 func (l *Ledger) merge(now time.Time, r Record, onward Onward) {
 	key := string(r.Origin) + string(r.Subject)
 	l.Heard(now, r.Origin)
-	uptime := now.Sub(l.started)
-	// A VM that has just started takes the totals of those that ran before it
-	// as what had happened before.
-	baseline := uptime < settledUptime && r.Uptime > uptime+startSlack
+	history := l.historyOf(now, r)
 	var delta Counts
 	newer := false
 	l.entries.Update(key, func(e *entry, exists bool) (*entry, bool) {
 		if !exists {
 			e = &entry{}
-			if baseline {
-				e.record.Counts = r.Counts
-			}
+			e.record.Counts = history
 			newer = true
 		}
 		d, ok := r.Counts.minus(e.record.Counts)
@@ -277,6 +272,22 @@
 	}
 }
 
+// historyOf returns the part of totals that are seen for the first time which had
+// happened before this process could hear of it: nothing of an origin that is as
+// young as this one, else all. Only an admission that a settled VM hears of is
+// new, the last one: missing it would let the team have one more for each origin.
+func (l *Ledger) historyOf(now time.Time, r Record) Counts {
+	uptime := now.Sub(l.started)
+	if r.Uptime <= uptime+startSlack {
+		return Counts{}
+	}
+	history := r.Counts
+	if r.Subject.Kind() == Team && uptime >= settledUptime && history[Admitted] > 0 {
+		history[Admitted]--
+	}
+	return history
+}
+
 // Scope says which records to take: all changed ones or the urgent ones only.
 type Scope int
 
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -73,6 +73,33 @@
 	}
 }
 
+// Guards against a VM that started beside running ones taking the totals as new
+// that it hears of only after its first seconds, because they had not changed: it
+// found teams far over their rates and sound servers failing.
+func TestOldTotalsThatAreHeardLateAreHistory(t *testing.T) {
+	server := SubjectOf(Server, "server-1")
+	a := NewLedger(start, "origin-a", sum{}, nil)
+	a.Add(start.Add(time.Minute), subject, Admitted, 500)
+	a.Add(start.Add(time.Minute), server, Failed, 20)
+	observed := sum{}
+	b := NewLedger(start.Add(time.Minute), "origin-b", observed, nil)
+	heard := start.Add(time.Minute + 5*time.Second)
+	a.Add(heard, subject, Admitted, 1)
+	a.Add(heard, server, Succeeded, 1)
+	b.Merge(heard, a.Own(Changed), Onward{})
+	if got := observed[subject][Admitted]; got != 1 {
+		t.Errorf("observed %d admissions, want 1", got)
+	}
+	if got := observed[server]; got[Failed] != 0 {
+		t.Errorf("observed %d failures from before the start", got[Failed])
+	}
+	a.Add(heard.Add(time.Second), server, Failed, 1)
+	b.Merge(heard.Add(time.Second), a.Own(Changed), Onward{})
+	if got := observed[server]; got[Failed] != 1 {
+		t.Errorf("observed %d failures, want 1", got[Failed])
+	}
+}
+
 // Guards against VMs that start together learning nothing of each other in the
 // first seconds, as after a kill of the whole fleet.
 func TestVMsThatStartTogetherLearnAtOnce(t *testing.T) {
