fleet: count reach by VMs, send again what was missed

Besides, counters are sent once: what a zone admitted during a cut never arrived when it admitted nothing afterwards, and what did arrive was a debt of up to 200 tokens that rejected requests inside the rate for seconds. Ruled out: the time until a cut is noticed (the excess lasted to its end). Relays count the VMs of their zone that they hear (Census), Reach adds these up, and a VM that its relays do not hear counts alone. After a gap both sides send the teams' and services' totals again, marked as missed; missed admissions come out of the part that the others had for themselves. Tests: TestCutsStayInsideTheTerms plays the real ledger and a group of VMs of all zones.

--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -9,6 +9,7 @@
 	"almondstile/catalog"
 	"almondstile/contract"
 	"almondstile/entry"
+	"almondstile/fleet"
 	"almondstile/logging"
 	"almondstile/request"
 	"almondstile/retry"
@@ -48,10 +49,12 @@
 
 type wholeFleet struct{}
 
-func (wholeFleet) Share(time.Time) float64             { return 1 }
-func (wholeFleet) Reach(time.Time) float64             { return 1 }
-func (wholeFleet) Covered(now time.Time) time.Duration { return time.Duration(now.UnixNano()) }
-func (wholeFleet) Size() int                           { return 1 }
+func (wholeFleet) Share(time.Time) float64 { return 1 }
+func (wholeFleet) Reach(time.Time) float64 { return 1 }
+func (wholeFleet) Coverage(now time.Time) fleet.Coverage {
+	return fleet.Coverage{Covered: time.Duration(now.UnixNano())}
+}
+func (wholeFleet) Size() int { return 1 }
 
 type quiet struct{}
 
--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -37,12 +37,12 @@
 }
 
 // Observe implements tally.Observer.
-func (k *Knowledge) Observe(now time.Time, subject tally.Subject, d tally.Counts) {
+func (k *Knowledge) Observe(now time.Time, subject tally.Subject, d tally.Counts, missed bool) {
 	switch subject.Kind() {
 	case tally.Server:
 		k.Servers.Observe(now, subject, d)
 	case tally.Team:
-		k.Quota.Spent(now, subject, d[tally.Admitted])
+		k.Quota.Spent(now, subject, d[tally.Admitted], missed)
 	case tally.Service:
 		k.Budget.Sent(now, subject, d[tally.First], d[tally.Repeat])
 	case tally.Route:
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"almondstile/shard"
 	"almondstile/vm"
 	"almondstile/zone"
 
@@ -19,17 +20,17 @@
 	// memberSilence is the time without a message of a VM after which the relays
 	// of its zone call it silent: three heartbeats.
 	memberSilence = 700 * time.Millisecond
-	// memberAbsence is the time without a message after which a VM counts as
-	// gone, not as cut off. It is twice the longest usual window of a quota: a VM
-	// that is cut off longer adds its own share only.
-	memberAbsence = 10 * time.Second
-	// mostSilent is the largest part of a zone that is left out as silent. VMs
-	// that were killed cannot be told from VMs that are cut off, and the teams'
-	// rates must not go with them.
-	mostSilent = 0.4
-	// maxSilent bounds the list of silent VMs in a message: mostSilent of the 60
+	// memberAbsence is the time without a message after which a VM no longer
+	// counts as one of its zone. Until then VMs that are gone cannot be told from
+	// VMs that are cut off, and keep their part of the teams' rates.
+	memberAbsence = 5 * time.Minute
+	// censusMemory is how long a relay's count of its zone holds against a lower
+	// one: more than a heartbeat, so that a relay that has just begun and was not
+	// heard by all VMs yet does not hide what the other one counts.
+	censusMemory = 300 * time.Millisecond
+	// MaxSilent bounds the list of silent VMs in a message: two fifths of the 60
 	// VMs that a zone has at the size of two years.
-	maxSilent = 24
+	MaxSilent = 24
 )
 
 // Mark identifies a VM in lists of silent ones.
@@ -38,27 +39,43 @@
 // MarkOf returns the mark of a VM.
 func MarkOf(id vm.ID) Mark { return Mark(xxhash.Sum64String(string(id))) }
 
+// Census is a relay's count of its zone.
+type Census struct {
+	// Present VMs were heard a moment ago, of Size that the zone has. They include
+	// the relay.
+	Present, Size int
+}
+
 // word is the last that a VM heard of a zone.
 type word struct {
-	at time.Time
-	// silent is the number of VMs that the zone's relays do not hear. Of this
-	// VM's zone, alone says that this VM is one of them.
-	silent int
-	alone  bool
+	at       time.Time
+	census   Census
+	censusAt time.Time
+	// alone says, of this VM's zone, that its relays do not hear this VM.
+	alone bool
 }
 
-// HeardZone says how long ago a VM last heard a zone, and how many VMs there the
-// zone's relays do not hear.
+// HeardZone says how long ago a VM last heard a zone, and the zone's census.
 type HeardZone struct {
 	Zone   zone.ID
 	Age    time.Duration
-	Silent int
+	Census Census
+}
+
+// Coverage is time for which a VM has, or missed, the word of the fleet.
+type Coverage struct {
+	// Covered passes while the VM has the word of the fleet: of each zone's part
+	// of the fleet it counts the time up to the zone's last word.
+	Covered time.Duration
+	// Missed counts the times in which others were cut off from this VM, of each
+	// zone's part, when they are over.
+	Missed time.Duration
 }
 
 // coverage counts the time for which this VM has the word of the fleet.
 type coverage struct {
 	mu    sync.Mutex
-	total time.Duration
+	total Coverage
 	// started is the time of the first count, own the time up to which this VM
 	// counted itself, zones up to which it counted others.
 	started, own time.Time
@@ -69,8 +86,8 @@
 func (r *Roster) Connected(now time.Time, zones []HeardZone) {
 	for _, z := range zones {
 		if z.Zone != r.self.Zone {
-			r.noteZone(z.Zone, func(known *word) {
-				known.silent = z.Silent
+			note(&r.zones, z.Zone, func(known *word) {
+				known.count(now, z.Census)
 				if at := now.Add(-z.Age); at.After(known.at) {
 					known.at = at
 				}
@@ -79,16 +96,69 @@
 	}
 }
 
-// HeardSilent notes the VMs of a zone that one of its relays does not hear.
-func (r *Roster) HeardSilent(z zone.ID, silent []Mark) {
-	r.noteZone(z, func(known *word) {
-		known.silent = len(silent)
-		known.alone = z == r.self.Zone && slices.Contains(silent, MarkOf(r.self.ID))
+// Gap is a time in which VMs did not hear each other.
+type Gap struct {
+	// Over says that it has just ended; the zero Gap says nothing.
+	Over bool
+	// Since is when it began, or somewhat earlier.
+	Since time.Time
+}
+
+// gapOf returns the gap between two messages, if it is longer than the silence.
+func gapOf(last, next time.Time, silence time.Duration) Gap {
+	if last.IsZero() || next.Sub(last) <= silence {
+		return Gap{}
+	}
+	return Gap{Over: true, Since: last.Add(-silence)}
+}
+
+// ConfirmedBy notes which zones a relay of another zone hears. The gap tells
+// that it hears this VM's zone again.
+func (r *Roster) ConfirmedBy(now time.Time, z zone.ID, zones []HeardZone) Gap {
+	i := slices.IndexFunc(zones, func(h HeardZone) bool { return h.Zone == r.self.Zone })
+	if i < 0 {
+		return Gap{}
+	}
+	return r.confirm(z, now.Add(-zones[i].Age), zoneSilence)
+}
+
+// count takes over a census unless it is lower than one that still holds.
+func (w *word) count(now time.Time, c Census) {
+	if c.Size > 0 && (c.Present >= w.census.Present || now.Sub(w.censusAt) > censusMemory) {
+		w.census, w.censusAt = c, now
+	}
+}
+
+// Counted notes the census of a zone by one of its relays, and which VMs the
+// relay heard before and no longer hears. The gap tells that the relays of this
+// VM's zone hear this VM again.
+func (r *Roster) Counted(now time.Time, z zone.ID, c Census, silent []Mark) Gap {
+	alone := z == r.self.Zone && slices.Contains(silent, MarkOf(r.self.ID))
+	note(&r.zones, z, func(known *word) {
+		known.count(now, c)
+		known.alone = alone
+	})
+	note(&r.direct, z, func(known *word) { known.count(now, c) })
+	if alone || z != r.self.Zone {
+		return Gap{}
+	}
+	return r.confirm(z, now, memberSilence)
+}
+
+// confirm notes that VMs of the zone heard this VM at the time.
+func (r *Roster) confirm(z zone.ID, at time.Time, silence time.Duration) (gap Gap) {
+	r.confirmed.Update(z, func(last time.Time, _ bool) (time.Time, bool) {
+		if !at.After(last) {
+			return last, true
+		}
+		gap = gapOf(last, at, silence)
+		return at, true
 	})
+	return gap
 }
 
-func (r *Roster) noteZone(z zone.ID, change func(known *word)) {
-	r.zones.Update(z, func(known word, _ bool) (word, bool) {
+func note(words *shard.Map[zone.ID, word], z zone.ID, change func(known *word)) {
+	words.Update(z, func(known word, _ bool) (word, bool) {
 		change(&known)
 		return known, true
 	})
@@ -97,35 +167,43 @@
 // HeardZones returns the zones whose messages arrive at this VM itself.
 func (r *Roster) HeardZones(now time.Time) []HeardZone {
 	var out []HeardZone
-	r.direct.Range(func(z zone.ID, at time.Time) bool {
-		if age := now.Sub(at); age < zoneSilence {
-			known, _ := r.zones.Load(z)
-			out = append(out, HeardZone{z, age, known.silent})
+	r.direct.Range(func(z zone.ID, known word) bool {
+		if age := now.Sub(known.at); age < zoneSilence {
+			out = append(out, HeardZone{z, age, known.census})
 		}
 		return true
 	})
 	return out
 }
 
-// Silent returns the VMs of this VM's zone that it, a relay, heard and does not
-// hear any more, at most maxSilent. VMs that fell silent before it began to relay
-// are not known.
-func (r *Roster) Silent(now time.Time) []Mark {
+// Count returns the census of this VM's zone as this VM, a relay, has it, and the
+// VMs that it heard since it began to relay and does not hear any more, at most
+// MaxSilent.
+func (r *Roster) Count(now time.Time) (c Census, silent []Mark) {
 	r.mu.Lock()
 	since := r.relayingSince
 	r.mu.Unlock()
-	var out []Mark
-	if since.IsZero() {
-		return out
-	}
+	c = Census{Present: 1, Size: 1}
 	r.members.Range(func(id vm.ID, m *member) bool {
-		age := now.Sub(m.heard)
-		if m.vm.Zone == r.self.Zone && m.heard.After(since) && age >= memberSilence && age < memberAbsence && len(out) < maxSilent {
-			out = append(out, MarkOf(id))
+		if m.vm.Zone != r.self.Zone {
+			return true
+		}
+		known := m.learned
+		if m.heard.After(known) {
+			known = m.heard
+		}
+		if now.Sub(known) < memberAbsence {
+			c.Size++
+		}
+		switch {
+		case now.Sub(m.heard) < memberSilence:
+			c.Present++
+		case !since.IsZero() && m.heard.After(since) && len(silent) < MaxSilent:
+			silent = append(silent, MarkOf(id))
 		}
 		return true
 	})
-	return out
+	return c, silent
 }
 
 // Share returns the part of the fleet that this VM is connected with: all VMs
@@ -145,42 +223,47 @@
 }
 
 // Reach returns the part of the fleet whose admissions this VM hears of and that
-// hears of its own. It is Share without the VMs that their relays call silent;
-// a VM that is called silent itself counts alone. Groups of VMs that are cut off
-// from each other have parts that add up to 1 at most, as long as no more than
-// mostSilent of a zone is cut off alone.
+// hears of its own: the VMs that the relays of the zones count, as long as the
+// zones are heard. A VM that its relays do not hear counts alone. Groups of VMs
+// that are cut off from each other have parts that add up to 1 at most, also if
+// each has VMs of all zones.
 func (r *Roster) Reach(now time.Time) float64 {
-	total, connected := 0, 0.0
+	total, reached := 0.0, 0.0
 	for z, vms := range r.orders() {
-		total += len(vms)
-		connected += r.reached(now, z, len(vms))
+		size, present := r.reached(now, z, len(vms))
+		total += size
+		reached += present
 	}
-	return connected / float64(total)
+	return reached / total
 }
 
-// reached returns how many of the zone's VMs, size in all, are in reach.
-func (r *Roster) reached(now time.Time, z zone.ID, size int) float64 {
+// reached returns the size of a zone of which this VM knows some VMs, and how many
+// are in reach, this VM included.
+func (r *Roster) reached(now time.Time, z zone.ID, known int) (size, present float64) {
 	own, _ := r.zones.Load(r.self.Zone)
+	w, _ := r.zones.Load(z)
+	size = float64(max(known, w.census.Size))
+	if w.census.Size > 0 {
+		size = float64(w.census.Size)
+	}
 	if !own.alone && r.zoneHeard(now, z) {
-		known, _ := r.zones.Load(z)
-		return float64(size) - min(float64(known.silent), mostSilent*float64(size))
+		present = min(float64(w.census.Present), size)
 	}
 	if z == r.self.Zone {
-		return 1
+		present = max(present, 1)
 	}
-	return 0
+	return size, present
 }
 
-// Covered returns a time that passes while this VM has the word of the fleet. Of
-// each zone's part of the fleet it counts the time up to the zone's last word.
-// So what a team may send in the time since is not taken for granted while
-// another zone may be using it up. The time of a cut is not made up for, beyond
-// zoneSilence.
-func (r *Roster) Covered(now time.Time) time.Duration {
+// Coverage returns for how long this VM had the word of the fleet. What a team
+// may send in the time since a zone's last word is not taken for granted, because
+// the zone may be using it up.
+func (r *Roster) Coverage(now time.Time) Coverage {
 	orders := r.orders()
-	total := 0
-	for _, vms := range orders {
-		total += len(vms)
+	total := 0.0
+	for z, vms := range orders {
+		size, _ := r.reached(now, z, len(vms))
+		total += size
 	}
 	c := &r.coverage
 	c.mu.Lock()
@@ -188,30 +271,35 @@
 	if c.zones == nil {
 		c.started, c.own, c.zones = now, now, make(map[zone.ID]time.Time)
 	}
-	part := func(from, to time.Time, vms float64) {
-		if from.IsZero() {
-			from = c.started
-		}
-		c.total += time.Duration(float64(min(to.Sub(from), zoneSilence)) * vms / float64(total))
-	}
 	if now.After(c.own) {
-		part(c.own, now, 1)
+		c.add(now.Sub(c.own), 1, 1, total)
 		c.own = now
 	}
 	for z, vms := range orders {
 		known, _ := r.zones.Load(z)
-		others := r.reached(now, z, len(vms))
+		size, reached := r.reached(now, z, len(vms))
 		if z == r.self.Zone {
-			others--
+			size, reached = size-1, reached-1
 		}
-		if known.at.After(c.zones[z]) && known.at.After(c.started) {
-			part(c.zones[z], known.at, others)
+		from, seen := c.zones[z]
+		if !seen {
+			from = c.started
+		}
+		if known.at.After(from) {
+			c.add(known.at.Sub(from), size, reached, total)
 			c.zones[z] = known.at
 		}
 	}
 	return c.total
 }
 
+// add counts the time of VMs of which some were in reach.
+func (c *coverage) add(d time.Duration, vms, reached, total float64) {
+	covered := min(d, zoneSilence)
+	c.total.Covered += time.Duration(float64(covered) * reached / total)
+	c.total.Missed += time.Duration((float64(d)*vms - float64(covered)*reached) / total)
+}
+
 func (r *Roster) zoneHeard(now time.Time, z zone.ID) bool {
 	known, ok := r.zones.Load(z)
 	return ok && !known.at.IsZero() && now.Sub(known.at) < zoneSilence
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -33,7 +33,9 @@
 	vm vm.VM
 	// heardAsRelay is when it last sent a message as a relay of its zone.
 	heardAsRelay time.Time
-	heard        time.Time
+	// heard is when it last sent a message to this VM, learned when this VM first
+	// knew of it.
+	heard, learned time.Time
 }
 
 // Roster is one VM's knowledge of the fleet.
@@ -48,10 +50,11 @@
 	zoneOrders atomic.Pointer[zoneOrders]
 	members    shard.Map[vm.ID, *member]
 	// zones holds the last word of each zone, direct or by a relay of this VM's
-	// zone; direct holds when messages came here themselves.
-	zones    shard.Map[zone.ID, word]
-	direct   shard.Map[zone.ID, time.Time]
-	coverage coverage
+	// zone; direct holds what came here itself, which this VM may pass on.
+	zones, direct shard.Map[zone.ID, word]
+	// confirmed holds when each zone was last known to hear this VM.
+	confirmed shard.Map[zone.ID, time.Time]
+	coverage  coverage
 }
 
 // NewRoster returns a roster that knows only this VM.
@@ -64,11 +67,11 @@
 
 // Learn adds a VM that this VM was told of, or updates its address. It reports
 // whether anything was new.
-func (r *Roster) Learn(v vm.VM) (changed bool) {
+func (r *Roster) Learn(now time.Time, v vm.VM) (changed bool) {
 	if v.ID == r.self.ID || v.ID == "" || v.ControlAddress == "" {
 		return false
 	}
-	r.members.Do(v.ID, func() *member { return &member{} }, func(m *member) {
+	r.members.Do(v.ID, func() *member { return &member{learned: now} }, func(m *member) {
 		if m.vm.ControlAddress == v.ControlAddress && m.vm.Zone == v.Zone {
 			return
 		}
@@ -83,14 +86,18 @@
 	return changed
 }
 
-// Heard notes a message that came from the VM itself.
-func (r *Roster) Heard(now time.Time, v vm.VM, relay bool) (restarted bool) {
+// Heard notes a message that came from the VM itself. gap tells of the VM's
+// silence, if it is of this VM's zone and did not start anew.
+func (r *Roster) Heard(now time.Time, v vm.VM, relay bool) (restarted bool, gap Gap) {
 	if v.ID == r.self.ID {
-		return false
+		return false, Gap{}
 	}
 	changed := false
-	r.members.Do(v.ID, func() *member { return &member{} }, func(m *member) {
+	r.members.Do(v.ID, func() *member { return &member{learned: now} }, func(m *member) {
 		restarted = m.vm.Incarnation != v.Incarnation
+		if !restarted && v.Zone == r.self.Zone {
+			gap = gapOf(m.heard, now, memberSilence)
+		}
 		changed = m.vm != v
 		m.vm, m.heard = v, now
 		if relay {
@@ -100,9 +107,9 @@
 	if changed {
 		r.changes.Add(1)
 	}
-	r.noteZone(v.Zone, func(known *word) { known.at = now })
-	r.direct.Store(v.Zone, now)
-	return restarted
+	note(&r.zones, v.Zone, func(known *word) { known.at = now })
+	note(&r.direct, v.Zone, func(known *word) { known.at = now })
+	return restarted, gap
 }
 
 // All returns all known VMs but this one.
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -28,7 +28,7 @@
 	for i := range rosters {
 		rosters[i] = NewRoster(vms[i])
 		for _, other := range vms {
-			rosters[i].Learn(other)
+			rosters[i].Learn(time.Unix(1000, 0), other)
 		}
 	}
 	return rosters
@@ -120,7 +120,7 @@
 		for _, self := range all {
 			r := NewRoster(self)
 			for _, v := range all {
-				r.Learn(v)
+				r.Learn(now, v)
 				if v.ID != self.ID && group[string(v.Zone)] == group[string(self.Zone)] {
 					r.Heard(now, v, true)
 				}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -42,6 +42,8 @@
 	// at the last change of the records.
 	UptimeDeciseconds int64
 	Records           []record
+	// Missed says that the records are sent again.
+	Missed bool
 }
 
 // record is the rest of a tally.Record. Trailing zeros of the counts are left
@@ -67,7 +69,8 @@
 	_         struct{} `cbor:",toarray"`
 	Zone      zone.ID
 	AgeMillis int64
-	Silent    int
+	// Present and Size are the zone's census.
+	Present, Size int
 }
 
 // message is a datagram.
@@ -82,9 +85,10 @@
 	Zones   []heardZone
 	Members []member
 	Groups  []group
-	// Silent are the marks of the VMs of its zone that the sender, a relay, does
-	// not hear.
-	Silent []fleet.Mark
+	// Present and Size are the sender's census of its zone, and Silent the marks of
+	// VMs there that it heard before, if it is a relay.
+	Present, Size int
+	Silent        []fleet.Mark
 }
 
 // copies is the answer to a pull.
@@ -110,7 +114,7 @@
 func toZones(heard []fleet.HeardZone) []heardZone {
 	out := make([]heardZone, len(heard))
 	for i, z := range heard {
-		out[i] = heardZone{Zone: z.Zone, AgeMillis: millis(z.Age), Silent: z.Silent}
+		out[i] = heardZone{Zone: z.Zone, AgeMillis: millis(z.Age), Present: z.Census.Present, Size: z.Census.Size}
 	}
 	return out
 }
@@ -118,25 +122,25 @@
 func fromZones(zones []heardZone) []fleet.HeardZone {
 	out := make([]fleet.HeardZone, len(zones))
 	for i, z := range zones {
-		out[i] = fleet.HeardZone{Zone: z.Zone, Age: fromMillis(z.AgeMillis), Silent: z.Silent}
+		out[i] = fleet.HeardZone{Zone: z.Zone, Age: fromMillis(z.AgeMillis), Census: fleet.Census{Present: z.Present, Size: z.Size}}
 	}
 	return out
 }
 
 // Upper bounds of encoded lengths in bytes.
 const (
-	groupBytes      = 18 // origin, uptime and the heads around them
+	groupBytes      = 19 // origin, uptime and the heads around them
 	recordHeadBytes = 14 // subject and the heads around it and the counts
 	maxCountBytes   = 5
 )
 
 // fitting returns how many of the records fit into one datagram, at least one.
 func fitting(records []tally.Record) int {
-	origins := make(map[tally.Origin]bool)
+	groups := make(map[groupKey]bool)
 	size := 0
 	for i, r := range records {
-		if !origins[r.Origin] {
-			origins[r.Origin] = true
+		if k := (groupKey{r.Origin, r.Missed}); !groups[k] {
+			groups[k] = true
 			size += groupBytes
 		}
 		size += recordHeadBytes
@@ -166,16 +170,23 @@
 
 const uptimeUnit = 100 * time.Millisecond
 
+// groupKey tells which records stand in the same group.
+type groupKey struct {
+	origin tally.Origin
+	missed bool
+}
+
 // toGroups gathers records by origin.
 func toGroups(records []tally.Record) []group {
 	var out []group
-	at := make(map[tally.Origin]int)
+	at := make(map[groupKey]int)
 	for _, r := range records {
-		i, ok := at[r.Origin]
+		k := groupKey{r.Origin, r.Missed}
+		i, ok := at[k]
 		if !ok {
 			i = len(out)
-			at[r.Origin] = i
-			out = append(out, group{Origin: []byte(r.Origin)})
+			at[k] = i
+			out = append(out, group{Origin: []byte(r.Origin), Missed: r.Missed})
 		}
 		g := &out[i]
 		g.UptimeDeciseconds = max(g.UptimeDeciseconds, int64(r.Uptime/uptimeUnit))
@@ -197,7 +208,7 @@
 	for _, g := range groups {
 		for _, r := range g.Records {
 			t := tally.Record{Origin: tally.Origin(g.Origin), Subject: tally.Subject(r.Subject),
-				Uptime: time.Duration(g.UptimeDeciseconds) * uptimeUnit}
+				Uptime: time.Duration(g.UptimeDeciseconds) * uptimeUnit, Missed: g.Missed}
 			copy(t.Counts[:], r.Counts)
 			out = append(out, t)
 		}
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -21,7 +21,11 @@
 	}
 	for range maxMembers {
 		m.Members = append(m.Members, m.Sender)
-		m.Zones = append(m.Zones, heardZone{Zone: "scot-central-a", AgeMillis: 500})
+		m.Zones = append(m.Zones, heardZone{Zone: "scot-central-a", AgeMillis: 500, Present: 400, Size: 400})
+	}
+	m.Present, m.Size = 400, 400
+	for range fleet.MaxSilent {
+		m.Silent = append(m.Silent, math.MaxUint64)
 	}
 	var records []tally.Record
 	for i := range 200 {
@@ -62,7 +66,7 @@
 	if !reflect.DeepEqual(fromGroups(got.Groups), fromGroups(want.Groups)) {
 		t.Error("the records changed on the way")
 	}
-	if heard := fromZones(got.Zones)[0]; heard != (fleet.HeardZone{Zone: "scot-central-a", Age: 500 * time.Millisecond}) {
+	if heard := fromZones(got.Zones)[0]; heard != (fleet.HeardZone{Zone: "scot-central-a", Age: 500 * time.Millisecond, Census: fleet.Census{Present: 400, Size: 400}}) {
 		t.Errorf("got zone %+v", heard)
 	}
 	for n := range b {
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"almondstile/boottime"
 	"almondstile/catalog"
@@ -69,7 +70,7 @@
 		n.parts.Catalog.Clock.Observe(boottime.Now(), fromMillis(answer.StoreMillis))
 	}
 	for _, known := range answer.Members {
-		n.parts.Roster.Learn(known.vm())
+		n.parts.Roster.Learn(time.Now(), known.vm())
 	}
 	for i, d := range answer.Tables {
 		if i < len(catalog.Tables) && d.Version > 0 {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -7,6 +7,7 @@
 
 	"almondstile/boottime"
 	"almondstile/catalog"
+	"almondstile/fleet"
 	"almondstile/tally"
 	"almondstile/vm"
 
@@ -41,28 +42,53 @@
 	if sender.ID == self.ID {
 		return
 	}
-	if roster.Heard(now, sender, m.Relay) {
+	restarted, gap := roster.Heard(now, sender, m.Relay)
+	if restarted {
 		n.parts.Log.WithField("vm", sender.ID).WithField("zone", sender.Zone).
 			WithField("incarnation", sender.Incarnation).Info("A VM is heard for the first time since its start.")
 	}
 	n.parts.Ledger.Heard(now, tally.OriginOf(sender.ID, sender.Incarnation))
 	for _, known := range m.Members {
-		roster.Learn(known.vm())
+		roster.Learn(now, known.vm())
 	}
 	inZone := sender.Zone == self.Zone
+	relay := roster.IsRelay(now)
+	n.resend(gap, relay, tally.Zone, func(tally.Origin) bool { return true })
 	if m.Relay {
-		roster.HeardSilent(sender.Zone, m.Silent)
-	}
-	if inZone && m.Relay {
-		roster.Connected(now, fromZones(m.Zones))
+		n.takeReach(now, sender, m, relay)
 	}
-	relay := roster.IsRelay(now)
 	n.parts.Ledger.Merge(now, fromGroups(m.Groups), tally.Onward{
 		Zone: relay && !(inZone && m.Relay), OtherZones: relay && inZone && !m.Relay, Told: inZone && m.Relay,
 	})
 	n.compare(ctx, wg, sender, m, local)
 }
 
+// takeReach takes in who hears whom according to a relay, and sends again what
+// VMs missed that hear this one again.
+func (n *Node) takeReach(now time.Time, sender vm.VM, m message, relay bool) {
+	roster, zones := n.parts.Roster, fromZones(m.Zones)
+	gap := roster.Counted(now, sender.Zone, fleet.Census{Present: m.Present, Size: m.Size}, m.Silent)
+	if sender.Zone == roster.Self().Zone {
+		roster.Connected(now, zones)
+		n.resend(gap, true, tally.Zone, func(o tally.Origin) bool { return o == n.origin })
+		return
+	}
+	own := map[tally.Origin]bool{n.origin: true}
+	for _, v := range roster.InZone(roster.Self().Zone) {
+		own[tally.OriginOf(v.ID, v.Incarnation)] = true
+	}
+	n.resend(roster.ConfirmedBy(now, sender.Zone, zones), relay, tally.OtherZones, func(o tally.Origin) bool { return own[o] })
+}
+
+// resend sends the origins' counts since the gap once more.
+func (n *Node) resend(gap fleet.Gap, wanted bool, to tally.Receivers, of func(tally.Origin) bool) {
+	if gap.Over && wanted {
+		n.parts.Log.WithField("since_ms", time.Since(gap.Since).Milliseconds()).WithField("to", to).
+			Info("VMs are heard again; what they missed is sent once more.")
+		n.parts.Ledger.Resend(gap.Since, to, of)
+	}
+}
+
 // compare takes the age of the sender's copies and pulls them if they are newer.
 func (n *Node) compare(ctx context.Context, wg *conc.WaitGroup, sender vm.VM, m message, local time.Duration) {
 	if m.StoreMillis > 0 {
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -109,8 +109,9 @@
 		m.Tables = append(m.Tables, tableMark{Version: version, AsOfMillis: millis(asOf)})
 	}
 	if m.Relay {
-		m.Silent = roster.Silent(now)
-		roster.HeardSilent(roster.Self().Zone, m.Silent)
+		census, silent := roster.Count(now)
+		roster.Counted(now, roster.Self().Zone, census, silent)
+		m.Present, m.Size, m.Silent = census.Present, census.Size, silent
 		m.Zones = toZones(roster.HeardZones(now))
 		if rand.Float64() < introductions {
 			m.Members = someMembers(roster.All(), maxMembers)
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -149,7 +149,7 @@
 		if other.ID == v.settings.Self.ID && other.ControlAddress == v.settings.Self.ControlAddress {
 			*announced = true
 		}
-		v.roster.Learn(other)
+		v.roster.Learn(time.Now(), other)
 	}
 	return true
 }
--- a/quota/cut_test.go
+++ b/quota/cut_test.go
@@ -19,9 +19,13 @@
 	self    vm.VM
 	roster  *fleet.Roster
 	buckets *quota.Shared
-	// spent counts what this VM admitted, heard what it heard of each other VM.
-	spent int
-	heard map[vm.ID]int
+	ledger  *tally.Ledger
+	urgent  bool
+}
+
+// Observe implements tally.Observer.
+func (v *cutVM) Observe(now time.Time, subject tally.Subject, d tally.Counts, missed bool) {
+	v.buckets.Spent(now, subject, d[tally.Admitted], missed)
 }
 
 // cutFleet simulates VMs in zones that tell each other what they admitted, and
@@ -51,13 +55,15 @@
 	return false
 }
 
-// news is a message on its way: the totals that a VM knows.
+// news is a message on its way.
 type news struct {
 	due    time.Duration
 	from   int
 	relay  bool
-	totals map[vm.ID]int
+	inZone bool
+	totals []tally.Record
 	zones  []fleet.HeardZone
+	census fleet.Census
 	silent []fleet.Mark
 }
 
@@ -84,28 +90,33 @@
 	for _, v := range all {
 		r := fleet.NewRoster(v)
 		for _, other := range all {
-			r.Learn(other)
+			r.Learn(cutStart, other)
 		}
-		f.vms = append(f.vms, &cutVM{self: v, roster: r, buckets: quota.NewShared(cutStart, r), heard: map[vm.ID]int{}})
+		c := &cutVM{self: v, roster: r, buckets: quota.NewShared(cutStart, r)}
+		c.ledger = tally.NewLedger(cutStart, tally.OriginOf(v.ID, v.Incarnation), c, func() { c.urgent = true })
+		f.vms = append(f.vms, c)
 	}
 	return f
 }
 
 // send puts the messages of one VM on their way, as gossip does: a relay tells
-// its zone all that it knows and a relay of each other zone what its zone
-// admitted; another VM tells the relays its own total.
+// its zone all that changed and the relays of other zones what its zone admitted;
+// another VM tells the relays what it admitted itself.
 func (f *cutFleet) send(at time.Duration, i int) {
 	now, v := cutStart.Add(at), f.vms[i]
-	n := news{due: at + cutDelay, from: i, relay: v.roster.IsRelay(now), totals: map[vm.ID]int{v.self.ID: v.spent}}
-	if n.relay {
-		for id, total := range v.heard {
-			n.totals[id] = total
-		}
-		n.zones = v.roster.HeardZones(now)
-		n.silent = v.roster.Silent(now)
-		v.roster.HeardSilent(v.self.Zone, n.silent)
+	n := news{due: at + cutDelay, from: i, relay: v.roster.IsRelay(now), inZone: true}
+	if !n.relay {
+		n.totals = v.ledger.Own(tally.Changed)
+		f.news = append(f.news, n)
+		return
 	}
-	f.news = append(f.news, n)
+	n.census, n.silent = v.roster.Count(now)
+	v.roster.Counted(now, v.self.Zone, n.census, n.silent)
+	n.zones = v.roster.HeardZones(now)
+	n.totals = v.ledger.ForZone(tally.Changed)
+	far := n
+	far.inZone, far.totals = false, v.ledger.ForOtherZones(tally.Changed)
+	f.news = append(f.news, n, far)
 }
 
 func (f *cutFleet) deliver(at time.Duration) {
@@ -116,29 +127,47 @@
 		from := f.vms[n.from]
 		for i, to := range f.vms {
 			inZone := to.self.Zone == from.self.Zone
-			wanted := n.relay || inZone && to.roster.IsRelay(now)
-			if to == from || !wanted || !inZone && !to.roster.IsRelay(now) || f.separated(at, n.from, i) {
-				continue
+			wanted := n.relay && n.inZone || to.roster.IsRelay(now)
+			if to != from && wanted && inZone == n.inZone && !f.separated(at, n.from, i) {
+				to.take(now, from, n)
 			}
-			to.take(now, from.self, n, inZone)
 		}
 	}
 }
 
-func (v *cutVM) take(now time.Time, from vm.VM, n news, inZone bool) {
-	v.roster.Heard(now, from, n.relay)
+// take does what gossip does with a message.
+func (v *cutVM) take(now time.Time, from *cutVM, n news) {
+	_, gap := v.roster.Heard(now, from.self, n.relay)
+	relay := v.roster.IsRelay(now)
+	if gap.Over && relay {
+		v.ledger.Resend(gap.Since, tally.Zone, func(tally.Origin) bool { return true })
+	}
 	if n.relay {
-		v.roster.HeardSilent(from.Zone, n.silent)
-		if inZone {
+		gap := v.roster.Counted(now, from.self.Zone, n.census, n.silent)
+		if n.inZone {
 			v.roster.Connected(now, n.zones)
+		} else {
+			gap = v.roster.ConfirmedBy(now, from.self.Zone, n.zones)
+		}
+		if gap.Over && n.inZone {
+			v.ledger.Resend(gap.Since, tally.Zone, func(o tally.Origin) bool { return o == tally.OriginOf(v.self.ID, "1") })
+		} else if gap.Over && relay {
+			v.ledger.Resend(gap.Since, tally.OtherZones, v.ofZone)
 		}
 	}
-	for id, total := range n.totals {
-		if fresh := total - v.heard[id]; id != v.self.ID && fresh > 0 {
-			v.heard[id] = total
-			v.buckets.Spent(now, cutSubject, uint32(fresh))
+	v.ledger.Merge(now, n.totals, tally.Onward{
+		Zone: relay && !(n.inZone && n.relay), OtherZones: relay && n.inZone && !n.relay, Told: n.inZone && n.relay,
+	})
+}
+
+// ofZone reports whether the origin is a VM of this VM's zone.
+func (v *cutVM) ofZone(o tally.Origin) bool {
+	for _, other := range append(v.roster.InZone(v.self.Zone), v.self) {
+		if o == tally.OriginOf(other.ID, other.Incarnation) {
+			return true
 		}
 	}
+	return false
 }
 
 // Guards against a team getting more than its terms while VMs cannot hear each
@@ -152,13 +181,15 @@
 	zoneCut := func(from, to time.Duration) cut {
 		return cut{from, to, func(v vm.VM, _ int) bool { return v.Zone == "z0" }, false}
 	}
-	singleCut := func(from, to time.Duration) cut {
-		return cut{from, to, func(_ vm.VM, i int) bool { return i%5 == 2 }, true}
-	}
+	fifth := func(_ vm.VM, i int) bool { return i%5 == 2 }
+	singleCut := func(from, to time.Duration) cut { return cut{from, to, fifth, true} }
+	// VMs of all zones that hear each other and none of the others.
+	groupCut := func(from, to time.Duration) cut { return cut{from, to, fifth, false} }
 	cuts := map[string][]cut{
 		"zone":   {zoneCut(4*time.Second, 9*time.Second)},
 		"single": {singleCut(4*time.Second, 9*time.Second)},
-		"both":   {zoneCut(3*time.Second, 8300*time.Millisecond), singleCut(9600*time.Millisecond, 14*time.Second)},
+		"group":  {groupCut(4*time.Second, 9*time.Second)},
+		"both":   {zoneCut(3*time.Second, 8300*time.Millisecond), groupCut(9600*time.Millisecond, 14*time.Second)},
 	}
 	for name, those := range cuts {
 		for seed := uint64(1); seed <= 4; seed++ {
@@ -206,22 +237,22 @@
 func (f *cutFleet) run(rng *rand.Rand, team *contract.Team, length time.Duration, asked func(time.Duration) float64) (admitted []time.Duration) {
 	const urgentGap = 40 * time.Millisecond
 	last := make([]time.Duration, len(f.vms))
-	urgent := make([]bool, len(f.vms))
 	due := 0.0
 	for at := time.Duration(0); at < length; at += cutStep {
 		f.deliver(at)
 		for due += asked(at) * cutStep.Seconds(); due >= 1; due-- {
-			i := rng.IntN(len(f.vms))
-			if f.vms[i].buckets.Admit(cutStart.Add(at), team).Admitted {
-				f.vms[i].spent++
-				urgent[i] = true
+			v := f.vms[rng.IntN(len(f.vms))]
+			if d := v.buckets.Admit(cutStart.Add(at), team); d.Admitted {
+				v.ledger.Add(cutStart.Add(at), cutSubject, tally.Admitted, 1)
+				if d.Scarce() {
+					v.ledger.Add(cutStart.Add(at), cutSubject, tally.Scarce, 1)
+				}
 				admitted = append(admitted, at)
 			}
 		}
 		for i, v := range f.vms {
-			relay := v.roster.IsRelay(cutStart.Add(at))
-			if at-last[i] >= cutHeartbeat || (urgent[i] || relay) && at-last[i] >= urgentGap {
-				last[i], urgent[i] = at, false
+			if at-last[i] >= cutHeartbeat || v.urgent && at-last[i] >= urgentGap {
+				last[i], v.urgent = at, false
 				f.send(at, i)
 			}
 		}
--- a/quota/shared.go
+++ b/quota/shared.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/fleet"
 	"almondstile/shard"
 	"almondstile/tally"
 )
@@ -33,9 +34,9 @@
 	// Reach returns the part of the fleet whose admissions this VM hears of and
 	// that hears of its own.
 	Reach(now time.Time) float64
-	// Covered returns a time that passes while this VM has the word of the fleet;
-	// of each zone's part it counts the time up to the zone's last word.
-	Covered(now time.Time) time.Duration
+	// Coverage returns for how long this VM had the word of the fleet, and for
+	// how long it missed it.
+	Coverage(now time.Time) fleet.Coverage
 }
 
 // Shared admits a team's requests at every VM by one bucket that all VMs keep
@@ -48,27 +49,31 @@
 // The bucket is refilled for the time that the VM has the word of the fleet: a
 // VM that hears nothing of the others gets only its own part of the rate, from
 // the last word on and not only when a cut is noticed. When it is noticed, the
-// VM keeps its part of the level.
+// VM keeps its part of the level. When it is over, what the others admitted
+// meanwhile is taken out of their own part first.
 //
 // Buckets start empty at the start of the process: what the process before it
 // admitted is not known.
 type Shared struct {
-	fleet   Fleet
-	started time.Time
-	// covered is the fleet's Covered at the start.
-	covered time.Duration
-	buckets shard.Map[tally.Subject, *sharedBucket]
+	fleet Fleet
+	// coverage is the fleet's at the start.
+	coverage fleet.Coverage
+	buckets  shard.Map[tally.Subject, *sharedBucket]
 }
 
-// shortCut is the time after which a VM that reaches the fleet again no longer
-// gets back the tokens that it left to the others. A relay that dies is replaced
-// within it, and what others spent is known as fast.
-const shortCut = 1500 * time.Millisecond
+const (
+	// shortCut is the time after which a VM that reaches the fleet again no longer
+	// gets back the tokens that it left to the others. A relay that dies is
+	// replaced within it, and what others spent is known as fast.
+	shortCut = 1500 * time.Millisecond
+	// settleTime is the time after a cut in which the news of it arrive.
+	settleTime = 5 * time.Second
+)
 
 type sharedBucket struct {
 	level float64
-	// covered is the fleet's Covered up to which the bucket was refilled.
-	covered time.Duration
+	// coverage is the fleet's up to which the bucket was refilled.
+	coverage fleet.Coverage
 	// rate and burst are the team's terms, 0 before they are known; share is the
 	// part of the fleet that this VM counted with last.
 	rate, burst, share float64
@@ -76,11 +81,15 @@
 	// leftAt.
 	left   float64
 	leftAt time.Time
+	// others are the tokens that VMs had for themselves while they were cut off
+	// from this one, until the news of what they spent have arrived.
+	others      float64
+	othersUntil time.Time
 }
 
 // NewShared returns buckets that are empty at the time.
-func NewShared(started time.Time, fleet Fleet) *Shared {
-	return &Shared{fleet: fleet, started: started, covered: fleet.Covered(started)}
+func NewShared(started time.Time, vms Fleet) *Shared {
+	return &Shared{fleet: vms, coverage: vms.Coverage(started)}
 }
 
 // SetTerms takes over the terms of the teams. Without them a bucket cannot be
@@ -112,22 +121,31 @@
 }
 
 // Spent takes out what another VM admitted. The bucket is refilled first: its
-// level must have been at the burst at most when the tokens were taken.
-func (s *Shared) Spent(now time.Time, subject tally.Subject, n uint32) {
-	s.do(now, subject, func(b *sharedBucket) { b.level -= float64(n) })
+// level must have been at the burst at most when the tokens were taken. What was
+// missed during a cut came out of the other VM's own part as far as that went.
+func (s *Shared) Spent(now time.Time, subject tally.Subject, n uint32, missed bool) {
+	s.do(now, subject, func(b *sharedBucket) {
+		spent := float64(n)
+		if missed && now.Before(b.othersUntil) {
+			own := min(spent, b.others)
+			b.others -= own
+			spent -= own
+		}
+		b.level -= spent
+	})
 }
 
 // do calls fn with the bucket as it is now.
 func (s *Shared) do(now time.Time, subject tally.Subject, fn func(*sharedBucket)) {
-	share, covered := s.fleet.Reach(now), s.fleet.Covered(now)
+	share, coverage := s.fleet.Reach(now), s.fleet.Coverage(now)
 	s.buckets.Do(subject, s.empty, func(b *sharedBucket) {
 		b.setShare(now, share)
-		b.refill(covered)
+		b.refill(now, coverage)
 		fn(b)
 	})
 }
 
-func (s *Shared) empty() *sharedBucket { return &sharedBucket{covered: s.covered, share: 1} }
+func (s *Shared) empty() *sharedBucket { return &sharedBucket{coverage: s.coverage, share: 1} }
 
 func (b *sharedBucket) setTerms(team *contract.Team) {
 	b.rate, b.burst = team.RatePerSecond, float64(team.Burst)
@@ -146,14 +164,26 @@
 		b.left, b.leftAt = b.left+b.level-kept, now
 		b.level = kept
 	case share > b.share:
+		back := b.left * (share - b.share) / (1 - b.share)
+		b.left -= back
 		if now.Sub(b.leftAt) <= shortCut {
-			b.level += b.left
+			b.level += back
+		} else {
+			b.leaveTo(now, back)
 		}
-		b.left = 0
 	}
 	b.share = share
 }
 
+// leaveTo notes tokens that others had for themselves.
+func (b *sharedBucket) leaveTo(now time.Time, tokens float64) {
+	if !now.Before(b.othersUntil) {
+		b.others = 0
+	}
+	b.others += tokens
+	b.othersUntil = now.Add(settleTime)
+}
+
 // terms returns the part of the team's terms that this VM counts with.
 func (b *sharedBucket) terms() (rate, burst float64) {
 	return b.rate * b.share, max(b.burst*b.share, 1)
@@ -161,13 +191,17 @@
 
 // refill adds what the rate yields since the last time, up to the burst. The
 // covered time contains the VM's share already.
-func (b *sharedBucket) refill(covered time.Duration) {
+func (b *sharedBucket) refill(now time.Time, c fleet.Coverage) {
 	if b.rate <= 0 {
 		return
 	}
-	if covered > b.covered {
-		b.level += (covered - b.covered).Seconds() * b.rate
-		b.covered = covered
+	if covered := c.Covered - b.coverage.Covered; covered > 0 {
+		b.level += covered.Seconds() * b.rate
+		b.coverage.Covered = c.Covered
+	}
+	if missed := c.Missed - b.coverage.Missed; missed > 0 {
+		b.leaveTo(now, missed.Seconds()*b.rate)
+		b.coverage.Missed = c.Missed
 	}
 	b.limit()
 }
--- a/quota/shared_test.go
+++ b/quota/shared_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/fleet"
 	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/tally"
 
@@ -20,8 +21,8 @@
 }
 
 func (f *standing) Reach(time.Time) float64 { return f.share }
-func (f *standing) Covered(now time.Time) time.Duration {
-	return time.Duration(float64(now.Sub(f.start)) * f.share)
+func (f *standing) Coverage(now time.Time) fleet.Coverage {
+	return fleet.Coverage{Covered: time.Duration(float64(now.Sub(f.start)) * f.share)}
 }
 
 func connected(start time.Time) *standing { return &standing{start, 1} }
@@ -62,7 +63,7 @@
 				}
 				for i := range buckets {
 					if i != admissions[heard].vm {
-						buckets[i].Spent(now, tally.SubjectOf(tally.Team, "team-1"), 1)
+						buckets[i].Spent(now, tally.SubjectOf(tally.Team, "team-1"), 1, false)
 					}
 				}
 			}
@@ -130,7 +131,7 @@
 	for at := 10 * time.Second; at < 20*time.Second; at += 5 * time.Millisecond {
 		now = start.Add(at)
 		if busy.Admit(now, &team).Admitted {
-			idle.Spent(now, subject, 1)
+			idle.Spent(now, subject, 1, false)
 		}
 	}
 	admitted := 0
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -108,11 +108,15 @@
 	Counts  Counts
 	// Uptime is how long the origin's process had run at the last change.
 	Uptime time.Duration
+	// Missed says that the record is sent again, because its receivers did not
+	// hear the sender when the counts changed.
+	Missed bool
 }
 
-// Observer takes in what happened at other VMs.
+// Observer takes in what happened at other VMs. missed says that it happened
+// while this VM could not hear of it.
 type Observer interface {
-	Observe(now time.Time, subject Subject, delta Counts)
+	Observe(now time.Time, subject Subject, delta Counts, missed bool)
 }
 
 const (
@@ -140,6 +144,8 @@
 	// urgentZone and urgentRemote say that the change must not wait for the next
 	// regular message.
 	urgentZone, urgentRemote bool
+	// changed is the time since the start of the ledger at the last change.
+	changed time.Duration
 }
 
 func (e *entry) hasten() { e.urgentZone, e.urgentRemote = true, true }
@@ -195,6 +201,7 @@
 		e.record.Origin, e.record.Subject = l.self, s
 		e.record.Counts[f] += n
 		e.record.Uptime = now.Sub(l.started)
+		e.changed = e.record.Uptime
 		e.zoneSends, e.remoteSends = ownSends, remoteSends
 		if urgent {
 			e.hasten()
@@ -249,7 +256,7 @@
 			return e, true
 		}
 		delta, newer = d, true
-		e.record = r
+		e.record, e.changed = r, now.Sub(l.started)
 		if onward.Zone {
 			e.zoneSends = zoneSends
 		}
@@ -268,7 +275,7 @@
 		}
 	}
 	if newer && delta != (Counts{}) {
-		l.observer.Observe(now, r.Subject, delta)
+		l.observer.Observe(now, r.Subject, delta, r.Missed)
 	}
 }
 
@@ -332,6 +339,7 @@
 				out = append(out, e.record)
 			}
 			keep = e.zoneSends > 0 || e.remoteSends > 0
+			e.record.Missed = e.record.Missed && keep
 		})
 		return keep
 	})
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -12,7 +12,7 @@
 // sum adds up what a VM observed of others.
 type sum map[Subject]Counts
 
-func (s sum) Observe(_ time.Time, subject Subject, d Counts) {
+func (s sum) Observe(_ time.Time, subject Subject, d Counts, _ bool) {
 	c := s[subject]
 	for i := range c {
 		c[i] += d[i]
