fleet: coverage counts when words arrive

Cause, found by TestCoverageStopsWithTheWordOfAZone: coverage was counted when it was read, so a VM that read it after half a second without requests took the time for a cut and lost the tokens. It is counted when a zone's word arrives now. Also, a change after a resend counted as missed as long as the other direction had not been sent (TestMissedTotalsAreSentAgain).

--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -92,12 +92,8 @@
 func (r *Roster) Connected(now time.Time, zones []HeardZone) {
 	for _, z := range zones {
 		if z.Zone != r.self.Zone {
-			note(&r.zones, z.Zone, func(known *word) {
-				known.count(now, z.Census)
-				if at := now.Add(-z.Age); at.After(known.at) {
-					known.at = at
-				}
-			})
+			note(&r.zones, z.Zone, func(known *word) { known.count(now, z.Census) })
+			r.heardZone(now, z.Zone, now.Add(-z.Age))
 		}
 	}
 }
@@ -269,38 +265,54 @@
 // may send in the time since a zone's last word is not taken for granted, because
 // the zone may be using it up.
 func (r *Roster) Coverage(now time.Time) Coverage {
-	orders := r.orders()
-	total := 0.0
-	for z, vms := range orders {
-		size, _ := r.reached(now, z, len(vms))
-		total += size
-	}
 	c := &r.coverage
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.zones == nil {
-		c.own, c.zones = r.started, make(map[zone.ID]time.Time)
+	if c.own.IsZero() {
+		c.own = r.started
 	}
 	if now.After(c.own) {
-		c.add(now.Sub(c.own), 1, 1, total)
+		c.total.Covered += time.Duration(float64(now.Sub(c.own)) / r.size(now))
 		c.own = now
 	}
-	for z, vms := range orders {
-		known, _ := r.zones.Load(z)
-		size, reached := r.reached(now, z, len(vms))
-		if z == r.self.Zone {
-			size, reached = size-1, reached-1
-		}
-		from, seen := c.zones[z]
-		if !seen {
-			from = r.started
-		}
-		if known.at.After(from) {
-			c.add(known.at.Sub(from), size, reached, total)
-			c.zones[z] = known.at
+	return c.total
+}
+
+// heardZone notes the zone's word of the time and counts the time before it.
+func (r *Roster) heardZone(now time.Time, z zone.ID, at time.Time) {
+	note(&r.zones, z, func(known *word) {
+		if at.After(known.at) {
+			known.at = at
 		}
+	})
+	size, reached := r.reached(now, z, len(r.rank(z)))
+	if z == r.self.Zone {
+		size, reached = size-1, reached-1
 	}
-	return c.total
+	c := &r.coverage
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.zones == nil {
+		c.zones = make(map[zone.ID]time.Time)
+	}
+	from, seen := c.zones[z]
+	if !seen {
+		from = r.started
+	}
+	if at.After(from) {
+		c.add(at.Sub(from), size, reached, r.size(now))
+		c.zones[z] = at
+	}
+}
+
+// size returns the number of VMs of the fleet as the relays count them.
+func (r *Roster) size(now time.Time) float64 {
+	total := 0.0
+	for z, vms := range r.orders() {
+		size, _ := r.reached(now, z, len(vms))
+		total += size
+	}
+	return total
 }
 
 // New reports whether this VM and all VMs that it hears have just started, so
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -111,7 +111,7 @@
 	if changed {
 		r.changes.Add(1)
 	}
-	note(&r.zones, v.Zone, func(known *word) { known.at = now })
+	r.heardZone(now, v.Zone, now)
 	note(&r.direct, v.Zone, func(known *word) { known.at = now })
 	return restarted, gap
 }
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -144,6 +144,9 @@
 	// urgentZone and urgentRemote say that the change must not wait for the next
 	// regular message.
 	urgentZone, urgentRemote bool
+	// missedZone and missedRemote say that receivers did not hear of the change
+	// when it was made.
+	missedZone, missedRemote bool
 	// changed is the time since the start of the ledger at the last change.
 	changed time.Duration
 }
@@ -257,6 +260,7 @@
 		}
 		delta, newer = d, true
 		e.record, e.changed = r, now.Sub(l.started)
+		e.missedZone, e.missedRemote = r.Missed, r.Missed
 		if onward.Zone {
 			e.zoneSends = zoneSends
 		}
@@ -306,40 +310,54 @@
 
 // Own returns this VM's changed records that were not sent often enough.
 func (l *Ledger) Own(scope Scope) []Record {
-	return l.take(func(e *entry) bool { return e.record.Origin == l.self && e.forZone(scope) })
+	return l.take(func(e *entry) (missed, wanted bool) {
+		if e.record.Origin != l.self {
+			return false, false
+		}
+		return e.forZone(scope)
+	})
 }
 
 // ForZone returns all changed records for the VMs of the zone.
 func (l *Ledger) ForZone(scope Scope) []Record {
-	return l.take(func(e *entry) bool { return e.forZone(scope) })
+	return l.take(func(e *entry) (missed, wanted bool) { return e.forZone(scope) })
 }
 
 // ForOtherZones returns the changed records of this zone for other zones.
 func (l *Ledger) ForOtherZones(scope Scope) []Record {
-	return l.take(func(e *entry) bool { return useUp(scope, &e.remoteSends, &e.urgentRemote) })
+	return l.take(func(e *entry) (missed, wanted bool) {
+		return useUp(scope, &e.remoteSends, &e.urgentRemote, &e.missedRemote)
+	})
 }
 
-func (e *entry) forZone(scope Scope) bool { return useUp(scope, &e.zoneSends, &e.urgentZone) }
+func (e *entry) forZone(scope Scope) (missed, due bool) {
+	return useUp(scope, &e.zoneSends, &e.urgentZone, &e.missedZone)
+}
 
-// useUp counts a send and reports whether it is due.
-func useUp(scope Scope, sends *int, urgent *bool) bool {
+// useUp counts a send and reports whether it is due, and of a change that its
+// receivers missed.
+func useUp(scope Scope, sends *int, urgent, missed *bool) (wasMissed, due bool) {
 	if *sends == 0 || scope == Urgent && !*urgent {
-		return false
+		return false, false
 	}
+	wasMissed = *missed
 	*sends--
 	*urgent = false
-	return true
+	*missed = wasMissed && *sends > 0
+	return wasMissed, true
 }
 
-func (l *Ledger) take(wanted func(*entry) bool) []Record {
+// take returns the records that are wanted now.
+func (l *Ledger) take(wanted func(*entry) (missed, due bool)) []Record {
 	var out []Record
 	l.pending.Range(func(key string, _ struct{}) (keep bool) {
 		l.entries.DoExisting(key, func(e *entry) {
-			if wanted(e) {
-				out = append(out, e.record)
+			if missed, due := wanted(e); due {
+				r := e.record
+				r.Missed = missed
+				out = append(out, r)
 			}
 			keep = e.zoneSends > 0 || e.remoteSends > 0
-			e.record.Missed = e.record.Missed && keep
 		})
 		return keep
 	})
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -154,6 +154,35 @@
 	}
 }
 
+// Guards against VMs that never hear what was admitted while they were cut off,
+// because it was sent once, and against sending more again than a limit needs.
+func TestMissedTotalsAreSentAgain(t *testing.T) {
+	a := NewLedger(start, "origin-a", sum{}, nil)
+	at := start.Add(10 * time.Second)
+	a.Add(at, subject, Admitted, 3)
+	a.Add(at, SubjectOf(Server, "server-1"), Succeeded, 1)
+	a.Add(at.Add(-5*time.Second), SubjectOf(Team, "team-2"), Admitted, 1)
+	for len(a.ForOtherZones(Changed)) > 0 { // lost in the cut
+	}
+	all := func(Origin) bool { return true }
+	a.Resend(at.Add(-time.Second), OtherZones, func(Origin) bool { return false })
+	if got := a.ForOtherZones(Changed); len(got) != 0 {
+		t.Errorf("sent again for other origins: %+v", got)
+	}
+	a.Resend(at.Add(-time.Second), OtherZones, all)
+	got := a.ForOtherZones(Urgent)
+	if len(got) != 1 || got[0].Subject != subject || !got[0].Missed || got[0].Counts[Admitted] != 3 {
+		t.Errorf("sent again: %+v", got)
+	}
+	if got := a.ForOtherZones(Changed); len(got) != 0 {
+		t.Errorf("sent a third time: %+v", got)
+	}
+	a.Add(at.Add(time.Second), subject, Admitted, 1)
+	if got := a.ForOtherZones(Changed); len(got) != 1 || got[0].Missed {
+		t.Errorf("a later change counts as missed: %+v", got)
+	}
+}
+
 // Guards against a failure that waits for the next regular message.
 func TestFailuresAreUrgent(t *testing.T) {
 	calls := 0
--- a/tally/resend.go
+++ b/tally/resend.go
@@ -21,11 +21,10 @@
 	var keys []string
 	l.entries.Range(func(key string, e *entry) bool {
 		if e.changed >= changed && isShared(e.record.Subject) && of(e.record.Origin) {
-			e.record.Missed = true
 			if to == Zone {
-				e.zoneSends, e.urgentZone = ownSends, true
+				e.zoneSends, e.urgentZone, e.missedZone = ownSends, true, true
 			} else {
-				e.remoteSends, e.urgentRemote = remoteSends, true
+				e.remoteSends, e.urgentRemote, e.missedRemote = remoteSends, true, true
 			}
 			keys = append(keys, key)
 		}
