--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"almondstile/shard"
@@ -24,8 +23,6 @@
 	// counts as one of its zone. Until then VMs that are gone cannot be told from
 	// VMs that are cut off, and keep their part of the teams' rates.
 	memberAbsence = 5 * time.Minute
-	// startSpread is by how much the starts of VMs differ that were all down.
-	startSpread = 1 * time.Second
 	// settleTime is the uptime from which a VM counts with the census of relays.
 	// Before it, the VMs of a fleet that starts were not all heard by their relays
 	// yet, and a zone that is heard counts as whole.
@@ -68,26 +65,6 @@
 	Census Census
 }
 
-// Coverage is time for which a VM has, or missed, the word of the fleet.
-type Coverage struct {
-	// Covered passes while the VM has the word of the fleet: of each zone's part
-	// of the fleet it counts the time up to the zone's last word.
-	Covered time.Duration
-	// Missed counts the times in which others were cut off from this VM, of each
-	// zone's part, when they are over.
-	Missed time.Duration
-}
-
-// coverage counts the time for which this VM has the word of the fleet.
-type coverage struct {
-	mu    sync.Mutex
-	total Coverage
-	// zones holds the time up to which each zone was counted, own is the same of
-	// this VM itself.
-	own   time.Time
-	zones map[zone.ID]time.Time
-}
-
 // Connected notes the zones that a relay of this VM's zone hears.
 func (r *Roster) Connected(now time.Time, zones []HeardZone) {
 	for _, z := range zones {
@@ -261,83 +238,6 @@
 	return size, present
 }
 
-// Coverage returns for how long this VM had the word of the fleet. What a team
-// may send in the time since a zone's last word is not taken for granted, because
-// the zone may be using it up.
-func (r *Roster) Coverage(now time.Time) Coverage {
-	c := &r.coverage
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.own.IsZero() {
-		c.own = r.started
-	}
-	if now.After(c.own) {
-		c.total.Covered += time.Duration(float64(now.Sub(c.own)) / r.size(now))
-		c.own = now
-	}
-	return c.total
-}
-
-// heardZone notes the zone's word of the time and counts the time before it.
-func (r *Roster) heardZone(now time.Time, z zone.ID, at time.Time) {
-	note(&r.zones, z, func(known *word) {
-		if at.After(known.at) {
-			known.at = at
-		}
-	})
-	size, reached := r.reached(now, z, len(r.rank(z)))
-	if z == r.self.Zone {
-		size, reached = size-1, reached-1
-	}
-	c := &r.coverage
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.zones == nil {
-		c.zones = make(map[zone.ID]time.Time)
-	}
-	from, seen := c.zones[z]
-	if !seen {
-		from = r.started
-	}
-	if at.After(from) {
-		c.add(at.Sub(from), size, reached, r.size(now))
-		c.zones[z] = at
-	}
-}
-
-// size returns the number of VMs of the fleet as the relays count them.
-func (r *Roster) size(now time.Time) float64 {
-	total := 0.0
-	for z, vms := range r.orders() {
-		size, _ := r.reached(now, z, len(vms))
-		total += size
-	}
-	return total
-}
-
-// New reports whether this VM and all VMs that it hears have just started, so
-// that no VM was at work a moment before. It says no while no other VM was heard.
-func (r *Roster) New(now time.Time) bool {
-	heard, old := 0, 0
-	r.members.Range(func(_ vm.ID, m *member) bool {
-		if now.Sub(m.heard) < memberSilence {
-			heard++
-			if r.started.Sub(m.started) > startSpread {
-				old++
-			}
-		}
-		return true
-	})
-	return heard > 0 && old == 0
-}
-
-// add counts the time of VMs of which some were in reach.
-func (c *coverage) add(d time.Duration, vms, reached, total float64) {
-	covered := min(d, zoneSilence)
-	c.total.Covered += time.Duration(float64(covered) * reached / total)
-	c.total.Missed += time.Duration((float64(d)*vms - float64(covered)*reached) / total)
-}
-
 func (r *Roster) zoneHeard(now time.Time, z zone.ID) bool {
 	known, ok := r.zones.Load(z)
 	return ok && !known.at.IsZero() && now.Sub(known.at) < zoneSilence
