logging: one logger without lines for libraries

Three packages had the same type that drops the lines of a library; they use logging.NoPrintf now. No change of behavior; the packages' tests pass.

--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -78,7 +78,7 @@
 		DisablePreParseMultipartForm:  true,
 		CloseOnShutdown:               true,
 		DisableHeaderNamesNormalizing: false,
-		Logger:                        quietLogger{},
+		Logger:                        logging.NoPrintf{},
 	}
 	return s
 }
@@ -202,7 +202,3 @@
 		writeError(ctx, "", request.Rejected(request.ReasonMalformed), "the request is not valid HTTP")
 	}
 }
-
-type quietLogger struct{}
-
-func (quietLogger) Printf(string, ...any) {}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -99,14 +99,10 @@
 	}
 	n.SetSeeds(parts.Seeds)
 	n.server = &fasthttp.Server{Handler: n.answerPull, NoDefaultServerHeader: true, CloseOnShutdown: true,
-		ReadTimeout: pullTimeout, IdleTimeout: time.Minute, Logger: discardLogger{}}
+		ReadTimeout: pullTimeout, IdleTimeout: time.Minute, Logger: logging.NoPrintf{}}
 	return n, nil
 }
 
-type discardLogger struct{}
-
-func (discardLogger) Printf(string, ...any) {}
-
 // Run sends and receives until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg conc.WaitGroup
--- a/link/client.go
+++ b/link/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"almondstile/logging"
 	"almondstile/shard"
 	"almondstile/vm"
 
@@ -154,7 +155,7 @@
 	}
 	stream := jsonrpc2.NewPlainObjectStream(c.bytes.count(nc))
 	// The connection outlives the call that opened it.
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectIncoming), jsonrpc2.SetLogger(discardLogger{}))
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, jsonrpc2.HandlerWithError(rejectIncoming), jsonrpc2.SetLogger(logging.NoPrintf{}))
 	if err := c.authenticate(ctx, rpc, to.ID); err != nil {
 		_ = rpc.Close()
 		return nil, err
--- a/link/server.go
+++ b/link/server.go
@@ -95,7 +95,7 @@
 	_ = nc.SetDeadline(time.Now().Add(handshakeTimeout))
 	session := &session{server: s, conn: nc}
 	stream := jsonrpc2.NewPlainObjectStream(s.bytes.count(nc))
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle)), jsonrpc2.SetLogger(discardLogger{}))
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle)), jsonrpc2.SetLogger(logging.NoPrintf{}))
 	select {
 	case <-rpc.DisconnectNotify():
 		s.logRefusal(session, time.Now())
@@ -195,7 +195,3 @@
 	_ = c.conn.SetDeadline(time.Time{})
 	return struct{}{}, nil
 }
-
-type discardLogger struct{}
-
-func (discardLogger) Printf(string, ...any) {}
