fleet: no tokens for a gap that is over

When a zone was heard again, up to 0.55 s of the gap counted as covered, although its VMs had that part for themselves: a bucket jumped to 52 of 56 tokens (seen with a line for each admission in a scratch copy). A gap longer than zoneSilence counts as missed as a whole. TestCoverageStopsWithTheWordOfAZone checks the moment at which a zone is heard again; it failed before.

--- a/fleet/coverage.go
+++ b/fleet/coverage.go
@@ -85,11 +85,14 @@
 	return total
 }
 
-// add counts the time of VMs of which some were in reach.
+// add counts the time between two words of VMs of which some are in reach. A gap
+// longer than zoneSilence was a cut, in which they had their part for themselves.
 func (c *coverage) add(d time.Duration, vms, reached, total float64) {
-	covered := min(d, zoneSilence)
-	c.total.Covered += time.Duration(float64(covered) * reached / total)
-	c.total.Missed += time.Duration((float64(d)*vms - float64(covered)*reached) / total)
+	if d > zoneSilence {
+		reached = 0
+	}
+	c.total.Covered += time.Duration(float64(d) * reached / total)
+	c.total.Missed += time.Duration(float64(d) * (vms - reached) / total)
 }
 
 // New reports whether this VM and all VMs that it hears have just started, so
--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -125,7 +125,11 @@
 	if covered := during.Covered - before.Covered; covered < 900*time.Millisecond || covered > 1100*time.Millisecond {
 		t.Errorf("covered %s in 2 s with half of the VMs", covered)
 	}
-	at = rounds([][]*Roster{all}, at, 5)
+	at = rounds([][]*Roster{all}, at, 1)
+	if covered := all[0].Coverage(at).Covered - during.Covered; covered > 110*time.Millisecond {
+		t.Errorf("covered %s in 0.1 s when the zone is heard again", covered)
+	}
+	at = rounds([][]*Roster{all}, at, 4)
 	after := all[0].Coverage(at)
 	if missed := after.Missed - before.Missed; missed < 500*time.Millisecond || missed > 1300*time.Millisecond {
 		t.Errorf("missed %s of 2 s with half of the VMs", missed)
