logs: why a VM held back, and changes of its reach

Cause: a request that a VM rejects within its first 400 ms to keep its even part was logged as over the rate with tokens left, and a change of a VM's reach, which decides about teams' rates, had no line. held_back on the line of the rejection; a line when the reach changes by 0.1 or more. No change of decisions; the packages' tests pass.

--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -149,7 +149,8 @@
 	}
 	d.parts.Log.WithField("request", req.ID).WithField("team", team.ID).WithField("tokens", decision.Level).
 		WithField("rate_per_s", decision.RatePerSecond).WithField("burst", decision.Burst).
-		WithField("share", decision.Share).WithField("config_version", d.parts.Source.View().Index.Version()).
+		WithField("share", decision.Share).WithField("held_back", decision.HeldBack).
+		WithField("config_version", d.parts.Source.View().Index.Version()).
 		Info("A team is over its rate.")
 	rejected := request.Rejected(request.ReasonRate)
 	rejected.RetryAfter = decision.RetryAfter
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -42,6 +42,9 @@
 	// mostPullers bounds the pulls that one VM makes at a time.
 	mostPullers = 2
 
+	// reachStep is the change of a VM's reach that is worth a log line.
+	reachStep = 0.1
+
 	copiesPath = "/copies"
 )
 
@@ -67,9 +70,11 @@
 	listener net.Listener
 	pool     *httpconn.Pool
 	slots    chan struct{}
-	// wasRelay, lastZone and lastRemote belong to the sending goroutine: whether
-	// this VM relayed, and when it last sent to its zone and to others.
+	// wasRelay, lastReach, lastZone and lastRemote belong to the sending goroutine:
+	// whether this VM relayed, the reach that was logged last, and when it last
+	// sent to its zone and to others.
 	wasRelay             bool
+	lastReach            float64
 	lastZone, lastRemote time.Time
 	// seeds may be replaced while the node runs.
 	seeds atomic.Pointer[[]string]
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -32,6 +33,7 @@
 			n.sendNews(lastUrgent, tally.Urgent)
 		case now := <-ticker.C:
 			tick++
+			n.noteReach(now)
 			if n.parts.Roster.Rank(now) == 0 || !n.isRelay(now) || tick%standbyIntervals == 0 {
 				n.sendNews(now, tally.Changed)
 			}
@@ -52,6 +54,17 @@
 	return max(gap-since, least)
 }
 
+// noteReach logs that this VM hears more or fewer of the others than before.
+func (n *Node) noteReach(now time.Time) {
+	reach := n.parts.Roster.Reach(now)
+	if math.Abs(reach-n.lastReach) < reachStep {
+		return
+	}
+	n.lastReach = reach
+	n.parts.Log.WithField("reach", reach).WithField("fleet", n.parts.Roster.Size()).
+		Info("The part of the fleet that this VM hears changed.")
+}
+
 // isRelay reports whether this VM relays, and logs changes of that.
 func (n *Node) isRelay(now time.Time) bool {
 	relay := n.parts.Roster.IsRelay(now)
--- a/quota/shared.go
+++ b/quota/shared.go
@@ -22,6 +22,9 @@
 	RatePerSecond, Burst float64
 	// Share is the part of the fleet that this VM counted with.
 	Share float64
+	// HeldBack says that there were tokens, but a VM that has just started keeps
+	// to its even part.
+	HeldBack bool
 	// RetryAfter is when a request that was not admitted can be.
 	RetryAfter time.Duration
 }
@@ -146,7 +149,8 @@
 		b.setTerms(team)
 		rate, burst := b.terms()
 		paced := now.Sub(s.started) >= paceTime || b.keepPace(now, float64(s.fleet.Size()), s.draw(team.ID))
-		d = Decision{Admitted: b.level >= 1 && paced, Level: b.level, RatePerSecond: rate, Burst: burst, Share: b.share}
+		d = Decision{Admitted: b.level >= 1 && paced, Level: b.level, RatePerSecond: rate, Burst: burst, Share: b.share,
+			HeldBack: b.level >= 1 && !paced}
 		if d.Admitted {
 			b.level--
 			b.pace--
