direct: the retry budget and cold servers count with the reach too

Repeats and the pace of cold servers still counted with the part of the zones that a VM hears, so groups of VMs that are cut off from each other and have members in all zones took the whole slack of the budget each, as they did with teams' rates. Both use Roster.Reach; Share is gone.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -155,7 +155,7 @@
 	if r.ctx.Err() != nil || r.sends >= maxSends || r.req.Deadline.Sub(now) < minTimeLeft {
 		return false
 	}
-	if !r.d.counters.repeat(now, r.req.Service, r.d.parts.Connected.Share(now)) {
+	if !r.d.counters.repeat(now, r.req.Service, r.d.parts.Connected.Reach(now)) {
 		r.d.parts.Observer.Count("budget_exhausted")
 		return false
 	}
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -68,7 +68,7 @@
 	return placement.Cold{
 		PerSecond: terms.RampPerSecond, LastSecond: lastSecond,
 		Arrivals: d.parts.Knowledge.Budget.Rate(now, terms.ID),
-		Blind:    now.Sub(d.started) < blindTime || d.parts.Connected.Share(now) < connectedShare,
+		Blind:    now.Sub(d.started) < blindTime || d.parts.Connected.Reach(now) < connectedShare,
 		VMs:      d.parts.Connected.Size(),
 	}.Chance()
 }
--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -34,7 +34,7 @@
 
 // Connected tells with which part of the fleet this VM is connected.
 type Connected interface {
-	Share(now time.Time) float64
+	Reach(now time.Time) float64
 	// Size is the number of VMs of the fleet.
 	Size() int
 }
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -49,7 +49,6 @@
 
 type wholeFleet struct{}
 
-func (wholeFleet) Share(time.Time) float64 { return 1 }
 func (wholeFleet) Reach(time.Time) float64 { return 1 }
 func (wholeFleet) New(time.Time) bool      { return false }
 func (wholeFleet) Coverage(now time.Time) fleet.Coverage {
@@ -83,11 +82,13 @@
 	return s
 }
 
-func newDispatcher(s *source, e Exchanger) *Dispatcher {
+func newDispatcher(s *source, e Exchanger) *Dispatcher { return newDispatcherIn(wholeFleet{}, s, e) }
+
+func newDispatcherIn(connected Connected, s *source, e Exchanger) *Dispatcher {
 	knowledge := NewKnowledge(time.Now(), wholeFleet{}, retry.Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
 	return NewDispatcher(Parts{
 		Self: vm.VM{ID: "vm-1", Zone: "zone-a"}, Source: s, Knowledge: knowledge,
-		Ledger: tally.NewLedger(time.Now(), "origin", knowledge, nil), Exchanger: e, Connected: wholeFleet{},
+		Ledger: tally.NewLedger(time.Now(), "origin", knowledge, nil), Exchanger: e, Connected: connected,
 		Observer: quiet{}, Limits: Limits{MaxKeyAge: 4 * time.Second}, Log: logging.Discard().Part("request"),
 		Clock: time.Now, BootTime: func() time.Duration { return time.Hour },
 	})
@@ -211,3 +212,27 @@
 		t.Errorf("sent %d times", len(e.sentTo))
 	}
 }
+
+// fifthOfFleet is the standing of a VM that is cut off with a fifth of the others.
+type fifthOfFleet struct{ wholeFleet }
+
+func (fifthOfFleet) Reach(time.Time) float64 { return 0.2 }
+
+// Guards against groups of VMs that are cut off from each other and each repeat as
+// if they had the whole budget of a service.
+func TestRepeatsOfACutOffVMKeepToItsPart(t *testing.T) {
+	const requests = 100
+	repeats := func(connected Connected) int {
+		e := &servers{answer: func(int, contract.ServerID) upstream.Exchange { return fails }}
+		d := newDispatcherIn(connected, newSource(contract.Idempotent), e)
+		for range requests {
+			send(d)
+		}
+		return len(e.sentTo) - requests
+	}
+	whole, part := repeats(wholeFleet{}), repeats(fifthOfFleet{})
+	// The ratio of 0.2 counts what each VM sends itself, the slack of 50 is shared.
+	if most := 0.2*requests + 0.2*50; float64(part) > most || part >= whole {
+		t.Errorf("%d repeats with a fifth of the fleet, at most %.0f, and %d with all", part, most, whole)
+	}
+}
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -185,22 +185,6 @@
 	return c, silent
 }
 
-// Share returns the part of the fleet that this VM is connected with: all VMs
-// of the zones that it hears, or only itself if it hears no other.
-func (r *Roster) Share(now time.Time) float64 {
-	total, connected := 0, 0
-	for z, vms := range r.orders() {
-		total += len(vms)
-		switch {
-		case r.zoneHeard(now, z):
-			connected += len(vms)
-		case z == r.self.Zone:
-			connected++
-		}
-	}
-	return float64(connected) / float64(total)
-}
-
 // Reach returns the part of the fleet whose admissions this VM hears of and that
 // hears of its own: the VMs that the relays of the zones count, as long as the
 // zones are heard. A VM that its relays do not hear counts alone. Groups of VMs
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -102,7 +102,7 @@
 
 // Guards against groups of VMs that are cut off from each other and together
 // admit more than a team's rate.
-func TestSharesOfSeparatedGroupsAddUpToOne(t *testing.T) {
+func TestReachOfSeparatedZonesAddsUpToOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		zones := []string{"a", "b", "c"}
 		var all []vm.VM
@@ -125,8 +125,8 @@
 					r.Heard(now, v, true, time.Minute)
 				}
 			}
-			shares[group[string(self.Zone)]] = max(shares[group[string(self.Zone)]], r.Share(now))
-			if alone := r.Share(now.Add(time.Minute)); alone > 1/float64(len(all))+1e-9 {
+			shares[group[string(self.Zone)]] = max(shares[group[string(self.Zone)]], r.Reach(now))
+			if alone := r.Reach(now.Add(time.Minute)); alone > 1/float64(len(all))+1e-9 {
 				t.Fatalf("a VM that hears nobody has a share of %v", alone)
 			}
 		}
--- a/quota/shared.go
+++ b/quota/shared.go
@@ -89,7 +89,7 @@
 	// know of each other.
 	paceTime = 400 * time.Millisecond
 	// startPace is the multiple of its even part of a team's rate at which a VM
-	// admits at most in startTime, and of downTime's tokens that it admits at
+	// admits at most in paceTime, and of downTime's tokens that it admits at
 	// once. Callers that waited for a fleet without VMs arrive at all of them in
 	// the same moment, before any has heard of another's admissions. It is far
 	// above 1 because a VM's part is often less than one token, and callers do not
