retry: a process that starts gives out the slack of the budget little by little

They start with an empty budget and give out the whole slack a second time within the window. The slack grows from a tenth to all of it over one and a half windows of uptime.

--- a/direct/knowledge.go
+++ b/direct/knowledge.go
@@ -25,7 +25,7 @@
 
 // NewKnowledge returns the knowledge of a process that starts now.
 func NewKnowledge(now time.Time, fleet quota.Fleet, budget retry.Terms) *Knowledge {
-	return &Knowledge{Quota: quota.NewShared(now, fleet), Budget: retry.NewShared(budget)}
+	return &Knowledge{Quota: quota.NewShared(now, fleet), Budget: retry.NewShared(now, budget)}
 }
 
 // Configure takes over the teams' terms of a configuration, if it is another one
--- a/retry/shared.go
+++ b/retry/shared.go
@@ -24,17 +24,24 @@
 	// slackUsed is the part of the slack that is given out. The rest covers
 	// repeats that VMs send before they hear of each other.
 	slackUsed = 0.7
+	// startSlack is the part of that which a process gives out at its start. It
+	// grows evenly to all of it over startWindows windows: the processes before it
+	// may have used theirs a moment before they ended.
+	startSlack   = 0.1
+	startWindows = 1.5
 )
 
 // Shared is a retry budget that all VMs keep alike from the counts of their own
 // sends and those that they hear of. The zero value allows nothing.
 type Shared struct {
 	terms    Terms
+	started  time.Time
 	services shard.Map[tally.Subject, *sends]
 }
 
-// NewShared returns a budget in which nothing was sent.
-func NewShared(t Terms) *Shared { return &Shared{terms: t} }
+// NewShared returns the budget of a process that starts at the time, which knows
+// nothing of what was sent before.
+func NewShared(started time.Time, t Terms) *Shared { return &Shared{terms: t, started: started} }
 
 // sends counts first sends and repeats in the slots of the window.
 type sends struct {
@@ -52,16 +59,23 @@
 // Spend counts a repeat and reports whether it may be sent. share is the part
 // of the fleet that hears of it.
 func (s *Shared) Spend(now time.Time, service contract.ServiceID, share float64) (ok bool) {
-	slot := s.slot(now)
+	slot, slack := s.slot(now), s.slack(now)
 	s.services.Do(tally.SubjectOf(tally.Service, string(service)), newSends, func(c *sends) {
 		first, repeat := c.sum(slot)
-		if ok = repeat+1 <= s.terms.Ratio*first+s.terms.Slack*slackUsed*share; ok {
+		if ok = repeat+1 <= s.terms.Ratio*first+slack*share; ok {
 			c.add(slot, 0, 1)
 		}
 	})
 	return ok
 }
 
+// slack returns the part of the slack that is given out at the time.
+func (s *Shared) slack(now time.Time) float64 {
+	most := s.terms.Slack * slackUsed
+	grown := now.Sub(s.started).Seconds() / (startWindows * s.terms.Window.Seconds())
+	return most * min(max(startSlack, grown), 1)
+}
+
 // Sent counts sends of other VMs.
 func (s *Shared) Sent(now time.Time, subject tally.Subject, first, repeat uint32) {
 	slot := s.slot(now)
--- a/retry/shared_test.go
+++ b/retry/shared_test.go
@@ -13,7 +13,8 @@
 )
 
 // Guards against repeats that exceed the budget over all VMs in any window,
-// while VMs hear of each other late.
+// while VMs hear of each other late, and after all VMs or one by one were killed:
+// what the processes before them repeated still counts.
 func TestSharedBudgetHoldsOverAllVMs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const vms, step, length = 16, 20 * time.Millisecond, 25 * time.Second
@@ -22,9 +23,11 @@
 		delay := time.Duration(rapid.IntRange(20, 150).Draw(t, "delay_ms")) * time.Millisecond
 		const service contract.ServiceID = "service-1"
 		subject := tally.SubjectOf(tally.Service, string(service))
+		kill := rapid.SampledFrom([]string{"none", "all", "one by one"}).Draw(t, "kill")
 		var budgets [vms]*Shared
+		var started [vms]time.Duration
 		for i := range budgets {
-			budgets[i] = NewShared(terms)
+			budgets[i] = NewShared(time.Unix(1000, 0), terms)
 		}
 		type send struct {
 			at     time.Duration
@@ -37,11 +40,18 @@
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		for at := time.Duration(0); at < length; at += step {
 			now := start.Add(at)
+			for i := range budgets {
+				all := kill == "all" && at == length/2
+				own := kill == "one by one" && at == time.Duration(i+1)*time.Second
+				if all || own {
+					budgets[i], started[i] = NewShared(now, terms), at
+				}
+			}
 			for ; heard < len(sends) && at-sends[heard].at >= delay; heard++ {
 				s := sends[heard]
 				for i := range budgets {
 					switch {
-					case i == s.vm:
+					case i == s.vm, s.at < started[i]:
 					case s.repeat:
 						budgets[i].Sent(start.Add(s.at), subject, 0, 1)
 					default:
