--- a/fleet/coverage.go
+++ b/fleet/coverage.go
@@ -11,17 +11,17 @@
 // startSpread is by how much the starts of VMs differ that were all down.
 const startSpread = 1 * time.Second
 
-// Coverage is time for which a VM has, or missed, the word of the fleet.
+// Coverage is time for which a VM heard, or missed, what the fleet admitted.
 type Coverage struct {
-	// Covered passes while the VM has the word of the fleet: of each zone's part
-	// of the fleet it counts the time up to the zone's last word.
+	// Covered passes while the VM hears the fleet: of each zone's part of the
+	// fleet it counts the time up to the zone's last message.
 	Covered time.Duration
 	// Missed counts the times in which others were cut off from this VM, of each
 	// zone's part, when they are over.
 	Missed time.Duration
 }
 
-// coverage counts the time for which this VM has the word of the fleet.
+// coverage counts the time for which this VM hears the fleet.
 type coverage struct {
 	mu    sync.Mutex
 	total Coverage
@@ -31,8 +31,8 @@
 	zones map[zone.ID]time.Time
 }
 
-// Coverage returns for how long this VM had the word of the fleet. What a team
-// may send in the time since a zone's last word is not taken for granted, because
+// Coverage returns for how long this VM heard the fleet. What a team may send in
+// the time since a zone's last message is not taken for granted, because
 // the zone may be using it up.
 func (r *Roster) Coverage(now time.Time) Coverage {
 	c := &r.coverage
@@ -48,9 +48,9 @@
 	return c.total
 }
 
-// heardZone notes the zone's word of the time and counts the time before it.
+// heardZone notes that the zone was heard at the time and counts the time before.
 func (r *Roster) heardZone(now time.Time, z zone.ID, at time.Time) {
-	note(&r.zones, z, func(known *word) {
+	note(&r.zones, z, func(known *zoneReport) {
 		if at.After(known.at) {
 			known.at = at
 		}
@@ -85,7 +85,7 @@
 	return total
 }
 
-// add counts the time between two words of VMs of which some are in reach. A gap
+// add counts the time between two messages of VMs of which some are in reach. A gap
 // longer than zoneSilence was a cut, in which they had their part for themselves.
 func (c *coverage) add(d time.Duration, vms, reached, total float64) {
 	if d > zoneSilence {
--- a/fleet/reach.go
+++ b/fleet/reach.go
@@ -49,8 +49,8 @@
 	Present, Size int
 }
 
-// word is the last that a VM heard of a zone.
-type word struct {
+// zoneReport is the last that a VM heard of a zone.
+type zoneReport struct {
 	at       time.Time
 	census   Census
 	censusAt time.Time
@@ -69,7 +69,7 @@
 func (r *Roster) Connected(now time.Time, zones []HeardZone) {
 	for _, z := range zones {
 		if z.Zone != r.self.Zone {
-			note(&r.zones, z.Zone, func(known *word) { known.count(now, z.Census) })
+			note(&r.zones, z.Zone, func(known *zoneReport) { known.count(now, z.Census) })
 			r.heardZone(now, z.Zone, now.Add(-z.Age))
 		}
 	}
@@ -102,7 +102,7 @@
 }
 
 // count takes over a census unless it is lower than one that still holds.
-func (w *word) count(now time.Time, c Census) {
+func (w *zoneReport) count(now time.Time, c Census) {
 	if c.Size > 0 && (c.Present >= w.census.Present || now.Sub(w.censusAt) > censusMemory) {
 		w.census, w.censusAt = c, now
 	}
@@ -113,11 +113,11 @@
 // VM's zone hear this VM again.
 func (r *Roster) Counted(now time.Time, z zone.ID, c Census, silent []Mark) Gap {
 	alone := z == r.self.Zone && slices.Contains(silent, MarkOf(r.self.ID))
-	note(&r.zones, z, func(known *word) {
+	note(&r.zones, z, func(known *zoneReport) {
 		known.count(now, c)
 		known.alone = alone
 	})
-	note(&r.direct, z, func(known *word) { known.count(now, c) })
+	note(&r.direct, z, func(known *zoneReport) { known.count(now, c) })
 	if alone || z != r.self.Zone {
 		return Gap{}
 	}
@@ -136,8 +136,8 @@
 	return gap
 }
 
-func note(words *shard.Map[zone.ID, word], z zone.ID, change func(known *word)) {
-	words.Update(z, func(known word, _ bool) (word, bool) {
+func note(reports *shard.Map[zone.ID, zoneReport], z zone.ID, change func(known *zoneReport)) {
+	reports.Update(z, func(known zoneReport, _ bool) (zoneReport, bool) {
 		change(&known)
 		return known, true
 	})
@@ -146,7 +146,7 @@
 // HeardZones returns the zones whose messages arrive at this VM itself.
 func (r *Roster) HeardZones(now time.Time) []HeardZone {
 	var out []HeardZone
-	r.direct.Range(func(z zone.ID, known word) bool {
+	r.direct.Range(func(z zone.ID, known zoneReport) bool {
 		if age := now.Sub(known.at); age < zoneSilence {
 			out = append(out, HeardZone{z, age, known.census})
 		}
--- a/fleet/reach_test.go
+++ b/fleet/reach_test.go
@@ -113,9 +113,9 @@
 	}
 }
 
-// Guards against tokens for time that is not covered by the word of the others:
+// Guards against tokens for time that is not covered by messages of the others:
 // what passes during a cut is missed, not covered.
-func TestCoverageStopsWithTheWordOfAZone(t *testing.T) {
+func TestCoverageStopsWhenAZoneIsNotHeard(t *testing.T) {
 	start := time.Unix(1000, 0)
 	all := rostersOf([]string{"a", "b"}, 5, start)
 	at := rounds([][]*Roster{all}, start, 20)
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -52,9 +52,9 @@
 	changes    atomic.Uint64
 	zoneOrders atomic.Pointer[zoneOrders]
 	members    shard.Map[vm.ID, *member]
-	// zones holds the last word of each zone, direct or by a relay of this VM's
+	// zones holds the last report of each zone, direct or by a relay of this VM's
 	// zone; direct holds what came here itself, which this VM may pass on.
-	zones, direct shard.Map[zone.ID, word]
+	zones, direct shard.Map[zone.ID, zoneReport]
 	// confirmed holds when each zone was last known to hear this VM.
 	confirmed shard.Map[zone.ID, time.Time]
 	coverage  coverage
@@ -112,7 +112,7 @@
 		r.changes.Add(1)
 	}
 	r.heardZone(now, v.Zone, now)
-	note(&r.direct, v.Zone, func(known *word) { known.at = now })
+	note(&r.direct, v.Zone, func(known *zoneReport) { known.at = now })
 	return restarted, gap
 }
 
--- a/quota/shared.go
+++ b/quota/shared.go
@@ -41,7 +41,7 @@
 	// Reach returns the part of the fleet whose admissions this VM hears of and
 	// that hears of its own.
 	Reach(now time.Time) float64
-	// Coverage returns for how long this VM had the word of the fleet, and for
+	// Coverage returns for how long this VM heard the fleet, and for
 	// how long it missed it.
 	Coverage(now time.Time) fleet.Coverage
 	// New reports whether this VM and all that it hears have just started.
@@ -57,9 +57,9 @@
 // VMs exceeds rate × time + burst only by what is admitted within one message
 // delay.
 //
-// The bucket is refilled for the time that the VM has the word of the fleet: a
+// The bucket is refilled for the time that the VM hears the fleet: a
 // VM that hears nothing of the others gets only its own part of the rate, from
-// the last word on and not only when a cut is noticed. When it is noticed, the
+// the last message on and not only when a cut is noticed. When it is noticed, the
 // VM keeps its part of the level. When it is over, what the others admitted
 // meanwhile is taken out of their own part first.
 //
