--- a/quota/shared.go
+++ b/quota/shared.go
@@ -57,11 +57,11 @@
 // VMs exceeds rate × time + burst only by what is admitted within one message
 // delay.
 //
-// The bucket is refilled for the time that the VM hears the fleet: a
-// VM that hears nothing of the others gets only its own part of the rate, from
-// the last message on and not only when a cut is noticed. When it is noticed, the
-// VM keeps its part of the level. When it is over, what the others admitted
-// meanwhile is taken out of their own part first.
+// The bucket is refilled for the time that the VM hears the fleet: a VM that hears
+// nothing of the others gets only its own part of the rate, from the last message
+// on and not only when a cut is noticed. When it is noticed, the VM keeps its part
+// of the level. When it is over, what the others admitted meanwhile is taken out of
+// their own part first.
 //
 // Buckets start empty at the start of the process: what the process before it
 // admitted is not known. If all VMs start at the same time, none admitted anything
@@ -81,7 +81,6 @@
 	shortCut = 1500 * time.Millisecond
 	// downTime is what a process that ends takes at least until its successor
 	// serves: it must be started, read its settings and hear of a configuration.
-	// With 400 ms a team at five times its rate gets a tenth more than its terms.
 	downTime = 200 * time.Millisecond
 	// startTime is the uptime in which a VM still learns that all are new.
 	startTime = 1 * time.Second
@@ -93,7 +92,7 @@
 	// once. Callers that waited for a fleet without VMs arrive at all of them in
 	// the same moment, before any has heard of another's admissions. It is far
 	// above 1 because a VM's part is often less than one token, and callers do not
-	// arrive evenly; with 3, a fifth of the requests inside the rate is rejected.
+	// arrive evenly.
 	startPace = 6
 	// startRequests is added to downTime's tokens for this: where a VM's part is
 	// less than a token, it would mostly be none.
