--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -367,3 +367,21 @@
 		}
 	}
 }
+
+// Guards against parts of a split route that get another share than their weight,
+// or a part without weight that gets requests.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	const points = 1000
+	r := Route{Service: "whole", Split: []Part{{Service: "a", Weight: 70}, {Service: "none"}, {Service: "b", Weight: 30}}}
+	got := make(map[ServiceID]int)
+	for i := range points {
+		got[r.ServiceAt(float64(i)/points)]++
+	}
+	if want := map[ServiceID]int{"a": 700, "b": 300}; !reflect.DeepEqual(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	r.Split = nil
+	if got := r.ServiceAt(0.5); got != "whole" {
+		t.Errorf("a route without a split goes to %q", got)
+	}
+}
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -31,14 +31,17 @@
 
 // servers is an Exchanger that answers from a script.
 type servers struct {
-	mu      sync.Mutex
-	answer  func(attempt int, server contract.ServerID) upstream.Exchange
-	sentTo  []contract.ServerID
-	refuses bool
+	mu     sync.Mutex
+	answer func(attempt int, server contract.ServerID) upstream.Exchange
+	sentTo []contract.ServerID
+	// deadlines are those that the requests were sent with.
+	deadlines []time.Time
+	refuses   bool
 }
 
-func (s *servers) Do(_ context.Context, server *contract.Server, _ *request.Request) upstream.Exchange {
+func (s *servers) Do(_ context.Context, server *contract.Server, req *request.Request) upstream.Exchange {
 	s.mu.Lock()
+	s.deadlines = append(s.deadlines, req.Deadline)
 	s.sentTo = append(s.sentTo, server.ID)
 	n := len(s.sentTo)
 	s.mu.Unlock()
@@ -236,3 +239,32 @@
 		t.Errorf("%d repeats with a fifth of the fleet, at most %.0f, and %d with all", part, most, whole)
 	}
 }
+
+// Guards against servers that are told more time than is left: the deadline is the
+// caller's or the route's time limit, whichever ends first, and a second attempt
+// has the same one.
+func TestDeadlineIsTheEarlierOfCallerAndRoute(t *testing.T) {
+	const routeLimit = time.Second
+	for patience, want := range map[time.Duration]time.Duration{
+		0: routeLimit, 300 * time.Millisecond: 300 * time.Millisecond, time.Minute: routeLimit,
+	} {
+		e := &servers{answer: func(n int, _ contract.ServerID) upstream.Exchange {
+			if n == 1 {
+				return fails
+			}
+			return good
+		}}
+		arrived := time.Now()
+		d := newDispatcher(newSource(contract.Idempotent), e)
+		_, result := d.Do(context.Background(), entry.Incoming{Method: "POST", Host: "h", Path: "/x", Target: "/x",
+			Credential: contract.HashSecret(key) + "." + key, Arrived: arrived, Patience: patience, Body: []byte("b")})
+		if result.Status != 200 || len(e.deadlines) != 2 {
+			t.Fatalf("patience %s: sent %d times, result %+v", patience, len(e.deadlines), result)
+		}
+		for _, got := range e.deadlines {
+			if !got.Equal(arrived.Add(want)) {
+				t.Errorf("patience %s: sent with %s left, want %s", patience, got.Sub(arrived), want)
+			}
+		}
+	}
+}
