catalog: log the source of updates and substitute reads, measure the ages of copies

The logs did not tell whether a VM got a change from the store or from another VM, how old its copy of the servers was when it chose one, or that it read the store in place of its zone's first relay. Histograms copy.operator.age_ms and copy.servers.age_ms hold the age of a copy at each update.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -66,12 +66,30 @@
 	return !r.Draining && !v.ZonesOut[r.Server.Zone]
 }
 
+// Source names where an update of a table's copy came from, for log lines.
+type Source string
+
+// The sources of updates.
+const (
+	FromStore  Source = "store"
+	FromVM     Source = "vm"
+	FromExpiry Source = "expiry" // a retained registration expired
+)
+
+// Observer records metrics of the copies. Its methods must not block.
+type Observer interface {
+	// CopyAge records how old a table's copy was when an update reached it.
+	CopyAge(t Table, age time.Duration)
+}
+
 // Catalog holds one VM's copies of the store's tables and the View decoded from
 // them. Each copy has its own lock; View reads without a lock.
 type Catalog struct {
 	decoder Decoder
 	log     logging.Logger
 	clock   func() time.Duration
+	// Observer may be nil. It must be set before the first update.
+	Observer Observer
 	// StoreClock estimates the store's clock from the messages of the store and
 	// of other VMs.
 	StoreClock StoreClock
@@ -109,16 +127,25 @@
 // the view if a row changed. A response that is older than the copy is ignored.
 func (c *Catalog) Apply(t Table, ch Changes) {
 	c.StoreClock.Observe(c.clock(), ch.AsOf)
+	c.observeAge(t)
 	if c.tables[t].apply(ch) {
-		c.rebuildView()
+		c.rebuildView(FromStore)
 	}
 }
 
 // Merge updates the copy of a table with a delta from another VM and rebuilds the
 // view if a row changed. A delta that is older than the copy is ignored.
 func (c *Catalog) Merge(t Table, d Delta) {
+	c.observeAge(t)
 	if c.tables[t].merge(d) {
-		c.rebuildView()
+		c.rebuildView(FromVM)
+	}
+}
+
+// observeAge records the age of a copy that is about to be updated.
+func (c *Catalog) observeAge(t Table) {
+	if c.Observer != nil && c.Loaded(t) {
+		c.Observer.CopyAge(t, c.Age(t))
 	}
 }
 
@@ -180,12 +207,13 @@
 func (c *Catalog) DeleteExpired() {
 	store, known := c.StoreClock.At(c.clock())
 	if known && c.tables[ServerTable].deleteExpired(store) {
-		c.rebuildView()
+		c.rebuildView(FromExpiry)
 	}
 }
 
 // rebuildView replaces the view with one that is built from the rows of all tables.
-func (c *Catalog) rebuildView() {
+// source is where the update that changed a row came from.
+func (c *Catalog) rebuildView(source Source) {
 	c.rebuildMu.Lock()
 	defer c.rebuildMu.Unlock()
 	old := c.view.Load()
@@ -196,10 +224,10 @@
 		ZonesOut:  make(map[zone.ID]bool),
 	}
 	for _, row := range c.tables[OperatorTable].usableRows() {
-		c.addOperatorRow(next, row)
+		c.addOperatorRow(next, row, source)
 	}
 	for _, row := range c.tables[ServerTable].usableRows() {
-		if r := c.decodeRegistration(row); r != nil {
+		if r := c.decodeRegistration(row, source); r != nil {
 			next.Servers[r.Server.ID] = r
 			next.ByService[r.Service] = append(next.ByService[r.Service], r)
 		}
@@ -209,7 +237,7 @@
 
 // addOperatorRow applies a row of OperatorTable to a view under construction. It
 // keeps the view's configuration if the row holds an older one.
-func (c *Catalog) addOperatorRow(v *View, row Row) {
+func (c *Catalog) addOperatorRow(v *View, row Row, source Source) {
 	if c.seenVersions[row.Key] == row.Version && c.configurationRowVersion == row.Version {
 		return // this configuration was decoded before
 	}
@@ -232,12 +260,12 @@
 	}
 	v.Index = contract.NewIndex(decoded.Configuration)
 	c.log.WithField("version", v.Index.Version()).WithField("row_version", row.Version).
-		WithField("age_ms", c.Age(OperatorTable).Milliseconds()).Info("A configuration is in force.")
+		WithField("source", source).WithField("age_ms", c.Age(OperatorTable).Milliseconds()).Info("A configuration is in force.")
 }
 
 // decodeRegistration decodes a row of ServerTable, once for each version of the
 // row. It returns nil if the row is invalid.
-func (c *Catalog) decodeRegistration(row Row) *Registration {
+func (c *Catalog) decodeRegistration(row Row, source Source) *Registration {
 	if r, ok := c.registrations[row.Key]; ok && r != nil && r.rowVersion == row.Version {
 		return r
 	} else if ok && r == nil && c.seenVersions[row.Key] == row.Version {
@@ -255,7 +283,7 @@
 	c.registrations[row.Key] = &r
 	c.log.WithField("server", r.Server.ID).WithField("service", r.Service).WithField("draining", r.Draining).
 		WithField("cold_ms", r.ColdFor.Milliseconds()).WithField("row_version", row.Version).
-		WithField("age_ms", c.Age(ServerTable).Milliseconds()).Info("A server's registration changed.")
+		WithField("source", source).WithField("age_ms", c.Age(ServerTable).Milliseconds()).Info("A server's registration changed.")
 	return &r
 }
 
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -74,6 +74,10 @@
 			wait.For(ctx, policyCheckInterval)
 			continue
 		}
+		if limit := r.ReadPolicy.ReadAfterAge(); limit > 0 {
+			r.Log.WithField("table", t.String()).WithField("age_ms", r.Catalog.Age(t).Milliseconds()).
+				WithField("read_after_ms", limit.Milliseconds()).Info("The copy is old. This VM reads the store itself.")
+		}
 		err := r.readOnce(ctx, t)
 		if err == nil {
 			if failures > 0 {
--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -258,7 +258,8 @@
 		WithField("service", req.Service).WithField("outcome", e.Result.Outcome).WithField("reason", e.Result.Reason).
 		WithField("status", e.Result.Status).WithField("shed", e.Result.ShedStatus).WithField("latency_ms", e.Latency.Milliseconds()).
 		WithField("failing", selected.state.FailureRate).WithField("faulty", selected.state.FaultProbability).WithField("running", selected.state.InFlight).
-		WithField("row_version", selected.server.RowVersion()).Info("An attempt did not succeed.")
+		WithField("row_version", selected.server.RowVersion()).
+		WithField("servers_age_ms", d.deps.Source.Age(catalog.ServerTable).Milliseconds()).Info("An attempt did not succeed.")
 	if !e.ClosedWithoutResponse {
 		return
 	}
--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -181,5 +181,6 @@
 		WithField("outcome", result.Outcome).WithField("reason", result.Reason).WithField("status", result.Status).
 		WithField("attempts", attempts).WithField("elapsed_ms", elapsed.Milliseconds()).
 		WithField("operator_age_ms", d.deps.Source.Age(catalog.OperatorTable).Milliseconds()).
+		WithField("servers_age_ms", d.deps.Source.Age(catalog.ServerTable).Milliseconds()).
 		Info("A request ended.")
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -111,6 +111,7 @@
 		roster:   fleet.NewRoster(now, s.Self),
 		upstream: upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions()),
 	}
+	v.catalog.Observer = copyAges{v.metrics}
 	v.state = direct.NewReplicatedState(now, v.roster, s.RetryBudget)
 	v.ledger = tally.NewLedger(now, tally.OriginOf(s.Self.ID, s.Self.Incarnation), v.state, v.notifyUrgent)
 	v.dispatcher = direct.NewDispatcher(direct.Dependencies{
@@ -126,6 +127,12 @@
 	return v, v.listen()
 }
 
+// copyAges records the ages of the catalog's copies in the metrics.
+type copyAges struct{ metrics *telemetry.Metrics }
+
+// CopyAge implements catalog.Observer.
+func (c copyAges) CopyAge(t catalog.Table, age time.Duration) { c.metrics.CopyAge(t.String(), age) }
+
 // notifyUrgent lets the gossip node send its counters at once. It does not block.
 func (v *Process) notifyUrgent() {
 	select {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -67,6 +67,12 @@
 	}
 }
 
+// CopyAge records the age of a table's copy at the time of an update, in the
+// histogram copy.TABLE.age_ms.
+func (m *Metrics) CopyAge(table string, age time.Duration) {
+	m.histogram("copy." + table + ".age_ms").Update(age.Milliseconds())
+}
+
 // Sweep deletes the metrics of teams without a request in the last 10 minutes and
 // sets the gauges of the process's memory and processor time. The daemon calls it at
 // intervals.
