catalog: VMs that replace a reader follow the store, within the bound on changes

Seen by callers: requests to a server up to 2.1 s after the store had acknowledged that it leaves (bound 2 s), and new configurations equally late.

Cause: only the first relay of a zone follows the store. When the first relays of all zones lost it, another VM asked once its copy was 1.8 s to 2.4 s old, checked that every 250 ms, and after one call waited for that age again. During a partial outage every change waited for up to 2.4 s, and the ages did not depend on the bound of the deployment (2 s and 2.5 s).

Change: the ages follow from the bounds in the settings. A VM that had to read itself follows the store for 5 s. New rows are announced to other VMs at once instead of with the next heartbeat.

Evidence: the new test plays a fleet whose first readers lose the store.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -88,6 +88,9 @@
 	decoder Decoder
 	log     logging.Logger
 	clock   func() time.Duration
+	// fromStore holds a value if the store returned changes that were not taken from
+	// it yet.
+	fromStore chan struct{}
 	// Observer may be nil. It must be set before the first update.
 	Observer Observer
 	// StoreClock estimates the store's clock from the messages of the store and
@@ -112,7 +115,7 @@
 // or a test's own clock.
 func New(decoder Decoder, clock func() time.Duration, log logging.Logger) *Catalog {
 	c := &Catalog{
-		decoder: decoder, log: log, clock: clock,
+		decoder: decoder, log: log, clock: clock, fromStore: make(chan struct{}, 1),
 		registrations: make(map[string]*Registration),
 		seenVersions:  make(map[string]uint64),
 	}
@@ -120,6 +123,10 @@
 	return c
 }
 
+// StoreChanges returns a channel that receives a value after the store returned
+// rows that changed a copy. Other VMs wait for these rows.
+func (c *Catalog) StoreChanges() <-chan struct{} { return c.fromStore }
+
 // View returns the newest view. Before the first table is loaded it is empty.
 func (c *Catalog) View() *View { return c.view.Load() }
 
@@ -130,16 +137,22 @@
 	c.observeAge(t)
 	if c.tables[t].apply(ch) {
 		c.rebuildView(FromStore)
+		select {
+		case c.fromStore <- struct{}{}:
+		default: // the last value has not been received yet
+		}
 	}
 }
 
 // Merge updates the copy of a table with a delta from another VM and rebuilds the
-// view if a row changed. A delta that is older than the copy is ignored.
-func (c *Catalog) Merge(t Table, d Delta) {
+// view if a row changed, which it reports. A delta that is older than the copy is
+// ignored.
+func (c *Catalog) Merge(t Table, d Delta) (changed bool) {
 	c.observeAge(t)
-	if c.tables[t].merge(d) {
+	if changed = c.tables[t].merge(d); changed {
 		c.rebuildView(FromVM)
 	}
+	return changed
 }
 
 // observeAge records the age of a copy that is about to be updated.
--- /dev/null
+++ b/catalog/propagation_test.go
@@ -0,0 +1,249 @@
+package catalog
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const (
+	simulationStep  = 5 * time.Millisecond
+	simulatedTime   = 25 * time.Second
+	simulatedZones  = 2
+	vmsPerZone      = 6
+	relaysPerZone   = 2
+	maxChangeDelay  = 2 * time.Second
+	contactTime     = 3 * time.Second // after which a VM must be current again
+	heartbeatPeriod = 200 * time.Millisecond
+	announceDelay   = 20 * time.Millisecond
+	pullDelay       = 30 * time.Millisecond
+	callDelay       = 8 * time.Millisecond
+	lossRate        = 0.05
+)
+
+// propagation simulates VMs that keep copies of a store's table current, by calls to
+// the store and by messages among each other, while the store turns some VMs away.
+type propagation struct {
+	rng     *rand.Rand
+	now     time.Duration
+	version uint64
+	// writtenAt holds the time of each version.
+	writtenAt map[uint64]time.Duration
+	vms       []*simulatedVM
+	// actions holds what happens at later times.
+	actions []simulatedAction
+}
+
+type simulatedAction struct {
+	at time.Duration
+	do func()
+}
+
+type simulatedVM struct {
+	*Catalog
+	zone, rank    int
+	schedule      readSchedule
+	nextCheck     time.Duration
+	calling       bool
+	nextHeartbeat time.Duration
+	// turnedAwayUntil is the time until which the store turns the VM away; with
+	// silent it does not answer at all.
+	turnedAwayUntil time.Duration
+	silent          bool
+	seen            uint64 // newest configuration that was in force
+}
+
+func newPropagation(seed uint64) *propagation {
+	p := &propagation{rng: rand.New(rand.NewPCG(seed, 21)), writtenAt: make(map[uint64]time.Duration)}
+	p.write()
+	for i := range simulatedZones * vmsPerZone {
+		v := &simulatedVM{
+			Catalog:  New(testDecoder{}, func() time.Duration { return p.now + storeClockLag }, newTestCatalog().log),
+			zone:     i / vmsPerZone,
+			rank:     min(i%vmsPerZone, relaysPerZone),
+			schedule: newReadSchedule(NewReadTimes(maxChangeDelay)),
+		}
+		v.schedule.spread = time.Duration(p.rng.Float64() * float64(v.schedule.times.otherReaderSpread))
+		v.Apply(OperatorTable, p.changes(0))
+		p.vms = append(p.vms, v)
+	}
+	return p
+}
+
+func (p *propagation) after(d time.Duration, do func()) {
+	p.actions = append(p.actions, simulatedAction{p.now + d, do})
+}
+
+// retryDelay replaces the function of the same name, with a seeded delay.
+func (p *propagation) retryDelay() time.Duration {
+	return initialRetryDelay/2 + time.Duration(p.rng.Int64N(int64(initialRetryDelay)))
+}
+
+// write changes the configuration in the store.
+func (p *propagation) write() {
+	p.version++
+	p.writtenAt[p.version] = p.now
+}
+
+// changes returns the store's response to a call for the changes after a version.
+func (p *propagation) changes(after uint64) Changes {
+	ch := Changes{Version: p.version, AsOf: p.now}
+	if p.version > after {
+		ch.Rows = []Row{{Key: "config", Value: configuration(p.version), Version: p.version}}
+	}
+	return ch
+}
+
+// read lets the VM call the store when its schedule requires it.
+func (p *propagation) read(v *simulatedVM) {
+	if v.calling || p.now < v.nextCheck {
+		return
+	}
+	local := p.now + storeClockLag
+	age := v.Age(OperatorTable)
+	if limit := v.schedule.readAfterAge(local, v.rank); age < limit {
+		v.nextCheck = p.now + min(max(limit-age, minCheckInterval), maxCheckInterval)
+		return
+	}
+	v.calling = true
+	if p.now < v.turnedAwayUntil {
+		wait := callDelay
+		if v.silent {
+			wait = v.schedule.times.longPollWait + callMargin
+		}
+		p.after(wait, func() { v.calling, v.nextCheck = false, p.now+p.retryDelay() })
+		return
+	}
+	after, _ := v.VersionAsOf(OperatorTable)
+	p.poll(v, after, p.now+v.schedule.times.longPollWait)
+}
+
+// poll waits at the store for a change after the version, or for the end of the call.
+func (p *propagation) poll(v *simulatedVM, after uint64, end time.Duration) {
+	if p.now < v.turnedAwayUntil && v.silent {
+		p.after(end+callMargin-p.now, func() { v.calling, v.nextCheck = false, p.now+p.retryDelay() })
+		return
+	}
+	if p.now < v.turnedAwayUntil {
+		v.calling, v.nextCheck = false, p.now+p.retryDelay()
+		return
+	}
+	if p.version == after && p.now < end {
+		p.after(simulationStep, func() { p.poll(v, after, end) })
+		return
+	}
+	ch := p.changes(after)
+	p.after(callDelay, func() {
+		v.Apply(OperatorTable, ch)
+		v.schedule.recordRead(p.now+storeClockLag, v.rank)
+		v.calling = false
+		if len(ch.Rows) > 0 {
+			v.nextCheck = p.now + batchPause
+			p.after(announceDelay, func() { p.announce(v) })
+		}
+	})
+}
+
+// announce sends the version of the VM's copy: a relay to its zone and to a relay of
+// the other zone, any other VM to the relays of its zone.
+func (p *propagation) announce(v *simulatedVM) {
+	for _, to := range p.vms {
+		inZone := to.zone == v.zone
+		relay, toRelay := v.rank < relaysPerZone, to.rank < relaysPerZone
+		if to == v || !(inZone && (relay || toRelay) || !inZone && relay && to.rank == v.rank) || p.rng.Float64() < lossRate {
+			continue
+		}
+		version, asOf := v.VersionAsOf(OperatorTable)
+		p.after(simulationStep, func() {
+			if to.RecordPeerVersion(OperatorTable, version, asOf) {
+				p.pull(to, v)
+			}
+		})
+	}
+}
+
+// pull brings the rows of another VM's copy to the VM.
+func (p *propagation) pull(to, from *simulatedVM) {
+	version, _ := to.VersionAsOf(OperatorTable)
+	d := from.DeltaSince(OperatorTable, version)
+	p.after(pullDelay, func() {
+		if to.Merge(OperatorTable, d) && to.rank < relaysPerZone {
+			p.after(announceDelay, func() { p.announce(to) })
+		}
+	})
+}
+
+// turnAway lets the store turn VMs away: always the first readers of all zones,
+// which alone follow the store, and some others.
+func (p *propagation) turnAway(d time.Duration, silent bool) {
+	for _, v := range p.vms {
+		if v.rank == 0 || p.rng.Float64() < 0.6 {
+			v.turnedAwayUntil, v.silent = p.now+d, silent
+		}
+	}
+}
+
+// run plays the simulated time and returns the first breach of a promise.
+func (p *propagation) run(t *testing.T) {
+	nextWrite, nextOutage := time.Second, 3*time.Second+time.Duration(p.rng.Int64N(int64(2*time.Second)))
+	for ; p.now < simulatedTime; p.now += simulationStep {
+		if p.now >= nextWrite {
+			p.write()
+			nextWrite = p.now + time.Duration(p.rng.ExpFloat64()*float64(600*time.Millisecond))
+		}
+		if p.now >= nextOutage {
+			p.turnAway(5*time.Second, p.rng.IntN(2) == 0)
+			nextOutage += 11 * time.Second
+		}
+		pending := p.actions
+		p.actions = nil
+		for _, a := range pending {
+			if a.at <= p.now {
+				a.do()
+			} else {
+				p.actions = append(p.actions, a)
+			}
+		}
+		for _, v := range p.vms {
+			p.read(v)
+			if p.now >= v.nextHeartbeat {
+				v.nextHeartbeat = p.now + heartbeatPeriod
+				p.announce(v)
+			}
+		}
+		if !p.check(t) {
+			return
+		}
+	}
+}
+
+// check verifies that no VM goes back, and that each VM that the store serves has all
+// changes that are older than maxChangeDelay.
+func (p *propagation) check(t *testing.T) bool {
+	for i, v := range p.vms {
+		inForce := v.View().Index.Version()
+		if inForce < v.seen {
+			t.Errorf("at %s VM %d went back from version %d to %d", p.now, i, v.seen, inForce)
+			return false
+		}
+		v.seen = inForce
+		served := v.turnedAwayUntil == 0 || p.now > v.turnedAwayUntil+contactTime
+		if next, ok := p.writtenAt[inForce+1]; ok && served && p.now-next > maxChangeDelay {
+			t.Errorf("at %s VM %d (zone %d, rank %d) still has version %d, whose successor was written %s ago",
+				p.now, i, v.zone, v.rank, inForce, p.now-next)
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against changes that are in force too late while the store turns the first
+// readers of all zones away, and against VMs that go back to an older version.
+func TestChangesAreInForceInTimeWhenReadersLoseTheStore(t *testing.T) {
+	for seed := uint64(1); seed <= 40; seed++ {
+		newPropagation(seed).run(t)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"almondstile/boottime"
 	"almondstile/logging"
 	"almondstile/wait"
 
@@ -24,18 +25,15 @@
 	WaitForChanges(ctx context.Context, t Table, after uint64, wait time.Duration) (Changes, error)
 }
 
-// ReadPolicy decides when this VM reads from the store itself instead of relying
-// on copies from other VMs.
-type ReadPolicy interface {
-	// ReadAfterAge returns the age of a table's copy from which this VM reads the
-	// table. It returns 0 if this VM reads the store for its zone.
-	ReadAfterAge() time.Duration
+// ReaderRole tells how this VM takes part in reading the store.
+type ReaderRole interface {
+	// ReaderRank returns this VM's rank among the readers of its zone. The VM of
+	// rank 0 reads the store for its zone. The others rely on its messages and read
+	// the store when these do not keep their copies current.
+	ReaderRank() int
 }
 
 const (
-	// longPollWait is how long the store may hold a call while nothing changes. It
-	// bounds the age of a copy while there are no changes.
-	longPollWait = 1200 * time.Millisecond
 	// batchPause is the pause after a call that returned changes, so that changes
 	// in quick succession are read with one call. It is short compared with the
 	// 2 s in which a change has to be in force.
@@ -44,22 +42,24 @@
 	// asks for. After that the call fails. It is the whole timeout of a read of a
 	// table, which asks for no wait.
 	callMargin = 700 * time.Millisecond
-	// policyCheckInterval is the time between two checks of the read policy while
-	// this VM need not read.
-	policyCheckInterval = 250 * time.Millisecond
+	// minCheckInterval and maxCheckInterval bound the time until a VM that need not
+	// read checks its rank and the age of its copy again.
+	minCheckInterval = 10 * time.Millisecond
+	maxCheckInterval = 250 * time.Millisecond
 	// initialRetryDelay is the delay after the first failed call. It doubles with
 	// each further failure, up to maxRetryDelay.
 	initialRetryDelay = 250 * time.Millisecond
 	maxRetryDelay     = 1500 * time.Millisecond
 )
 
-// Reader reads tables from the store into the catalog while the read policy
-// requires it of this VM.
+// Reader reads tables from the store into the catalog while its role and the age of
+// the copies require it of this VM.
 type Reader struct {
-	Catalog    *Catalog
-	Store      Store
-	ReadPolicy ReadPolicy
-	Log        logging.Logger
+	Catalog *Catalog
+	Store   Store
+	Role    ReaderRole
+	Times   ReadTimes
+	Log     logging.Logger
 }
 
 // Run keeps the copy of a table current until the context ends. It logs the first
@@ -67,23 +67,25 @@
 func (r *Reader) Run(ctx context.Context, t Table) {
 	failures := 0
 	started := time.Now()
+	schedule := newReadSchedule(r.Times)
 	for ctx.Err() == nil {
 		// Without a copy, Age is 24 h. The time since the start is used instead, so
 		// that a VM that does not read for its zone first waits for another VM's copy.
-		if min(r.Catalog.Age(t), time.Since(started)) < r.ReadPolicy.ReadAfterAge() {
-			wait.For(ctx, policyCheckInterval)
+		age, rank := min(r.Catalog.Age(t), time.Since(started)), r.Role.ReaderRank()
+		if limit := schedule.readAfterAge(boottime.Now(), rank); age < limit {
+			wait.For(ctx, min(max(limit-age, minCheckInterval), maxCheckInterval))
 			continue
 		}
-		if limit := r.ReadPolicy.ReadAfterAge(); limit > 0 {
-			r.Log.WithField("table", t.String()).WithField("age_ms", r.Catalog.Age(t).Milliseconds()).
-				WithField("read_after_ms", limit.Milliseconds()).Info("The copy is old. This VM reads the store itself.")
-		}
 		err := r.readOnce(ctx, t)
 		if err == nil {
 			if failures > 0 {
 				r.Log.WithField("table", t.String()).WithField("failures", failures).Info("The store can be read again.")
 			}
 			failures = 0
+			if schedule.recordRead(boottime.Now(), rank) {
+				r.Log.WithField("table", t.String()).WithField("age_ms", age.Milliseconds()).WithField("rank", rank).
+					WithField("for_ms", substitutePeriod.Milliseconds()).Info("The copy was old. This VM follows the store itself for a while.")
+			}
 			continue
 		}
 		if ctx.Err() != nil {
@@ -137,7 +139,7 @@
 
 // waitForChanges calls the store's WaitForChanges with a timeout.
 func (r *Reader) waitForChanges(ctx context.Context, t Table, version uint64) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, longPollWait+callMargin)
+	ctx, cancel := context.WithTimeout(ctx, r.Times.longPollWait+callMargin)
 	defer cancel()
-	return r.Store.WaitForChanges(ctx, t, version, longPollWait)
+	return r.Store.WaitForChanges(ctx, t, version, r.Times.longPollWait)
 }
--- /dev/null
+++ b/catalog/schedule.go
@@ -0,0 +1,101 @@
+package catalog
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// ReadTimes are the times by which the VMs of a fleet share the reading of the
+// store. They follow from the time within which a change has to be in force on all
+// VMs, so that any VM that reaches the store learns of a change in time even if the
+// VMs that usually read have lost the store just before the change.
+type ReadTimes struct {
+	// longPollWait is how long the store may hold a call while nothing changes. It
+	// bounds the age of a copy while there are no changes.
+	longPollWait time.Duration
+	// secondReaderAge is the age of a copy from which the VM of rank 1 reads the
+	// store, and otherReaderAge the age for all VMs after it, to which each of them
+	// adds its own part of otherReaderSpread.
+	secondReaderAge, otherReaderAge, otherReaderSpread time.Duration
+}
+
+// defaultMaxChangeDelay replaces a maximum delay of 0 in NewReadTimes.
+const defaultMaxChangeDelay = 2500 * time.Millisecond
+
+// Shares of the maximum delay. The wait, the transfer to another VM and its messages
+// must fit in before secondReaderShare, or VMs read although nothing is wrong. What
+// is left after the last reader is for its call and the decoding of the rows.
+const (
+	longPollShare     = 0.5
+	secondReaderShare = 0.65
+	otherReaderShare  = 0.7
+	otherSpreadShare  = 0.12
+)
+
+// NewReadTimes returns the times for a fleet in which a change has to be in force on
+// all VMs within maxChangeDelay; 0 stands for 2.5 s.
+func NewReadTimes(maxChangeDelay time.Duration) ReadTimes {
+	if maxChangeDelay <= 0 {
+		maxChangeDelay = defaultMaxChangeDelay
+	}
+	share := func(s float64) time.Duration { return time.Duration(s * float64(maxChangeDelay)) }
+	return ReadTimes{
+		longPollWait: share(longPollShare), secondReaderAge: share(secondReaderShare),
+		otherReaderAge: share(otherReaderShare), otherReaderSpread: share(otherSpreadShare),
+	}
+}
+
+const (
+	// substitutePeriod is how long a VM that had to read an old copy itself goes on
+	// following the store.
+	substitutePeriod = 5 * time.Second
+	// substituteAge is the age of a copy from which a substitute calls the store
+	// again. It leaves room for the calls of other substitutes.
+	substituteAge = 250 * time.Millisecond
+)
+
+// readSchedule decides when one VM reads one table from the store. The first reader
+// of a zone follows the store all the time. Another VM starts when its copy has
+// become too old, and is a substitute from then on: it follows the store for a
+// while, because whatever keeps the first reader from the store may last.
+type readSchedule struct {
+	times ReadTimes
+	// spread is this VM's part of times.otherReaderSpread. Because of it some VMs
+	// start before the others, which then get the rows from them.
+	spread time.Duration
+	// substituteUntil is the local time until which this VM is a substitute.
+	substituteUntil time.Duration
+}
+
+// newReadSchedule returns the schedule of a VM that is not a substitute.
+func newReadSchedule(times ReadTimes) readSchedule {
+	return readSchedule{times: times, spread: time.Duration(rand.Float64() * float64(times.otherReaderSpread))}
+}
+
+// readAfterAge returns the age of the copy from which the VM reads the table, 0 for
+// the first reader of a zone. rank is the VM's rank among the readers of its zone.
+func (s *readSchedule) readAfterAge(now time.Duration, rank int) time.Duration {
+	switch {
+	case rank == 0:
+		return 0
+	case s.isSubstitute(now):
+		return substituteAge + s.spread
+	case rank == 1:
+		return s.times.secondReaderAge
+	default:
+		return s.times.otherReaderAge + s.spread
+	}
+}
+
+// isSubstitute reports whether the VM is a substitute.
+func (s *readSchedule) isSubstitute(now time.Duration) bool { return now < s.substituteUntil }
+
+// recordRead records a successful read. It reports whether the VM has become a
+// substitute by it.
+func (s *readSchedule) recordRead(now time.Duration, rank int) (started bool) {
+	if rank == 0 || s.isSubstitute(now) {
+		return false
+	}
+	s.substituteUntil = now + substitutePeriod
+	return true
+}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -74,6 +74,8 @@
 	listener  net.Listener
 	pool      *httpconn.Pool
 	pullSlots chan struct{}
+	// pulled holds a value if a pull brought rows that changed a table's copy.
+	pulled chan struct{}
 	// Only the goroutine that runs send uses the fields from here to lastRemoteSend.
 
 	// wasRelay is true if this VM was a relay at the last check.
@@ -109,6 +111,7 @@
 		origin:    tally.OriginOf(self.ID, self.Incarnation),
 		pool:      httpconn.NewPool(httpconn.DefaultOptions()),
 		pullSlots: make(chan struct{}, maxConcurrentPulls),
+		pulled:    make(chan struct{}, 1),
 	}
 	n.SetSeeds(deps.Seeds)
 	n.server = &fasthttp.Server{Handler: n.handlePull, NoDefaultServerHeader: true, CloseOnShutdown: true,
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -74,9 +74,16 @@
 	for _, introduced := range response.Members {
 		n.deps.Roster.Learn(time.Now(), introduced.vm())
 	}
+	changed := false
 	for i, d := range response.Tables {
 		if i < len(catalog.Tables) && d.Version > 0 {
-			n.deps.Catalog.Merge(catalog.Tables[i], d)
+			changed = n.deps.Catalog.Merge(catalog.Tables[i], d) || changed
+		}
+	}
+	if changed {
+		select {
+		case n.pulled <- struct{}{}:
+		default: // the last value has not been received yet
 		}
 	}
 	return nil
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -14,7 +14,8 @@
 )
 
 // send sends changes and heartbeats at their intervals, and urgent changes after
-// urgentDelay, until the context is canceled.
+// urgentDelay, until the context is canceled. New rows of a table's copy are announced
+// at once: by the VM that read them in the store, and by a relay that pulled them.
 func (n *Node) send(ctx context.Context) {
 	ticker := time.NewTicker(sendInterval)
 	defer ticker.Stop()
@@ -28,6 +29,12 @@
 			if due == nil {
 				due = time.After(n.urgentDelay(time.Since(lastUrgent)))
 			}
+		case <-n.deps.Catalog.StoreChanges():
+			n.announceCopies(time.Now())
+		case <-n.pulled:
+			if now := time.Now(); n.isRelay(now) {
+				n.announceCopies(now)
+			}
 		case <-due:
 			due, lastUrgent = nil, time.Now()
 			n.sendChanges(lastUrgent, tally.UrgentOnly)
@@ -41,6 +48,13 @@
 	}
 }
 
+// announceCopies sends a message without waiting for the next heartbeat, so that the
+// receivers learn the versions of this VM's table copies.
+func (n *Node) announceCopies(now time.Time) {
+	n.lastZoneSend, n.lastRemoteSend = time.Time{}, time.Time{}
+	n.sendChanges(now, tally.UrgentOnly)
+}
+
 // urgentDelay returns the time until urgent changes may be sent, given the time since
 // the last urgent send.
 func (n *Node) urgentDelay(sinceLast time.Duration) time.Duration {
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -31,24 +31,17 @@
 	// vmListTimeout bounds how long a VM waits for the store's list of VMs before it
 	// starts to read the tables.
 	vmListTimeout = 1 * time.Second
-	// secondReaderAge is the age of a table's copy from which the VM of rank 1 reads
-	// it itself. additionalAgePerRank is added for each further rank, up to
-	// maxReaderRanks.
-	secondReaderAge      = 1800 * time.Millisecond
-	additionalAgePerRank = 200 * time.Millisecond
-	maxReaderRanks       = 4
 )
 
-// ReadAfterAge implements catalog.ReadPolicy. The first relay of each zone always
-// reads the store and sends the changes to the other VMs of the zone. The others
-// read the store only when their copies become too old.
-func (v *Process) ReadAfterAge() time.Duration {
+// ReaderRank implements catalog.ReaderRole. The first relay of each zone reads the
+// store and sends the changes to the other VMs of the zone.
+func (v *Process) ReaderRank() int {
 	now := time.Now()
 	rank := v.roster.Rank(now)
-	if rank == 0 && v.roster.IsRelay(now) {
-		return 0
+	if rank == 0 && !v.roster.IsRelay(now) {
+		return 1 // it may soon replace a relay that is silent
 	}
-	return secondReaderAge + time.Duration(min(max(rank, 1), maxReaderRanks)-1)*additionalAgePerRank
+	return rank
 }
 
 // Run serves requests until stop ends and then shuts down gracefully: the VM reports
@@ -62,7 +55,8 @@
 	vmsKnown := make(chan struct{})
 	wg.Go(func() { v.announce(background, vmsKnown) })
 	for _, t := range catalog.Tables {
-		reader := catalog.Reader{Catalog: v.catalog, Store: v.store, ReadPolicy: v, Log: v.log.Part("store")}
+		reader := catalog.Reader{Catalog: v.catalog, Store: v.store, Role: v, Times: catalog.NewReadTimes(v.settings.MaxChangeDelay),
+			Log: v.log.Part("store")}
 		wg.Go(func() {
 			// A VM that does not know the others takes itself for the first relay of
 			// its zone. Without the wait, every VM of a starting fleet would read the
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -22,7 +22,10 @@
 	// MaxKeyWithdrawalTime is the time within which all VMs must reject a withdrawn
 	// key; 0 means that there is no requirement.
 	MaxKeyWithdrawalTime time.Duration
-	RetryBudget          retry.BudgetLimits
+	// MaxChangeDelay is the time within which a change in the store must be in force
+	// on all VMs; 0 stands for the default of catalog.NewReadTimes.
+	MaxChangeDelay time.Duration
+	RetryBudget    retry.BudgetLimits
 }
 
 const (
