catalog: operators' rows that are removed after an outage are not retained

Seen by callers: a zone that operators put back into use around the end of an outage got no requests any more, on VMs whose copies had been old.

Change: only rows that expire are retained. TestZonePutBackDuringOutageAccepts- NewRequests failed before: "the zone is still out of use".

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -119,6 +119,7 @@
 		registrations: make(map[string]*Registration),
 		seenVersions:  make(map[string]uint64),
 	}
+	c.tables[ServerTable].rowsExpire = true
 	c.view.Store(&View{})
 	return c
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -171,3 +171,19 @@
 		t.Error("a server in a zone that is no longer out accepts no new requests")
 	}
 }
+
+// Guards against a zone that stays out of use for good because its row was removed
+// around the end of an outage. Only servers' registrations lapse during an outage;
+// operators' rows are removed by operators.
+func TestZonePutBackDuringOutageAcceptsNewRequests(t *testing.T) {
+	c := newTestCatalog()
+	out := Row{Key: "out", Value: []byte("zone-a"), Version: 3}
+	c.Apply(OperatorTable, Changes{FullTable: true, Version: 3, AsOf: c.storeNow(), Rows: []Row{out}})
+	c.now += 2 * outageThreshold
+	c.Apply(OperatorTable, Changes{Version: 4, AsOf: c.storeNow(), Rows: []Row{{Key: "out", Version: 4, Removed: true}}})
+	c.now += 2 * removalGrace
+	c.DeleteExpired()
+	if !c.View().AcceptsNewRequests(&Registration{Server: contract.Server{Zone: "zone-a"}}) {
+		t.Error("the zone is still out of use")
+	}
+}
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -73,9 +73,12 @@
 // tableCopy is one VM's copy of a table. Its methods lock mu, except advanceAsOf,
 // put, remove and removeMissing, whose callers hold it.
 type tableCopy struct {
-	mu      sync.Mutex
-	rows    map[string]Row
-	version uint64
+	mu sync.Mutex
+	// rowsExpire says that the store removes rows whose writers cannot reach it, as
+	// it does with registrations of servers.
+	rowsExpire bool
+	rows       map[string]Row
+	version    uint64
 	// asOf is the time of the store's clock as of which the copy is current.
 	asOf   time.Duration
 	loaded bool
@@ -169,15 +172,15 @@
 	return true
 }
 
-// remove removes a row and reports whether it existed. Right after an outage the
-// row is retained for the rest of removalGrace.
+// remove removes a row and reports whether it existed. Right after an outage a row
+// that may only have expired is retained for the rest of removalGrace.
 func (c *tableCopy) remove(key string) bool {
 	row, ok := c.rows[key]
 	if !ok {
 		return false
 	}
 	delete(c.rows, key)
-	if c.hadOutage && c.asOf-c.outageEndedAt < removalGrace {
+	if c.rowsExpire && c.hadOutage && c.asOf-c.outageEndedAt < removalGrace {
 		if c.retained == nil {
 			c.retained = make(map[string]retainedRow)
 		}
