notice: a server that states in its responses that it leaves gets no more requests

Seen by callers: a VM that had lost the store, or had an old row, went on sending requests to a server that had told it that it leaves.

Cause: a server left only by its row in the store. What it said in its own responses was not read.

A VM that got the statement sends this incarnation nothing more.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -7,6 +7,7 @@
 	"almondstile/catalog"
 	"almondstile/contract"
 	"almondstile/evidence"
+	"almondstile/notice"
 	"almondstile/request"
 	"almondstile/upstream"
 
@@ -221,6 +222,7 @@
 		d.counters.recordSuspectedFailure(d.deps.Clock(), subject)
 	})
 	e := d.deps.Exchanger.Do(r.ctx, server, r.req)
+	d.handleNotice(selected.server, e.Notice)
 	result := classify(e)
 	if !timer.Stop() {
 		<-suspected
@@ -233,6 +235,19 @@
 	return e
 }
 
+// handleNotice records what a server stated about itself, and logs the first notice
+// that it leaves.
+func (d *Dispatcher) handleNotice(server *catalog.Registration, n notice.Notice) {
+	if !d.counters.recordNotice(d.deps.Clock(), incarnationOf(server), n) {
+		return
+	}
+	d.deps.Observer.Count("server_leaving")
+	d.deps.Log.WithField("server", server.Server.ID).WithField("service", server.Service).
+		WithField("row_version", server.RowVersion()).WithField("draining", server.Draining).
+		WithField("servers_age_ms", d.deps.Source.Age(catalog.ServerTable).Milliseconds()).
+		Info("A server states that it leaves. It gets no more requests.")
+}
+
 // classify returns what an exchange shows about the health of its server.
 func classify(e upstream.Exchange) evidence.Result {
 	result := e.Result
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -7,8 +7,10 @@
 	"almondstile/catalog"
 	"almondstile/contract"
 	"almondstile/evidence"
+	"almondstile/notice"
 	"almondstile/placement"
 	"almondstile/request"
+	"almondstile/tally"
 )
 
 const (
@@ -33,7 +35,7 @@
 	service := view.Index.Service(req.Service)
 	var available []selection
 	for _, r := range view.ByService[req.Service] {
-		if !view.AcceptsNewRequests(r) {
+		if !view.AcceptsNewRequests(r) || d.deps.ReplicatedState.Notices.Leaving(incarnationOf(r)) {
 			continue
 		}
 		s := selection{server: r, state: d.deps.ReplicatedState.Servers.State(now, evidence.ServerSubject(r.Server.ID))}
@@ -53,6 +55,11 @@
 	return available[i], true
 }
 
+// incarnationOf returns the subject of the notices of a registered server.
+func incarnationOf(r *catalog.Registration) tally.Subject {
+	return notice.SubjectOf(r.Server.ID, r.StartedAt)
+}
+
 // candidate returns the input of placement.Pick for a server.
 func (d *Dispatcher) candidate(s *selection, tried map[contract.ServerID]bool) placement.Candidate {
 	return placement.Candidate{
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -279,3 +279,36 @@
 		}
 	}
 }
+
+// Guards against requests to a server that has stated in a response that it leaves,
+// while this VM has an old row of the store that says otherwise: none is sent until
+// the server has started anew.
+func TestServerThatStatesItLeavesGetsNoMoreRequests(t *testing.T) {
+	leaving := succeeded
+	leaving.Notice.Leaving = true
+	sends := make(map[contract.ServerID]int)
+	e := &fakeServers{respond: func(_ int, server contract.ServerID) upstream.Exchange {
+		sends[server]++
+		if server == "a" {
+			return leaving
+		}
+		return succeeded
+	}}
+	s := newSource(contract.Idempotent)
+	d := newDispatcher(s, e)
+	for range 200 {
+		send(d)
+	}
+	if sends["a"] > 1 {
+		t.Errorf("the server got %d requests, the first response stated that it leaves", sends["a"])
+	}
+	restarted := *s.view.ByService["service-1"][0]
+	restarted.StartedAt++
+	s.view.ByService["service-1"][0] = &restarted
+	for range 200 {
+		send(d)
+	}
+	if sends["a"] < 2 {
+		t.Error("the server got no request after it had started anew")
+	}
+}
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -6,6 +6,7 @@
 
 	"almondstile/contract"
 	"almondstile/evidence"
+	"almondstile/notice"
 	"almondstile/quota"
 	"almondstile/request"
 	"almondstile/retry"
@@ -20,6 +21,7 @@
 	Quota        *quota.ReplicatedBuckets
 	RetryBudgets *retry.ReplicatedBudgets
 	Crashes      crashTracker
+	Notices      notice.Board
 	// configured is the configuration whose rate limits are in use.
 	configured atomic.Pointer[contract.Index]
 }
@@ -52,6 +54,8 @@
 		s.Routes.RecordResponses(now, subject, counts[tally.GoodResponses], counts[tally.LatencyMillis])
 	case tally.Fingerprint:
 		s.Crashes.add(now, subject, int(counts[tally.Crashes]))
+	case tally.Incarnation:
+		s.Notices.RecordRemote(now, subject, counts)
 	}
 }
 
@@ -131,5 +135,17 @@
 	c.ledger.Add(now, subject, tally.Crashes, 1)
 }
 
-// Sweep deletes the counts of crashes whose quarantine has expired.
-func (s *ReplicatedState) Sweep(now time.Time) { s.Crashes.sweep(now) }
+// recordNotice records what a server stated about itself and reports whether it is
+// the first notice that it leaves.
+func (c counters) recordNotice(now time.Time, incarnation tally.Subject, n notice.Notice) (startsLeaving bool) {
+	if startsLeaving = c.state.Notices.Record(now, incarnation, n); startsLeaving {
+		c.ledger.Add(now, incarnation, tally.Leaving, 1)
+	}
+	return startsLeaving
+}
+
+// Sweep deletes the counts of crashes whose quarantine has expired, and old notices.
+func (s *ReplicatedState) Sweep(now time.Time) {
+	s.Crashes.sweep(now)
+	s.Notices.Sweep(now)
+}
--- a/tally/record.go
+++ b/tally/record.go
@@ -19,6 +19,8 @@
 	Service     Kind = 'v'
 	Route       Kind = 'r'
 	Fingerprint Kind = 'c'
+	// Incarnation is one process of a server, from one start to the next.
+	Incarnation Kind = 'i'
 )
 
 // Subject identifies what is counted by a kind, 1 byte, and the 8-byte hash of a
@@ -76,6 +78,8 @@
 	LatencyMillis Field = 1
 	// Crashes counts the servers that crashed on requests with a fingerprint.
 	Crashes Field = 0
+	// Leaving counts the VMs to which an incarnation stated that it leaves.
+	Leaving Field = 0
 )
 
 // Counts holds running totals, or the difference of two, indexed by Field.
--- a/upstream/native.go
+++ b/upstream/native.go
@@ -54,11 +54,10 @@
 
 // Decode implements Protocol. The result holds copies of the response's data,
 // because fasthttp reuses the buffers of resp.
-func (nativeProtocol) Decode(resp *fasthttp.Response) (request.Result, string) {
-	instance := string(resp.Header.Peek(header.ServerInstance))
+func (nativeProtocol) Decode(resp *fasthttp.Response) Response {
 	reportedNotRun := resp.StatusCode() == fasthttp.StatusServiceUnavailable &&
 		string(resp.Header.Peek(header.NotRun)) == "true"
-	return DecodeCommon(resp, reportedNotRun), instance
+	return Response{Result: DecodeCommon(resp, reportedNotRun), Instance: string(resp.Header.Peek(header.ServerInstance))}
 }
 
 // DecodeCommon returns the result of a complete response. reportedNotRun says
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -8,6 +8,7 @@
 
 	"almondstile/contract"
 	"almondstile/httpconn"
+	"almondstile/notice"
 	"almondstile/request"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	// Instance identifies the server's process. It is empty if the server did
 	// not send it.
 	Instance string
+	// Notice is what the server stated about itself in its response.
+	Notice notice.Notice
 	// Latency is the time from the start to the end of the attempt.
 	Latency time.Duration
 	// ConnectFailed says that no connection could be made.
@@ -51,9 +54,19 @@
 	// marked with ErrInvalidResponse if no server of this protocol sends such a
 	// response.
 	Check(req *request.Request, resp *fasthttp.Response) error
-	// Decode translates a response that passed Check. instance identifies the
-	// server's process; it is empty if the server did not send it.
-	Decode(resp *fasthttp.Response) (result request.Result, instance string)
+	// Decode translates a response that passed Check.
+	Decode(resp *fasthttp.Response) Response
+}
+
+// Response is a translated response of a server.
+type Response struct {
+	Result request.Result
+	// Instance identifies the server's process. It is empty if the server did not
+	// send it.
+	Instance string
+	// Notice is what the server stated about itself. It is empty if another server
+	// than the intended one responded.
+	Notice notice.Notice
 }
 
 // Errors of Protocol.Check. Test with errors.Is.
@@ -109,7 +122,8 @@
 		e.ClosedWithoutResponse = progress == request.Written && errors.Is(err, httpconn.ErrClosed) && ctx.Err() == nil && !e.Silent
 		return e
 	}
-	e.Result, e.Instance = c.protocol.Decode(httpResp)
+	response := c.protocol.Decode(httpResp)
+	e.Result, e.Instance, e.Notice = response.Result, response.Instance, response.Notice
 	return e
 }
 
