notice: read and log the limits that servers state, without acting on them

The logs did not tell which server named which limit, and when. VMs pass limits on to each other. A value that cannot be read is logged and changes nothing.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -235,17 +235,27 @@
 	return e
 }
 
-// handleNotice records what a server stated about itself, and logs the first notice
-// that it leaves.
+// handleNotice records what a server stated about itself, and logs what is new in it.
 func (d *Dispatcher) handleNotice(server *catalog.Registration, n notice.Notice) {
-	if !d.counters.recordNotice(d.deps.Clock(), incarnationOf(server), n) {
+	change := d.counters.recordNotice(d.deps.Clock(), incarnationOf(server), n)
+	if change == (notice.Change{}) && n.Malformed == "" {
 		return
 	}
-	d.deps.Observer.Count("server_leaving")
-	d.deps.Log.WithField("server", server.Server.ID).WithField("service", server.Service).
+	log := d.deps.Log.WithField("server", server.Server.ID).WithField("service", server.Service).
 		WithField("row_version", server.RowVersion()).WithField("draining", server.Draining).
-		WithField("servers_age_ms", d.deps.Source.Age(catalog.ServerTable).Milliseconds()).
-		Info("A server states that it leaves. It gets no more requests.")
+		WithField("servers_age_ms", d.deps.Source.Age(catalog.ServerTable).Milliseconds())
+	if change.StartsLeaving {
+		d.deps.Observer.Count("server_leaving")
+		log.Info("A server states that it leaves. It gets no more requests.")
+	}
+	if n.Malformed != "" {
+		d.deps.Observer.Count("server_notice_malformed")
+		log.WithField("value", n.Malformed).Warn("A statement of a server about itself cannot be read and is ignored.")
+	}
+	if change.LimitChanged {
+		d.deps.Observer.Count("server_limit_changed")
+		log.WithField("max_per_s", n.MaxPerSecond).Info("A server states another limit of its requests.")
+	}
 }
 
 // classify returns what an exchange shows about the health of its server.
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -135,13 +135,15 @@
 	c.ledger.Add(now, subject, tally.Crashes, 1)
 }
 
-// recordNotice records what a server stated about itself and reports whether it is
-// the first notice that it leaves.
-func (c counters) recordNotice(now time.Time, incarnation tally.Subject, n notice.Notice) (startsLeaving bool) {
-	if startsLeaving = c.state.Notices.Record(now, incarnation, n); startsLeaving {
-		c.ledger.Add(now, incarnation, tally.Leaving, 1)
+// recordNotice records what a server stated about itself.
+func (c counters) recordNotice(now time.Time, incarnation tally.Subject, n notice.Notice) notice.Change {
+	change := c.state.Notices.Record(now, incarnation, n)
+	for field, count := range notice.Counters(n, change) {
+		if count > 0 {
+			c.ledger.Add(now, incarnation, tally.Field(field), count)
+		}
 	}
-	return startsLeaving
+	return change
 }
 
 // Sweep deletes the counts of crashes whose quarantine has expired, and old notices.
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -14,8 +15,27 @@
 type Notice struct {
 	// Leaving says that the server finishes its requests and accepts no new ones.
 	Leaving bool
+	// MaxPerSecond is the rate in requests per second that the server takes from all
+	// VMs together, or 0 if it states no limit.
+	MaxPerSecond float64
+	// Malformed holds the value of a statement that cannot be read, for the log. A
+	// malformed limit does not end an earlier one.
+	Malformed string
 }
 
+// Change tells what a notice changed in what is known of a server.
+type Change struct {
+	// StartsLeaving is set at the first notice that the incarnation leaves.
+	StartsLeaving bool
+	// LimitChanged is set if the incarnation states another limit than before, or
+	// none any more.
+	LimitChanged bool
+}
+
+// reorderTolerance is the time after a stated limit in which a response without one
+// does not end the limit: the server may have sent it before the other.
+const reorderTolerance = 250 * time.Millisecond
+
 // retention is how long the notices of an incarnation are kept after the last one.
 // It is much longer than a server takes to leave.
 const retention = 10 * time.Minute
@@ -30,6 +50,9 @@
 type record struct {
 	updatedAt time.Time
 	leaving   bool
+	// maxPerSecond is the limit that was stated last, at limitStatedAt; 0 for none.
+	maxPerSecond  float64
+	limitStatedAt time.Time
 }
 
 // Board holds the notices of all servers. The zero value is ready to use. It is safe
@@ -38,24 +61,62 @@
 	incarnations shard.Map[tally.Subject, *record]
 }
 
-// Record records the notice of a response that this VM received. It reports whether
-// the incarnation stated for the first time that it leaves.
-func (b *Board) Record(now time.Time, incarnation tally.Subject, n Notice) (startsLeaving bool) {
+// Record records the notice of a response that this VM received.
+func (b *Board) Record(now time.Time, incarnation tally.Subject, n Notice) (change Change) {
+	update := func(r *record) { change = r.apply(now, n) }
 	if n == (Notice{}) {
-		return false
+		b.incarnations.DoExisting(incarnation, update) // it may end a limit
+	} else {
+		b.incarnations.Do(incarnation, newRecord, update)
+	}
+	return change
+}
+
+// RecordRemote records what servers stated to another VM, see Counters.
+func (b *Board) RecordRemote(now time.Time, incarnation tally.Subject, counts tally.Counts) Change {
+	n := Notice{Leaving: counts[tally.Leaving] > 0}
+	stated := counts[tally.LimitStated]
+	if stated > 0 {
+		n.MaxPerSecond = float64(counts[tally.LimitCentiPerSecond]) / float64(stated) / centi
+	}
+	if n == (Notice{}) && counts[tally.LimitEnded] == 0 {
+		return Change{} // nothing was stated
 	}
-	b.incarnations.Do(incarnation, newRecord, func(r *record) {
-		r.updatedAt = now
-		startsLeaving = n.Leaving && !r.leaving
-		r.leaving = r.leaving || n.Leaving
-	})
-	return startsLeaving
+	return b.Record(now, incarnation, n)
 }
 
-// RecordRemote records what servers stated to another VM. It reports whether it is
-// the first notice that the incarnation leaves.
-func (b *Board) RecordRemote(now time.Time, incarnation tally.Subject, counts tally.Counts) (startsLeaving bool) {
-	return b.Record(now, incarnation, Notice{Leaving: counts[tally.Leaving] > 0})
+// centi is the number of hundredths in a unit. Limits are counted in hundredths of a
+// request per second.
+const centi = 100
+
+// Counters returns the counts by which the other VMs learn of a notice, which changed
+// what this VM knows as change tells.
+func Counters(n Notice, change Change) tally.Counts {
+	var c tally.Counts
+	if change.StartsLeaving {
+		c[tally.Leaving] = 1
+	}
+	switch {
+	case n.MaxPerSecond > 0:
+		c[tally.LimitStated], c[tally.LimitCentiPerSecond] = 1, uint32(math.Round(n.MaxPerSecond*centi))
+	case change.LimitChanged:
+		c[tally.LimitEnded] = 1
+	}
+	return c
+}
+
+// apply updates the record with a notice.
+func (r *record) apply(now time.Time, n Notice) (change Change) {
+	r.updatedAt = now
+	change.StartsLeaving = n.Leaving && !r.leaving
+	r.leaving = r.leaving || n.Leaving
+	endsLimit := r.maxPerSecond > 0 && n.Malformed == "" && now.Sub(r.limitStatedAt) >= reorderTolerance
+	if n.MaxPerSecond == 0 && !endsLimit {
+		return change
+	}
+	change.LimitChanged = n.MaxPerSecond != r.maxPerSecond
+	r.maxPerSecond, r.limitStatedAt = n.MaxPerSecond, now
+	return change
 }
 
 // Leaving reports whether the incarnation stated that it leaves. It never returns to
--- a/tally/record.go
+++ b/tally/record.go
@@ -80,6 +80,12 @@
 	Crashes Field = 0
 	// Leaving counts the VMs to which an incarnation stated that it leaves.
 	Leaving Field = 0
+	// LimitStated counts the responses in which an incarnation stated a limit, and
+	// LimitCentiPerSecond sums the limits, in hundredths of a request per second.
+	// LimitEnded counts the ends of its limits.
+	LimitStated         Field = 1
+	LimitCentiPerSecond Field = 2
+	LimitEnded          Field = 3
 )
 
 // Counts holds running totals, or the difference of two, indexed by Field.
