notice: only a server's response can end its limit

An exchange without a response of the intended server has no notice now, and two responses in a row end a limit.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -222,7 +222,9 @@
 		d.counters.recordSuspectedFailure(d.deps.Clock(), subject)
 	})
 	e := d.deps.Exchanger.Do(r.ctx, server, r.req)
-	d.handleNotice(selected.server, e.Notice)
+	if e.Notice != nil {
+		d.handleNotice(selected.server, *e.Notice)
+	}
 	result := classify(e)
 	if !timer.Stop() {
 		<-suspected
@@ -238,7 +240,7 @@
 // handleNotice records what a server stated about itself, and logs what is new in it.
 func (d *Dispatcher) handleNotice(server *catalog.Registration, n notice.Notice) {
 	change := d.counters.recordNotice(d.deps.Clock(), incarnationOf(server), n)
-	if change == (notice.Change{}) && n.Malformed == "" {
+	if !change.StartsLeaving && !change.LimitChanged && n.Malformed == "" {
 		return
 	}
 	log := d.deps.Log.WithField("server", server.Server.ID).WithField("service", server.Service).
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -11,6 +11,7 @@
 	"almondstile/entry"
 	"almondstile/fleet"
 	"almondstile/logging"
+	"almondstile/notice"
 	"almondstile/request"
 	"almondstile/retry"
 	"almondstile/tally"
@@ -285,7 +286,7 @@
 // the server has started anew.
 func TestServerThatStatesItLeavesGetsNoMoreRequests(t *testing.T) {
 	leaving := succeeded
-	leaving.Notice.Leaving = true
+	leaving.Notice = &notice.Notice{Leaving: true}
 	sends := make(map[contract.ServerID]int)
 	e := &fakeServers{respond: func(_ int, server contract.ServerID) upstream.Exchange {
 		sends[server]++
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -30,11 +30,13 @@
 	// LimitChanged is set if the incarnation states another limit than before, or
 	// none any more.
 	LimitChanged bool
+	// LimitUnstated is set if the response stated no limit while one was known.
+	LimitUnstated bool
 }
 
-// reorderTolerance is the time after a stated limit in which a response without one
-// does not end the limit: the server may have sent it before the other.
-const reorderTolerance = 250 * time.Millisecond
+// endVotes is the number of responses in a row without a limit after which the limit
+// has ended. A single one may have been sent before the limit was.
+const endVotes = 2
 
 // retention is how long the notices of an incarnation are kept after the last one.
 // It is much longer than a server takes to leave.
@@ -50,9 +52,10 @@
 type record struct {
 	updatedAt time.Time
 	leaving   bool
-	// maxPerSecond is the limit that was stated last, at limitStatedAt; 0 for none.
-	maxPerSecond  float64
-	limitStatedAt time.Time
+	// maxPerSecond is the limit that was stated last, 0 for none. unstated counts the
+	// responses since then that stated none, of all VMs.
+	maxPerSecond float64
+	unstated     int
 }
 
 // Board holds the notices of all servers. The zero value is ready to use. It is safe
@@ -75,14 +78,19 @@
 // RecordRemote records what servers stated to another VM, see Counters.
 func (b *Board) RecordRemote(now time.Time, incarnation tally.Subject, counts tally.Counts) Change {
 	n := Notice{Leaving: counts[tally.Leaving] > 0}
-	stated := counts[tally.LimitStated]
-	if stated > 0 {
+	if stated := counts[tally.LimitStated]; stated > 0 {
 		n.MaxPerSecond = float64(counts[tally.LimitCentiPerSecond]) / float64(stated) / centi
 	}
-	if n == (Notice{}) && counts[tally.LimitEnded] == 0 {
-		return Change{} // nothing was stated
+	if n != (Notice{}) {
+		return b.Record(now, incarnation, n)
 	}
-	return b.Record(now, incarnation, n)
+	var change Change
+	for range min(counts[tally.LimitUnstated], endVotes) {
+		if c := b.Record(now, incarnation, n); c.LimitChanged {
+			change = c
+		}
+	}
+	return change
 }
 
 // centi is the number of hundredths in a unit. Limits are counted in hundredths of a
@@ -99,8 +107,8 @@
 	switch {
 	case n.MaxPerSecond > 0:
 		c[tally.LimitStated], c[tally.LimitCentiPerSecond] = 1, uint32(math.Round(n.MaxPerSecond*centi))
-	case change.LimitChanged:
-		c[tally.LimitEnded] = 1
+	case change.LimitUnstated:
+		c[tally.LimitUnstated] = 1
 	}
 	return c
 }
@@ -110,12 +118,18 @@
 	r.updatedAt = now
 	change.StartsLeaving = n.Leaving && !r.leaving
 	r.leaving = r.leaving || n.Leaving
-	endsLimit := r.maxPerSecond > 0 && n.Malformed == "" && now.Sub(r.limitStatedAt) >= reorderTolerance
-	if n.MaxPerSecond == 0 && !endsLimit {
-		return change
+	switch {
+	case n.MaxPerSecond > 0:
+		change.LimitChanged = n.MaxPerSecond != r.maxPerSecond
+		r.maxPerSecond, r.unstated = n.MaxPerSecond, 0
+	case r.maxPerSecond > 0 && n.Malformed == "" && !n.Leaving:
+		change.LimitUnstated = true
+		r.unstated++
+		if r.unstated == endVotes {
+			change.LimitChanged = true
+			r.maxPerSecond, r.unstated = 0, 0
+		}
 	}
-	change.LimitChanged = n.MaxPerSecond != r.maxPerSecond
-	r.maxPerSecond, r.limitStatedAt = n.MaxPerSecond, now
 	return change
 }
 
--- a/tally/record.go
+++ b/tally/record.go
@@ -82,10 +82,10 @@
 	Leaving Field = 0
 	// LimitStated counts the responses in which an incarnation stated a limit, and
 	// LimitCentiPerSecond sums the limits, in hundredths of a request per second.
-	// LimitEnded counts the ends of its limits.
+	// LimitUnstated counts the responses without a limit while one was known.
 	LimitStated         Field = 1
 	LimitCentiPerSecond Field = 2
-	LimitEnded          Field = 3
+	LimitUnstated       Field = 3
 )
 
 // Counts holds running totals, or the difference of two, indexed by Field.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -21,8 +21,9 @@
 	// Instance identifies the server's process. It is empty if the server did
 	// not send it.
 	Instance string
-	// Notice is what the server stated about itself in its response.
-	Notice notice.Notice
+	// Notice is what the server stated about itself in its response, or nil if no
+	// response of the server was received.
+	Notice *notice.Notice
 	// Latency is the time from the start to the end of the attempt.
 	Latency time.Duration
 	// ConnectFailed says that no connection could be made.
@@ -64,9 +65,9 @@
 	// Instance identifies the server's process. It is empty if the server did not
 	// send it.
 	Instance string
-	// Notice is what the server stated about itself. It is empty if another server
-	// than the intended one responded.
-	Notice notice.Notice
+	// Notice is what the server stated about itself. It is nil if another server than
+	// the intended one responded, or if servers of the protocol state nothing.
+	Notice *notice.Notice
 }
 
 // Errors of Protocol.Check. Test with errors.Is.
