notice: VMs together keep to the limit that a server states

Cause: nothing read the limit. Each VM sends such a server less than one request in many seconds, so that no VM alone can keep to it.

Change: each VM holds a replica of a bucket for each server with a limit. A VM sends with a probability that shares what is left among the requests that arrive before it hears of the others; slow start uses the same function. A VM that is cut off fills its replica by its connected share.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -202,6 +202,7 @@
 	if r.attempts == 0 {
 		r.d.counters.recordFirstAttempt(now, r.req.Service)
 	}
+	r.d.counters.recordLimitedSend(now, incarnationOf(selected.server))
 	r.tried[selected.server.Server.ID] = true
 	r.attempts++
 	r.inFlight++
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -35,7 +35,7 @@
 	service := view.Index.Service(req.Service)
 	var available []selection
 	for _, r := range view.ByService[req.Service] {
-		if !view.AcceptsNewRequests(r) || d.deps.ReplicatedState.Notices.Leaving(incarnationOf(r)) {
+		if !view.AcceptsNewRequests(r) || !d.allowedByNotices(now, r) {
 			continue
 		}
 		s := selection{server: r, state: d.deps.ReplicatedState.Servers.State(now, evidence.ServerSubject(r.Server.ID))}
@@ -55,6 +55,28 @@
 	return available[i], true
 }
 
+// allowedByNotices reports whether a request may be sent to the server after what the
+// server stated about itself.
+func (d *Dispatcher) allowedByNotices(now time.Time, r *catalog.Registration) bool {
+	state := d.deps.ReplicatedState
+	if state.Notices.Empty() {
+		return true
+	}
+	incarnation := incarnationOf(r)
+	if state.Notices.Leaving(incarnation) {
+		return false
+	}
+	if !state.Notices.Limited(incarnation) {
+		return true
+	}
+	left := state.Notices.Pace(now, incarnation, d.deps.Fleet.ConnectedShare(now))
+	if rand.Float64() < placement.AdmitProbability(left, state.RetryBudgets.SendRate(now, r.Service)) {
+		return true
+	}
+	d.deps.Observer.Count("server_limit_held")
+	return false
+}
+
 // incarnationOf returns the subject of the notices of a registered server.
 func incarnationOf(r *catalog.Registration) tally.Subject {
 	return notice.SubjectOf(r.Server.ID, r.StartedAt)
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -55,7 +55,7 @@
 	case tally.Fingerprint:
 		s.Crashes.add(now, subject, int(counts[tally.Crashes]))
 	case tally.Incarnation:
-		s.Notices.RecordRemote(now, subject, counts)
+		s.Notices.RecordRemote(now, subject, counts, resent)
 	}
 }
 
@@ -135,6 +135,14 @@
 	c.ledger.Add(now, subject, tally.Crashes, 1)
 }
 
+// recordLimitedSend counts a request that is about to be sent to an incarnation of a
+// server, if the incarnation states a limit.
+func (c counters) recordLimitedSend(now time.Time, incarnation tally.Subject) {
+	if c.state.Notices.RecordSend(incarnation) {
+		c.ledger.Add(now, incarnation, tally.LimitedSends, 1)
+	}
+}
+
 // recordNotice records what a server stated about itself.
 func (c counters) recordNotice(now time.Time, incarnation tally.Subject, n notice.Notice) notice.Change {
 	change := c.state.Notices.Record(now, incarnation, n)
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"almondstile/contract"
@@ -52,15 +53,16 @@
 type record struct {
 	updatedAt time.Time
 	leaving   bool
-	// maxPerSecond is the limit that was stated last, 0 for none. unstated counts the
-	// responses since then that stated none, of all VMs.
-	maxPerSecond float64
-	unstated     int
+	// pacer has the limit that was stated last. unstated counts the responses since
+	// then that stated none, of all VMs.
+	pacer    pacer
+	unstated int
 }
 
 // Board holds the notices of all servers. The zero value is ready to use. It is safe
 // for concurrent use.
 type Board struct {
+	stated       atomic.Bool // a server has stated something
 	incarnations shard.Map[tally.Subject, *record]
 }
 
@@ -70,13 +72,17 @@
 	if n == (Notice{}) {
 		b.incarnations.DoExisting(incarnation, update) // it may end a limit
 	} else {
+		b.stated.Store(true)
 		b.incarnations.Do(incarnation, newRecord, update)
 	}
 	return change
 }
 
-// RecordRemote records what servers stated to another VM, see Counters.
-func (b *Board) RecordRemote(now time.Time, incarnation tally.Subject, counts tally.Counts) Change {
+// RecordRemote records what servers stated to another VM, see Counters, and the
+// requests that it sent to servers with a limit. resent is true for counts that this
+// VM gets after a gap in messages.
+func (b *Board) RecordRemote(now time.Time, incarnation tally.Subject, counts tally.Counts, resent bool) Change {
+	b.recordRemoteSends(incarnation, counts[tally.LimitedSends], resent)
 	n := Notice{Leaving: counts[tally.Leaving] > 0}
 	if stated := counts[tally.LimitStated]; stated > 0 {
 		n.MaxPerSecond = float64(counts[tally.LimitCentiPerSecond]) / float64(stated) / centi
@@ -120,19 +126,25 @@
 	r.leaving = r.leaving || n.Leaving
 	switch {
 	case n.MaxPerSecond > 0:
-		change.LimitChanged = n.MaxPerSecond != r.maxPerSecond
-		r.maxPerSecond, r.unstated = n.MaxPerSecond, 0
-	case r.maxPerSecond > 0 && n.Malformed == "" && !n.Leaving:
+		change.LimitChanged = n.MaxPerSecond != r.pacer.maxPerSecond
+		r.unstated = 0
+		if change.LimitChanged {
+			r.pacer.setLimit(now, n.MaxPerSecond)
+		}
+	case r.pacer.maxPerSecond > 0 && n.Malformed == "" && !n.Leaving:
 		change.LimitUnstated = true
 		r.unstated++
 		if r.unstated == endVotes {
 			change.LimitChanged = true
-			r.maxPerSecond, r.unstated = 0, 0
+			r.pacer, r.unstated = pacer{}, 0
 		}
 	}
 	return change
 }
 
+// Empty reports whether no server has stated anything. It is cheap.
+func (b *Board) Empty() bool { return !b.stated.Load() }
+
 // Leaving reports whether the incarnation stated that it leaves. It never returns to
 // service: a server that does has a new incarnation.
 func (b *Board) Leaving(incarnation tally.Subject) bool {
--- a/placement/slowstart.go
+++ b/placement/slowstart.go
@@ -42,9 +42,16 @@
 	if s.RemoteSendsUnknown {
 		return min(1, limit/(unknownRequestsPerVM*float64(max(s.VMs, 1))))
 	}
-	left := limit - float64(s.SentLastSecond)
+	return AdmitProbability(limit-float64(s.SentLastSecond), s.ArrivalsPerSecond)
+}
+
+// AdmitProbability returns the probability (0 to 1) with which one of the requests
+// for a service may be sent to a server that may get so many more requests, left, from
+// all VMs together. arrivalsPerSecond is the rate of requests for the service. The
+// requests that arrive before the VMs receive each other's counters share what is left.
+func AdmitProbability(left, arrivalsPerSecond float64) float64 {
 	if left < 1 {
 		return 0
 	}
-	return min(1, left/(1+s.ArrivalsPerSecond*propagationDelaySeconds))
+	return min(1, left/(1+arrivalsPerSecond*propagationDelaySeconds))
 }
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -82,8 +82,8 @@
 
 // isUrgent reports whether a change must be sent before the next regular message:
 // a server's failure, which other VMs should learn of before they send to the same
-// server, a team that is near its limit, a server that leaves, or a request that
-// crashed a server.
+// server, a team that is near its limit, a server that leaves, a request to a server
+// with a limit, or a request that crashed a server.
 func isUrgent(s Subject, delta Counts) bool {
 	switch s.Kind() {
 	case Server:
@@ -91,7 +91,7 @@
 	case Team:
 		return delta[AdmittedNearLimit] > 0
 	case Incarnation:
-		return delta[Leaving] > 0
+		return delta[Leaving] > 0 || delta[LimitedSends] > 0
 	default:
 		return s.Kind() == Fingerprint
 	}
--- a/tally/record.go
+++ b/tally/record.go
@@ -86,6 +86,8 @@
 	LimitStated         Field = 1
 	LimitCentiPerSecond Field = 2
 	LimitUnstated       Field = 3
+	// LimitedSends counts the requests that were sent to an incarnation with a limit.
+	LimitedSends Field = 4
 )
 
 // Counts holds running totals, or the difference of two, indexed by Field.
