notice: a server that asks a VM for a pause gets no requests from it

Seen by servers: a VM that was turned away with 503 and Retry-After sent its next request when it had one.

Cause: the Retry-After of a server's response was not read.

The VM sends that incarnation nothing until the end. While all servers of a service pause, callers are rejected at once and told to come back after the earliest end, spread over a second.

Evidence: direct.TestServersThatAskForAPauseGetNoRequests failed before; it sends 50 requests to three servers that each ask for 20 s, and each may get one.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"almondstile/catalog"
@@ -27,6 +28,8 @@
 	// rejectedRetryAfter is the Retry-After time of a request that no server
 	// accepted. A slot becomes free within part of a typical request.
 	rejectedRetryAfter = 300 * time.Millisecond
+	// pauseSpread is the period over which callers return after a pause of all servers.
+	pauseSpread = time.Second
 	// suspectLatencyFactor is the multiple of the route's typical latency after
 	// which an attempt without a response counts as a failure of its server.
 	suspectLatencyFactor = 4
@@ -76,17 +79,33 @@
 		r.wg.Wait()
 	}()
 	if !r.startAttempt() {
-		rejected := request.Rejected(request.ReasonNoServer)
-		rejected.RetryAfter = rejectedRetryAfter
-		return rejected, 0
+		return r.rejectWithoutServer(), 0
 	}
 	result := r.waitForResult()
 	if result.Outcome == request.NotRun && result.RetryAfter == 0 {
-		result.RetryAfter = rejectedRetryAfter
+		result.RetryAfter = r.retryAfter()
 	}
 	return result, r.attempts
 }
 
+// rejectWithoutServer returns the result of a request that no server may get.
+func (r *attemptLoop) rejectWithoutServer() request.Result {
+	rejected := request.Rejected(request.ReasonNoServer)
+	rejected.RetryAfter = r.retryAfter()
+	return rejected
+}
+
+// retryAfter returns when the caller of a rejected request should retry. While all
+// servers pause, callers come back when the first one accepts requests, spread over
+// pauseSpread so that they don't all come at once.
+func (r *attemptLoop) retryAfter() time.Duration {
+	left := r.d.pauseLeft(r.d.deps.Clock(), r.d.deps.Source.View(), r.req.Service)
+	if left == 0 {
+		return rejectedRetryAfter
+	}
+	return left + time.Duration(rand.Int64N(int64(pauseSpread)))
+}
+
 // waitForResult waits for the attempts in flight and starts retries and hedges as
 // far as they are allowed. It returns the best result.
 func (r *attemptLoop) waitForResult() request.Result {
@@ -241,7 +260,7 @@
 // handleNotice records what a server stated about itself, and logs what is new in it.
 func (d *Dispatcher) handleNotice(server *catalog.Registration, n notice.Notice) {
 	change := d.counters.recordNotice(d.deps.Clock(), incarnationOf(server), n)
-	if !change.StartsLeaving && !change.LimitChanged && n.Malformed == "" {
+	if !change.StartsLeaving && !change.StartsPause && !change.LimitChanged && n.Malformed == "" {
 		return
 	}
 	log := d.deps.Log.WithField("server", server.Server.ID).WithField("service", server.Service).
@@ -251,6 +270,10 @@
 		d.deps.Observer.Count("server_leaving")
 		log.Info("A server states that it leaves. It gets no more requests.")
 	}
+	if change.StartsPause {
+		d.deps.Observer.Count("server_pause")
+		log.WithField("pause_ms", n.PauseFor.Milliseconds()).Info("A server asks this VM for a pause.")
+	}
 	if n.Malformed != "" {
 		d.deps.Observer.Count("server_notice_malformed")
 		log.WithField("value", n.Malformed).Warn("A statement of a server about itself cannot be read and is ignored.")
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -63,7 +63,7 @@
 		return true
 	}
 	incarnation := incarnationOf(r)
-	if state.Notices.Leaving(incarnation) {
+	if state.Notices.Leaving(incarnation) || state.Notices.PauseLeft(now, incarnation) > 0 {
 		return false
 	}
 	if !state.Notices.Limited(incarnation) {
@@ -77,6 +77,26 @@
 	return false
 }
 
+// pauseLeft returns the time until the first server of the service accepts requests
+// from this VM again, if all that accept new requests have asked it for a pause, and
+// otherwise 0.
+func (d *Dispatcher) pauseLeft(now time.Time, view *catalog.View, service contract.ServiceID) time.Duration {
+	earliest := time.Duration(0)
+	for _, r := range view.ByService[service] {
+		if !view.AcceptsNewRequests(r) || d.deps.ReplicatedState.Notices.Leaving(incarnationOf(r)) {
+			continue
+		}
+		left := d.deps.ReplicatedState.Notices.PauseLeft(now, incarnationOf(r))
+		if left == 0 {
+			return 0
+		}
+		if earliest == 0 || left < earliest {
+			earliest = left
+		}
+	}
+	return earliest
+}
+
 // incarnationOf returns the subject of the notices of a registered server.
 func incarnationOf(r *catalog.Registration) tally.Subject {
 	return notice.SubjectOf(r.Server.ID, r.StartedAt)
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -313,3 +313,38 @@
 		t.Error("the server got no request after it had started anew")
 	}
 }
+
+// Guards against requests to a server that asked for a pause, and against callers
+// that wait, or come back too early and all at once, while all servers pause.
+func TestServersThatAskForAPauseGetNoRequests(t *testing.T) {
+	const pause = 20 * time.Second
+	pausing := shed
+	pausing.Notice = &notice.Notice{PauseFor: pause}
+	sends := make(map[contract.ServerID]int)
+	e := &fakeServers{respond: func(_ int, server contract.ServerID) upstream.Exchange {
+		sends[server]++
+		return pausing
+	}}
+	d := newDispatcher(newSource(contract.Idempotent), e)
+	returns := make(map[time.Duration]bool)
+	for range 50 {
+		result := send(d)
+		if result.Outcome != request.NotRun {
+			t.Fatalf("result %+v, want not run", result)
+		}
+		if sends["a"]+sends["b"]+sends["c"] == 3 {
+			if result.RetryAfter < pause-time.Second {
+				t.Fatalf("the caller is told to come back after %s, the servers pause for %s", result.RetryAfter, pause)
+			}
+			returns[result.RetryAfter.Round(10*time.Millisecond)] = true
+		}
+	}
+	for server, n := range sends {
+		if n > 1 {
+			t.Errorf("server %s got %d requests, it asked for a pause at the first", server, n)
+		}
+	}
+	if len(returns) < 10 {
+		t.Errorf("callers return at %d different times, want them spread out", len(returns))
+	}
+}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -19,6 +19,8 @@
 	// MaxPerSecond is the rate in requests per second that the server takes from all
 	// VMs together, or 0 if it states no limit.
 	MaxPerSecond float64
+	// PauseFor is how long the server wants no requests from this VM, 0 for no pause.
+	PauseFor time.Duration
 	// Malformed holds the value of a statement that cannot be read, for the log. A
 	// malformed limit does not end an earlier one.
 	Malformed string
@@ -31,6 +33,8 @@
 	// LimitChanged is set if the incarnation states another limit than before, or
 	// none any more.
 	LimitChanged bool
+	// StartsPause is set if the incarnation asks for a pause and none was going on.
+	StartsPause bool
 	// LimitUnstated is set if the response stated no limit while one was known.
 	LimitUnstated bool
 }
@@ -57,6 +61,8 @@
 	// then that stated none, of all VMs.
 	pacer    pacer
 	unstated int
+	// pausedUntil is the end of the pause that the incarnation asked this VM for.
+	pausedUntil time.Time
 }
 
 // Board holds the notices of all servers. The zero value is ready to use. It is safe
@@ -124,6 +130,10 @@
 	r.updatedAt = now
 	change.StartsLeaving = n.Leaving && !r.leaving
 	r.leaving = r.leaving || n.Leaving
+	if n.PauseFor > 0 {
+		change.StartsPause = !now.Before(r.pausedUntil)
+		r.pausedUntil = now.Add(n.PauseFor)
+	}
 	switch {
 	case n.MaxPerSecond > 0:
 		change.LimitChanged = n.MaxPerSecond != r.pacer.maxPerSecond
@@ -153,6 +163,13 @@
 	return leaving
 }
 
+// PauseLeft returns how long the incarnation still wants no requests from this VM, or
+// 0 if it accepts them.
+func (b *Board) PauseLeft(now time.Time, incarnation tally.Subject) (left time.Duration) {
+	b.incarnations.DoExisting(incarnation, func(r *record) { left = max(0, r.pausedUntil.Sub(now)) })
+	return left
+}
+
 // Sweep deletes the notices of incarnations that stated nothing for 10 minutes.
 func (b *Board) Sweep(now time.Time) {
 	b.incarnations.Range(func(_ tally.Subject, r *record) bool { return now.Sub(r.updatedAt) < retention })
