httpconn: bytes that a peer sends without end are bounded

Seen by a VM: a server that answers with interim responses, or with the extension of a chunk, without end kept a core busy until the deadline of the request: 1.0 GB in 10 s over loopback.

Cause: the size limits of the codec count heads, bodies and trailers, but not the bytes that it skips.

Change: an exchange reads at most twice the largest body and 64 KiB.

--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -105,6 +105,21 @@
 	idleTimeout time.Duration
 	// bytesWritten counts the bytes of the current request only.
 	bytesWritten int64
+	// readBudget is the number of bytes that may still be read for the current
+	// response.
+	readBudget int
+}
+
+// Read reads from the connection. It fails with ErrTooLarge when the budget of the
+// response is used up. The limits of the codec don't count bytes that it skips, such
+// as interim responses and extensions of chunks.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.readBudget <= 0 {
+		return 0, errors.Wrap(ErrTooLarge, "the peer sends without end")
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.readBudget)])
+	c.readBudget -= n
+	return n, err
 }
 
 // Write writes b to the connection and counts the bytes that the kernel accepted.
@@ -119,6 +134,10 @@
 // header of a response must fit into the read buffer.
 const bufferBytes = 16 << 10
 
+// readBudget returns the largest number of bytes of one response, with its head, its
+// trailer and the sizes of its chunks.
+func (o Options) readBudget() int { return 2*o.MaxResponseBytes + 4*bufferBytes }
+
 // NewPool returns a pool without connections.
 func NewPool(options Options) *Pool {
 	return &Pool{options: options}
@@ -217,7 +236,7 @@
 func classifyReadError(err error) error {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &small):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, ErrTooLarge), errors.As(err, &small):
 		return errors.Mark(err, ErrTooLarge)
 	case isTruncation(err), errors.Is(err, ErrTruncated):
 		return errors.Mark(err, ErrTruncated)
@@ -255,7 +274,7 @@
 			return p.dial(ctx, address)
 		}
 		if time.Since(c.idleSince) < c.idleTimeout && isIdle(c.Conn) {
-			c.bytesWritten = 0
+			c.bytesWritten, c.readBudget = 0, p.options.readBudget()
 			return c, nil
 		}
 		_ = c.Close()
@@ -284,8 +303,8 @@
 	if err != nil {
 		return nil, withContextError(ctx, errors.Mark(errors.Wrapf(err, "connecting to %s", address), ErrConnect))
 	}
-	c := &conn{Conn: nc}
-	c.reader = bufio.NewReaderSize(nc, bufferBytes)
+	c := &conn{Conn: nc, readBudget: p.options.readBudget()}
+	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	c.writer = bufio.NewWriterSize(c, bufferBytes)
 	return c, nil
 }
