tally: totals of a VM that was silent for long are not counted again

Seen by callers (supposed): after a partition of more than 60 s, teams inside their rate are rejected, because a returning VM's admissions since its start count as new ones.

Cause: totals of an origin that is silent for 60 s are deleted, and its next record then looks like the first one of an origin that started later.

Change: it is remembered for 24 h that totals of an origin were deleted; what it reports first for a subject counts as old, as for an origin that is older than this process. TestTotalsOfAVMThatWasSilentForLongAreNotCountedAgain failed before: "observed 1002 admissions, want 502".

--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -29,6 +29,9 @@
 	fullDeliveryUptime = 2 * time.Second
 	// originRetention is the time for which the totals of a silent origin are kept.
 	originRetention = 60 * time.Second
+	// silentOriginRetention is the time for which it is remembered that the totals of
+	// a silent origin were deleted. It exceeds the longest expected partition by far.
+	silentOriginRetention = 24 * time.Hour
 )
 
 // entry holds the last totals of one origin and subject, and the sends that are
@@ -69,6 +72,9 @@
 // originState holds the time of the last message or record of an origin.
 type originState struct {
 	lastMessage time.Time
+	// totalsDeleted is set if totals of the origin were deleted while it was silent.
+	// What of its totals was counted before is not known any more.
+	totalsDeleted bool
 }
 
 // NewLedger returns an empty ledger of a process that starts now. notifyUrgent is
@@ -193,12 +199,13 @@
 // countsBeforeStart returns, for totals that are received for the first time, the
 // part from before this process could receive them. It is zero if the record's
 // uptime is at most this process's uptime plus uptimeTolerance, because its origin
-// then started no earlier. For an older origin it is all of the totals. After
+// then started no earlier. For an older origin, and for one whose totals were deleted
+// while it was silent, it is all of the totals. After
 // fullDeliveryUptime, the last admission of a team is excepted: it has just
 // happened, and leaving it out would allow the team one extra request per origin.
 func (l *Ledger) countsBeforeStart(now time.Time, r Record) Counts {
 	uptime := now.Sub(l.started)
-	if r.Uptime <= uptime+uptimeTolerance {
+	if r.Uptime <= uptime+uptimeTolerance && !l.totalsDeleted(r.Origin) {
 		return Counts{}
 	}
 	before := r.Counts
@@ -279,15 +286,23 @@
 	return out
 }
 
+// totalsDeleted reports whether totals of the origin were deleted by Sweep.
+func (l *Ledger) totalsDeleted(o Origin) bool {
+	deleted := false
+	l.origins.DoExisting(o, func(s *originState) { deleted = s.totalsDeleted })
+	return deleted
+}
+
 // Sweep deletes the totals of origins that were silent for originRetention.
 func (l *Ledger) Sweep(now time.Time) {
 	expired := make(map[Origin]bool)
 	l.origins.Range(func(o Origin, s *originState) bool {
-		if now.Sub(s.lastMessage) < originRetention {
+		silent := now.Sub(s.lastMessage)
+		if silent < originRetention {
 			return true
 		}
-		expired[o] = true
-		return false
+		expired[o], s.totalsDeleted = true, true
+		return silent < silentOriginRetention
 	})
 	l.entries.Range(func(_ string, e *entry) bool { return !expired[e.record.Origin] })
 }
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -215,3 +215,25 @@
 		t.Errorf("%d changed records, want 2", len(got))
 	}
 }
+
+// Guards against counting all totals of a VM again whose messages did not arrive for
+// longer than totals are kept, for instance because regions lost each other.
+func TestTotalsOfAVMThatWasSilentForLongAreNotCountedAgain(t *testing.T) {
+	observed := observedCounts{}
+	a := NewLedger(start, "origin-a", observedCounts{}, nil)
+	b := NewLedger(start, "origin-b", observed, nil)
+	a.Add(start, subject, Admitted, 500)
+	b.Merge(start, a.DequeueOwn(AllChanged), Forwarding{})
+	now := start
+	for range 5 { // the silence lasts for several times originRetention
+		now = now.Add(originRetention)
+		b.Sweep(now)
+	}
+	for range 2 {
+		a.Add(now, subject, Admitted, 1)
+		b.Merge(now, a.DequeueOwn(AllChanged), Forwarding{})
+	}
+	if got := observed[subject][Admitted]; got != 502 {
+		t.Errorf("observed %d admissions, want 502", got)
+	}
+}
