gossip: changes wait until a relay is known

Seen by other VMs: counts of a VM that changed while its zone had no live relay (up to 0.6 s after the loss of both) were never told, until the next change of the same subject.

Cause: a VM that is not a relay took changes out of its queue also when it had nobody but itself to send them to.

Change: it leaves them there. TestChangesWaitForARelay failed before: no message with the change arrived.

--- a/gossip/send.go
+++ b/gossip/send.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"almondstile/boottime"
@@ -99,7 +100,11 @@
 	roster, ledger, self := n.deps.Roster, n.deps.Ledger, n.deps.Roster.Self()
 	zoneHeartbeatDue := now.Sub(n.lastZoneSend) >= heartbeatInterval
 	if !n.isRelay(now) {
-		if n.sendRecords(now, ledger.DequeueOwn(scope), roster.Relays(now, self.Zone), zoneHeartbeatDue) {
+		relays := slices.DeleteFunc(roster.Relays(now, self.Zone), func(v vm.VM) bool { return v.ID == self.ID })
+		if len(relays) == 0 {
+			return // the changes wait until a relay is known
+		}
+		if n.sendRecords(now, ledger.DequeueOwn(scope), relays, zoneHeartbeatDue) {
 			n.lastZoneSend = now
 		}
 		return
--- /dev/null
+++ b/gossip/send_test.go
@@ -0,0 +1,83 @@
+package gossip
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"almondstile/boottime"
+	"almondstile/catalog"
+	"almondstile/fleet"
+	"almondstile/logging"
+	"almondstile/tally"
+	"almondstile/vm"
+)
+
+// discardCounts is a tally.Observer that records nothing.
+type discardCounts struct{}
+
+func (discardCounts) Observe(time.Time, tally.Subject, tally.Counts, bool) {}
+
+// Guards against counts that other VMs never learn because they changed while this VM
+// knew no live relay to send them to.
+func TestChangesWaitForARelay(t *testing.T) {
+	relay, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	now := time.Now()
+	node, others := newNonRelay(t, now, relay.LocalAddr().String())
+	subject := tally.SubjectOf(tally.Team, "team-1")
+	node.deps.Ledger.Add(now, subject, tally.Admitted, 1)
+	for range 3 { // more often than a change is sent
+		node.sendChanges(now, tally.AllChanged)
+	}
+	for _, v := range others {
+		node.deps.Roster.RecordMessage(now, v, true, time.Minute)
+	}
+	node.sendChanges(now, tally.AllChanged)
+	buf := make([]byte, 2*maxDatagramBytes)
+	_ = relay.SetReadDeadline(time.Now().Add(5 * time.Second))
+	size, _, err := relay.ReadFrom(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m message
+	if err := decode(buf[:size], &m); err != nil {
+		t.Fatal(err)
+	}
+	if records := fromGroups(m.Groups); len(records) != 1 || records[0].Subject != subject {
+		t.Errorf("the first message to a relay has the records %+v, want the change", records)
+	}
+}
+
+// newNonRelay returns the node of a VM that does not relay for its zone, and the VMs
+// before it in the relay order, which have the given address.
+func newNonRelay(t *testing.T, now time.Time, address string) (*Node, []vm.VM) {
+	t.Helper()
+	log := logging.Discard().Part("gossip")
+	for i := range 100 {
+		self := vm.VM{ID: vm.ID(fmt.Sprintf("vm-%d", i)), Zone: "zone-a", Incarnation: "1", ControlAddress: "127.0.0.1:0"}
+		roster := fleet.NewRoster(now, self)
+		var others []vm.VM
+		for j := range 4 {
+			v := vm.VM{ID: vm.ID(fmt.Sprintf("other-%d", j)), Zone: "zone-a", Incarnation: "1", ControlAddress: address}
+			roster.Learn(now, v)
+			others = append(others, v)
+		}
+		if roster.IsRelay(now) {
+			continue
+		}
+		node, err := Listen(Dependencies{Roster: roster, Catalog: catalog.New(nil, boottime.Now, log), Log: log,
+			Ledger: tally.NewLedger(now, tally.OriginOf(self.ID, self.Incarnation), discardCounts{}, nil)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _, _ = node.conn.Close(), node.listener.Close() })
+		return node, others
+	}
+	t.Fatal("no VM is behind the relays")
+	return nil, nil
+}
