--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -71,8 +71,8 @@
 
 // The sources of updates.
 const (
-	FromStore  Source = "store"
-	FromVM     Source = "vm"
+	FromStore  Source = "store"  // read by this VM
+	FromVM     Source = "vm"     // pulled from another VM
 	FromExpiry Source = "expiry" // a retained registration expired
 )
 
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -141,6 +141,7 @@
 		if change.LimitChanged {
 			r.pacer.setLimit(now, n.MaxPerSecond)
 		}
+	// Another VM's report that a server leaves says nothing about its limit.
 	case r.pacer.maxPerSecond > 0 && n.Malformed == "" && !n.Leaving:
 		change.LimitUnstated = true
 		r.unstated++
@@ -152,7 +153,8 @@
 	return change
 }
 
-// Empty reports whether no server has stated anything. It is cheap.
+// Empty reports whether no server has stated anything since the start of the process.
+// It is cheap, so that requests cost nothing more while there are no notices.
 func (b *Board) Empty() bool { return !b.stated.Load() }
 
 // Leaving reports whether the incarnation stated that it leaves. It never returns to
