tally, notice: a stated limit reaches other VMs in one record

Seen by servers (rarely): VMs keep to half or twice the limit until the next statement. Found by reading.

Cause: the number of statements and the sum of their limits were added to the ledger one after the other, and a message could be sent in between.

Change: Ledger.AddCounts adds several fields at once. TestStatedLimitIsSentInOneRecord failed before: "3 statements of 2.5 a second have the sum 500 hundredths".

--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -17,6 +17,8 @@
 	"almondstile/tally"
 	"almondstile/upstream"
 	"almondstile/vm"
+
+	"github.com/sourcegraph/conc"
 )
 
 // source is a Source that always returns the same view.
@@ -348,3 +350,33 @@
 		t.Errorf("callers return at %d different times, want them spread out", len(returns))
 	}
 }
+
+// Guards against other VMs that take a stated limit for half or twice as much, because
+// the count of the statements and the sum of the limits reach them in different records.
+func TestStatedLimitIsSentInOneRecord(t *testing.T) {
+	state := NewReplicatedState(time.Now(), wholeFleet{}, retry.BudgetLimits{})
+	ledger := tally.NewLedger(time.Now(), "origin", state, nil)
+	c := counters{state, ledger}
+	incarnation := notice.SubjectOf("a", 1)
+	var wg conc.WaitGroup
+	done := make(chan struct{})
+	wg.Go(func() {
+		defer close(done)
+		for range 20000 {
+			c.recordNotice(time.Now(), incarnation, notice.Notice{MaxPerSecond: 2.5})
+		}
+	})
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+		}
+		for _, r := range ledger.DequeueOwn(tally.AllChanged) {
+			if r.Counts[tally.LimitCentiPerSecond] != 250*r.Counts[tally.LimitStated] {
+				t.Fatalf("%d statements of 2.5 a second have the sum %d hundredths", r.Counts[tally.LimitStated], r.Counts[tally.LimitCentiPerSecond])
+			}
+		}
+	}
+	wg.Wait()
+}
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -146,10 +146,8 @@
 // recordNotice records what a server stated about itself.
 func (c counters) recordNotice(now time.Time, incarnation tally.Subject, n notice.Notice) notice.Change {
 	change := c.state.Notices.Record(now, incarnation, n)
-	for field, count := range notice.Counters(n, change) {
-		if count > 0 {
-			c.ledger.Add(now, incarnation, tally.Field(field), count)
-		}
+	if counts := notice.Counters(n, change); counts != (tally.Counts{}) {
+		c.ledger.AddCounts(now, incarnation, counts)
 	}
 	return change
 }
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -105,13 +105,21 @@
 
 // Add adds n to a field of this VM's own totals of the subject.
 func (l *Ledger) Add(now time.Time, s Subject, f Field, n uint32) {
-	key := string(l.self) + string(s)
 	var delta Counts
 	delta[f] = n
+	l.AddCounts(now, s, delta)
+}
+
+// AddCounts adds to several fields of this VM's own totals of the subject. Other VMs
+// get all of them in the same record.
+func (l *Ledger) AddCounts(now time.Time, s Subject, delta Counts) {
+	key := string(l.self) + string(s)
 	urgent := isUrgent(s, delta)
 	l.entries.Do(key, newEntry, func(e *entry) {
 		e.record.Origin, e.record.Subject = l.self, s
-		e.record.Counts[f] += n
+		for f := range delta {
+			e.record.Counts[f] += delta[f]
+		}
 		e.record.Uptime = now.Sub(l.started)
 		e.changedAt = e.record.Uptime
 		e.zoneSendsLeft, e.remoteSendsLeft = ownSends, relayRemoteSends
