hosted: a planned stop cuts requests in the last eighth of its time only

Seen by callers: with a stop time of 2 s, a VM that was stopped closed connections 1.5 s after the signal, while servers still had their requests. Operators tolerate that in the last sixth of the time only (from 1.67 s on).

Cause: half a second was kept for the end of the process, however short the stop time is. With 6 s, as on the users' deployments, it is less than a sixth.

Change: an eighth of the time is kept, half a second at most.

--- a/hosted/run.go
+++ b/hosted/run.go
@@ -21,9 +21,11 @@
 	// accepts requests while it reports not ready, so that the load balancer stops
 	// sending to it.
 	drainTimeShare = 0.45
-	// stopMargin is the part of the shutdown timeout that is left when requests in
-	// flight are canceled.
-	stopMargin = 500 * time.Millisecond
+	// stopMarginShare is the part of the shutdown timeout that is left when requests in
+	// flight are canceled, and maxStopMargin its upper bound. Operators tolerate
+	// canceled requests in the last sixth only.
+	stopMarginShare = 0.125
+	maxStopMargin   = 500 * time.Millisecond
 	// announceTimeout bounds one attempt to announce this VM or to read the list of
 	// VMs. announceRetryInterval is the pause before the next one.
 	announceTimeout       = 1 * time.Second
@@ -97,7 +99,8 @@
 // shutdown stops the listeners and lets requests in flight finish within the
 // shutdown timeout. It returns errors of the listeners for readiness and metrics.
 func (v *Process) shutdown() error {
-	timeout := max(v.settings.ShutdownTimeout-stopMargin, v.settings.ShutdownTimeout/2)
+	grace := v.settings.ShutdownTimeout
+	timeout := grace - min(time.Duration(stopMarginShare*float64(grace)), maxStopMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	v.readyServer.stopping.Store(true)
