fleet: a VM that learns of another updates the relay order of its zone only

Cause: every change of one VM recomputed the relay orders of all zones (rendezvous hashes and sorts of all VMs) at the next message, so the start of a fleet cost each VM work that grows with the square of the fleet. Now the order of the one zone is copied with the VM inserted; hashes are kept. Rank stops counting at RelaysPerZone.

--- a/fleet/connectedshare.go
+++ b/fleet/connectedshare.go
@@ -205,8 +205,8 @@
 // all zones.
 func (r *Roster) ConnectedShare(now time.Time) float64 {
 	total, connected := 0.0, 0.0
-	for z, vms := range r.relayOrders() {
-		members, reachable := r.zoneMembers(now, z, len(vms))
+	for z, order := range r.relayOrders.load() {
+		members, reachable := r.zoneMembers(now, z, len(order.relays))
 		total += members
 		connected += reachable
 	}
--- a/fleet/connectiontime.go
+++ b/fleet/connectiontime.go
@@ -60,7 +60,7 @@
 			report.lastMessage = at
 		}
 	})
-	total, connected := r.zoneMembers(now, z, len(r.relayOrder(z)))
+	total, connected := r.zoneMembers(now, z, len(r.relayOrders.zone(z)))
 	if z == r.self.Zone {
 		total, connected = total-1, connected-1
 	}
@@ -84,8 +84,8 @@
 // member counts.
 func (r *Roster) fleetSize(now time.Time) float64 {
 	total := 0.0
-	for z, vms := range r.relayOrders() {
-		members, _ := r.zoneMembers(now, z, len(vms))
+	for z, order := range r.relayOrders.load() {
+		members, _ := r.zoneMembers(now, z, len(order.relays))
 		total += members
 	}
 	return total
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -1,11 +1,9 @@
 package fleet
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"almondstile/shard"
@@ -51,11 +49,8 @@
 	// Each is the zero time while its condition does not hold.
 	mu                               sync.Mutex
 	relayMissingSince, relayingSince time.Time
-	// changes counts the changes of members. relayOrderCache holds the relay orders
-	// as of one of its values.
-	changes         atomic.Uint64
-	relayOrderCache atomic.Pointer[relayOrderCache]
-	members         shard.Map[vm.ID, *member]
+	relayOrders                      relayOrders
+	members                          shard.Map[vm.ID, *member]
 	// zoneReports holds the latest report of each zone, received from the zone or
 	// from a relay of this VM's zone. directReports holds only what this VM received
 	// from the zone itself, which it may forward as a relay.
@@ -68,7 +63,9 @@
 
 // NewRoster returns a roster that contains only this VM, whose process starts now.
 func NewRoster(now time.Time, self vm.VM) *Roster {
-	return &Roster{self: self, started: now}
+	r := &Roster{self: self, started: now}
+	r.relayOrders.update(vm.VM{}, self)
+	return r
 }
 
 // Self returns this VM.
@@ -89,11 +86,9 @@
 		if !m.lastMessage.IsZero() && v.Incarnation == "" {
 			return // the VM's own messages take precedence over reports by others
 		}
+		r.relayOrders.update(m.vm, v)
 		m.vm, changed = v, true
 	})
-	if changed {
-		r.changes.Add(1)
-	}
 	return changed
 }
 
@@ -105,21 +100,19 @@
 	if v.ID == r.self.ID {
 		return false, Gap{}
 	}
-	changed := false
 	r.members.Do(v.ID, func() *member { return &member{learnedAt: now} }, func(m *member) {
 		restarted = m.vm.Incarnation != v.Incarnation
 		if !restarted && v.Zone == r.self.Zone {
 			gap = gapBetween(m.lastMessage, now, memberTimeout)
 		}
-		changed = m.vm != v
+		if m.vm != v {
+			r.relayOrders.update(m.vm, v)
+		}
 		m.vm, m.lastMessage, m.started = v, now, now.Add(-uptime)
 		if relay {
 			m.lastRelayMessage = now
 		}
 	})
-	if changed {
-		r.changes.Add(1)
-	}
 	r.recordZoneMessage(now, v.Zone, now)
 	updateReport(&r.directReports, v.Zone, func(report *zoneReport) { report.lastMessage = now })
 	return restarted, gap
@@ -138,7 +131,7 @@
 // OthersInZone returns the known VMs of a zone except this one, in relay order.
 func (r *Roster) OthersInZone(z zone.ID) []vm.VM {
 	var out []vm.VM
-	for _, v := range r.relayOrder(z) {
+	for _, v := range r.relayOrders.zone(z) {
 		if v.ID != r.self.ID {
 			out = append(out, v)
 		}
@@ -150,7 +143,7 @@
 // For its own zone, this VM counts as one of them, whether it relays or not.
 func (r *Roster) Relays(now time.Time, z zone.ID) []vm.VM {
 	var out []vm.VM
-	for _, v := range r.relayOrder(z) {
+	for _, v := range r.relayOrders.zone(z) {
 		if len(out) == RelaysPerZone {
 			break
 		}
@@ -162,11 +155,12 @@
 }
 
 // Rank returns the number of live relays of this VM's zone that precede it in the
-// relay order: 0 for the first relay.
+// relay order: 0 for the first relay. It is at most RelaysPerZone, which all VMs have
+// that don't relay.
 func (r *Roster) Rank(now time.Time) int {
 	rank := 0
-	for _, v := range r.relayOrder(r.self.Zone) {
-		if v.ID == r.self.ID {
+	for _, v := range r.relayOrders.zone(r.self.Zone) {
+		if v.ID == r.self.ID || rank == RelaysPerZone {
 			break
 		}
 		if r.isLiveRelay(now, v.ID) {
@@ -194,7 +188,7 @@
 		return false
 	}
 	since := r.setRelayMissing(now)
-	place := slices.IndexFunc(r.relayOrder(r.self.Zone), func(v vm.VM) bool { return v.ID == r.self.ID })
+	place := slices.IndexFunc(r.relayOrders.zone(r.self.Zone), func(v vm.VM) bool { return v.ID == r.self.ID })
 	wait := time.Duration(min(max(place-RelaysPerZone+1, 0), maxTakeoverSteps)) * takeoverStep
 	return now.Sub(since) >= wait
 }
@@ -240,7 +234,7 @@
 // Zones returns the zones of all known VMs, starting with this VM's zone.
 func (r *Roster) Zones() []zone.ID {
 	out := []zone.ID{r.self.Zone}
-	for z := range r.relayOrders() {
+	for _, z := range r.relayOrders.zones() {
 		if z != r.self.Zone {
 			out = append(out, z)
 		}
@@ -260,56 +254,3 @@
 	})
 	return live
 }
-
-// relayOrder returns the known VMs of a zone in relay order: the first live ones
-// are its relays.
-func (r *Roster) relayOrder(z zone.ID) []vm.VM { return r.relayOrders()[z] }
-
-// relayOrderCache holds the VMs of each zone in relay order, as of a value of
-// Roster.changes.
-type relayOrderCache struct {
-	changes uint64
-	zones   map[zone.ID][]vm.VM
-}
-
-// relayOrders returns the relay order of each zone. It recomputes them if a VM has
-// changed.
-func (r *Roster) relayOrders() map[zone.ID][]vm.VM {
-	changes := r.changes.Load()
-	if cached := r.relayOrderCache.Load(); cached != nil && cached.changes == changes {
-		return cached.zones
-	}
-	zones := map[zone.ID][]vm.VM{r.self.Zone: {r.self}}
-	for _, v := range r.Others() {
-		zones[v.Zone] = append(zones[v.Zone], v)
-	}
-	for z, vms := range zones {
-		zones[z] = sortByRelayOrder(z, vms)
-	}
-	r.relayOrderCache.Store(&relayOrderCache{changes, zones})
-	return zones
-}
-
-// sortByRelayOrder returns the VMs of a zone in relay order. VMs with at least half
-// of the highest Strength come first. Rendezvous hashing orders the VMs within each
-// of these two classes.
-func sortByRelayOrder(z zone.ID, vms []vm.VM) []vm.VM {
-	strongest := 0
-	for _, v := range vms {
-		strongest = max(strongest, v.Strength)
-	}
-	ordered := vm.MemberList{VMs: vms}.Rank(vm.Role{Kind: relayRole, Name: string(z)})
-	slices.SortStableFunc(ordered, func(a, b vm.VM) int {
-		return cmp.Compare(strengthClass(a, strongest), strengthClass(b, strongest))
-	})
-	return ordered
-}
-
-// strengthClass returns 0 for a VM with at least half of the highest strength, and
-// 1 for a weaker one.
-func strengthClass(v vm.VM, strongest int) int {
-	if 2*v.Strength >= strongest {
-		return 0
-	}
-	return 1
-}
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -94,7 +94,7 @@
 		}
 		return 10
 	})
-	for _, v := range rosters[10].relayOrder("a")[:4] {
+	for _, v := range rosters[10].relayOrders.zone("a")[:4] {
 		if v.Strength < 80 {
 			t.Errorf("%s with strength %d ranks among the first", v.ID, v.Strength)
 		}
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -83,7 +83,7 @@
 	}
 	ranked := make([]scored, len(l.VMs))
 	for i, v := range l.VMs {
-		ranked[i] = scored{v, role.score(v.ID)}
+		ranked[i] = scored{v, role.Score(v.ID)}
 	}
 	slices.SortFunc(ranked, func(a, b scored) int {
 		if c := role.compareZone(a.vm, b.vm); c != 0 {
@@ -105,9 +105,9 @@
 		return VM{}, false
 	}
 	best := l.VMs[0]
-	bestScore := role.score(best.ID)
+	bestScore := role.Score(best.ID)
 	for _, v := range l.VMs[1:] {
-		score := role.score(v.ID)
+		score := role.Score(v.ID)
 		order := role.compareZone(v, best)
 		if order == 0 {
 			order = cmp.Or(cmp.Compare(bestScore, score), cmp.Compare(v.ID, best.ID))
@@ -119,9 +119,9 @@
 	return best, true
 }
 
-// score returns the rendezvous hash of the role and a VM. The VM with the highest
+// Score returns the rendezvous hash of the role and a VM. The VM with the highest
 // score among those of the preferred zone holds the role.
-func (r Role) score(id ID) uint64 {
+func (r Role) Score(id ID) uint64 {
 	var buf [128]byte
 	b := append(buf[:0], r.Kind...)
 	b = append(b, 0)
