catalog: few VMs of a zone follow the store after an outage

Cause: in an outage of the store the copies of all VMs grow too old, and each VM that then read the store took itself for a substitute and followed it for 5 s. Now a VM becomes one with a probability that gives 4 a zone on average; the others read once and rely on them. A VM that is cut off from all others reads again when its copy is too old, which is within the bound on changes as before.

Test: TestFewVMsFollowTheStoreAfterAnOutage, 120 VMs: 632 to 684 calls in 8 s before, limit 360; passes now. TestChangesAreInForceInTimeWhenReadersLoseTheStore holds.

--- a/catalog/propagation_test.go
+++ b/catalog/propagation_test.go
@@ -10,7 +10,7 @@
 	simulationStep  = 5 * time.Millisecond
 	simulatedTime   = 25 * time.Second
 	simulatedZones  = 2
-	vmsPerZone      = 6
+	smallZone       = 6 // VMs
 	relaysPerZone   = 2
 	maxChangeDelay  = 2 * time.Second
 	contactTime     = 3 * time.Second // after which a VM must be current again
@@ -32,6 +32,7 @@
 	vms       []*simulatedVM
 	// actions holds what happens at later times.
 	actions []simulatedAction
+	calls   int // that reached the store
 }
 
 type simulatedAction struct {
@@ -53,7 +54,7 @@
 	seen            uint64 // newest configuration that was in force
 }
 
-func newPropagation(seed uint64) *propagation {
+func newPropagation(seed uint64, vmsPerZone int) *propagation {
 	p := &propagation{rng: rand.New(rand.NewPCG(seed, 21)), writtenAt: make(map[uint64]time.Duration)}
 	p.write()
 	for i := range simulatedZones * vmsPerZone {
@@ -115,6 +116,7 @@
 		return
 	}
 	after, _ := v.VersionAsOf(OperatorTable)
+	p.calls++
 	p.poll(v, after, p.now+v.schedule.times.longPollWait)
 }
 
@@ -135,7 +137,7 @@
 	ch := p.changes(after)
 	p.after(callDelay, func() {
 		v.Apply(OperatorTable, ch)
-		v.schedule.recordRead(p.now+storeClockLag, v.rank)
+		v.schedule.recordRead(p.now+storeClockLag, v.rank, len(p.vms)/simulatedZones, p.rng.Float64())
 		v.calling = false
 		if len(ch.Rows) > 0 {
 			v.nextCheck = p.now + batchPause
@@ -186,7 +188,7 @@
 // run plays the simulated time and returns the first breach of a promise.
 func (p *propagation) run(t *testing.T) {
 	nextWrite, nextOutage := time.Second, 3*time.Second+time.Duration(p.rng.Int64N(int64(2*time.Second)))
-	for ; p.now < simulatedTime; p.now += simulationStep {
+	for p.now < simulatedTime {
 		if p.now >= nextWrite {
 			p.write()
 			nextWrite = p.now + time.Duration(p.rng.ExpFloat64()*float64(600*time.Millisecond))
@@ -195,28 +197,34 @@
 			p.turnAway(5*time.Second, p.rng.IntN(2) == 0)
 			nextOutage += 11 * time.Second
 		}
-		pending := p.actions
-		p.actions = nil
-		for _, a := range pending {
-			if a.at <= p.now {
-				a.do()
-			} else {
-				p.actions = append(p.actions, a)
-			}
-		}
-		for _, v := range p.vms {
-			p.read(v)
-			if p.now >= v.nextHeartbeat {
-				v.nextHeartbeat = p.now + heartbeatPeriod
-				p.announce(v)
-			}
-		}
+		p.step()
 		if !p.check(t) {
 			return
 		}
 	}
 }
 
+// step plays one simulationStep.
+func (p *propagation) step() {
+	pending := p.actions
+	p.actions = nil
+	for _, a := range pending {
+		if a.at <= p.now {
+			a.do()
+		} else {
+			p.actions = append(p.actions, a)
+		}
+	}
+	for _, v := range p.vms {
+		p.read(v)
+		if p.now >= v.nextHeartbeat {
+			v.nextHeartbeat = p.now + heartbeatPeriod
+			p.announce(v)
+		}
+	}
+	p.now += simulationStep
+}
+
 // check verifies that no VM goes back, and that each VM that the store serves has all
 // changes that are older than maxChangeDelay.
 func (p *propagation) check(t *testing.T) bool {
@@ -241,9 +249,37 @@
 // readers of all zones away, and against VMs that go back to an older version.
 func TestChangesAreInForceInTimeWhenReadersLoseTheStore(t *testing.T) {
 	for seed := uint64(1); seed <= 40; seed++ {
-		newPropagation(seed).run(t)
+		newPropagation(seed, smallZone).run(t)
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
 	}
 }
+
+// Guards against a large fleet that calls the store for seconds after an outage: the
+// copies of all VMs are old by then, and every VM took itself for a substitute.
+func TestFewVMsFollowTheStoreAfterAnOutage(t *testing.T) {
+	const largeZone, outage, afterwards = 60, 3 * time.Second, 8 * time.Second
+	for seed := uint64(1); seed <= 5; seed++ {
+		p := newPropagation(seed, largeZone)
+		for p.now < time.Second {
+			p.step()
+		}
+		for _, v := range p.vms {
+			v.turnedAwayUntil = p.now + outage
+		}
+		for p.now < time.Second+outage {
+			p.step()
+		}
+		p.calls = 0
+		for p.now < time.Second+outage+afterwards {
+			p.step()
+		}
+		// Each VM may call once to find that the store is back, and a few of them follow
+		// it for substitutePeriod.
+		limit := 3 * len(p.vms)
+		if p.calls > limit {
+			t.Errorf("seed %d: %d VMs called the store %d times in the %s after an outage, want at most %d", seed, len(p.vms), p.calls, afterwards, limit)
+		}
+	}
+}
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -31,6 +31,8 @@
 	// rank 0 reads the store for its zone. The others rely on its messages and read
 	// the store when these do not keep their copies current.
 	ReaderRank() int
+	// ZoneSize returns the number of known VMs of this VM's zone, itself included.
+	ZoneSize() int
 }
 
 const (
@@ -82,7 +84,7 @@
 				r.Log.WithField("table", t.String()).WithField("failures", failures).Info("The store can be read again.")
 			}
 			failures = 0
-			if schedule.recordRead(boottime.Now(), rank) {
+			if schedule.recordRead(boottime.Now(), rank, r.Role.ZoneSize(), rand.Float64()) {
 				r.Log.WithField("table", t.String()).WithField("age_ms", age.Milliseconds()).WithField("rank", rank).
 					WithField("for_ms", substitutePeriod.Milliseconds()).Info("The copy was old. This VM follows the store itself for a while.")
 			}
--- a/catalog/schedule.go
+++ b/catalog/schedule.go
@@ -52,12 +52,17 @@
 	// substituteAge is the age of a copy from which a substitute calls the store
 	// again. It leaves room for the calls of other substitutes.
 	substituteAge = 250 * time.Millisecond
+	// substitutesPerZone is the mean number of VMs of a zone that become substitutes
+	// when the copies of all grow too old, as in an outage of the store. A few are
+	// enough, because the others get their rows from them, and a store that comes back
+	// is not called by the whole fleet.
+	substitutesPerZone = 4
 )
 
 // readSchedule decides when one VM reads one table from the store. The first reader
-// of a zone follows the store all the time. Another VM starts when its copy has
-// become too old, and is a substitute from then on: it follows the store for a
-// while, because whatever keeps the first reader from the store may last.
+// of a zone follows the store all the time. Another VM reads it when its copy has
+// become too old. It may then be a substitute for a while, which follows the store
+// too: whatever keeps the first reader from the store may last.
 type readSchedule struct {
 	times ReadTimes
 	// spread is this VM's part of times.otherReaderSpread. Because of it some VMs
@@ -91,9 +96,10 @@
 func (s *readSchedule) isSubstitute(now time.Duration) bool { return now < s.substituteUntil }
 
 // recordRead records a successful read. It reports whether the VM has become a
-// substitute by it.
-func (s *readSchedule) recordRead(now time.Duration, rank int) (started bool) {
-	if rank == 0 || s.isSubstitute(now) {
+// substitute by it. zoneVMs is the number of VMs of the zone, and random a random
+// number, uniformly distributed in [0, 1).
+func (s *readSchedule) recordRead(now time.Duration, rank, zoneVMs int, random float64) (started bool) {
+	if rank == 0 || s.isSubstitute(now) || random*float64(zoneVMs) >= substitutesPerZone {
 		return false
 	}
 	s.substituteUntil = now + substitutePeriod
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -46,6 +46,11 @@
 	return rank
 }
 
+// ZoneSize implements catalog.ReaderRole.
+func (v *Process) ZoneSize() int {
+	return len(v.roster.OthersInZone(v.settings.Self.Zone)) + 1
+}
+
 // Run serves requests until stop ends and then shuts down gracefully: the VM reports
 // not ready, goes on serving until the load balancer has noticed, and lets requests
 // in flight finish.
