placement: servers that stay unused after single failures are reinstated

The idle bonus ends at 3 while a fault probability of 0.3 costs 7, and the typical failures (1 in 80), suspected slow requests and VMs whose links to 43% of the servers were cut make more servers suspect than the others can replace. Ruled out: requests in flight that are never counted down (0 at nearly all), slow start, draining, zones out. Change: of the servers without a request for 0.8 s, all but a fifth of the service's servers cost no more than the best one, the least suspect first, up to a fault probability of 0.6.

--- a/direct/choose.go
+++ b/direct/choose.go
@@ -108,7 +108,7 @@
 		OwnZone:     s.server.Server.Zone == d.deps.Self.Zone,
 		Slots:       s.server.Server.Slots,
 		InFlight:    s.state.InFlight,
-		FailureRate: s.state.FailureRate, RecentRefusals: s.state.RecentRefusals,
+		FailureRate: s.state.FailureRate, FaultProbability: s.state.FaultProbability, RecentRefusals: s.state.RecentRefusals,
 		RelativeLatency: s.state.RelativeLatency,
 		IdleTime:        s.state.IdleTime,
 		Tried:           tried[s.server.Server.ID],
--- a/placement/gray_test.go
+++ b/placement/gray_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"math/rand/v2"
@@ -25,10 +26,26 @@
 	meanServiceTime time.Duration
 	// useEvidence passes the failure rate and the idle time of the servers to Pick.
 	useEvidence bool
+	// cutServers is the number of servers, from the first on, that a share cutVMs of the
+	// VMs cannot reach. Such a failure is reported, and the request is sent elsewhere.
+	cutServers int
+	cutVMs     float64
+	// deadServers is the number of servers, after cutServers, that refuse all
+	// connections, and grayServers the number after these that fail most requests.
+	deadServers, grayServers int
+	// zones is the number of zones of the VMs and servers, 0 for one.
+	zones int
+	// latencySpread is the standard deviation of the logarithm of the service time, 0
+	// for 0.5.
+	latencySpread float64
+	// suspectSlow reports a request without a response after suspectAfter as a failure.
+	suspectSlow bool
 	// noFaults leaves out the faulty phases.
 	noFaults bool
 	duration time.Duration
 
+	now         time.Duration
+	nextFault   time.Duration // time of the next change of faulty phases
 	stats       evidence.ServerStats
 	events      eventHeap
 	faultyUntil []time.Duration // end of the faulty phase, by server
@@ -36,7 +53,8 @@
 
 	// late counts requests that took longer than 4 times meanServiceTime.
 	requests, failed, shed, late int
-	perServer                    []int // requests by server
+	perServer                    []int           // requests by server
+	lastRequest                  []time.Duration // time of the last request, by server
 }
 
 const (
@@ -45,6 +63,9 @@
 	faultyFailureRate  = 0.75                   // in a faulty phase
 	healthyFailureRate = 0.0125                 // in a healthy phase
 	queueLimit         = 12                     // waiting requests of one server
+	// suspectAfter is the multiple of meanServiceTime after which a request without a
+	// response counts as a failure.
+	suspectAfter = 4
 )
 
 // event is a change of a server's counts that the VMs learn of.
@@ -75,17 +96,28 @@
 
 // run simulates the requests of p.duration.
 func (p *simulation) run() {
+	p.start()
+	p.play()
+}
+
+// start prepares the servers.
+func (p *simulation) start() {
 	p.faultyUntil = make([]time.Duration, p.servers)
 	p.slotFreeAt = make([][]time.Duration, p.servers)
 	p.perServer = make([]int, p.servers)
+	p.lastRequest = make([]time.Duration, p.servers)
 	for i := range p.slotFreeAt {
 		p.slotFreeAt[i] = make([]time.Duration, p.slots)
 	}
-	nextFault := time.Duration(0)
-	for now := time.Duration(0); now < p.duration; {
-		now += time.Duration(p.rng.ExpFloat64() / p.arrivals * float64(time.Second))
-		if now >= nextFault { // every 9 s, about a third of the servers enter a faulty phase
-			nextFault += 9 * time.Second / time.Duration(p.servers)
+}
+
+// play simulates the requests from p.now to p.duration.
+func (p *simulation) play() {
+	for p.now < p.duration {
+		p.now += time.Duration(p.rng.ExpFloat64() / p.arrivals * float64(time.Second))
+		now := p.now
+		if now >= p.nextFault { // every 9 s, about a third of the servers enter a faulty phase
+			p.nextFault += 9 * time.Second / time.Duration(p.servers)
 			if !p.noFaults && p.rng.Float64() < 0.3 {
 				p.faultyUntil[p.rng.IntN(p.servers)] = now + time.Duration(1+3*p.rng.Float64())*time.Second
 			}
@@ -98,21 +130,47 @@
 	}
 }
 
-// request sends one request to the server that Pick selects.
+// request sends one request to servers that Pick selects.
 func (p *simulation) request(now time.Duration) {
+	cut, vmZone := p.rng.Float64() < p.cutVMs, p.rng.IntN(max(p.zones, 1))
+	tried := make(map[int]bool)
+	for {
+		server := p.pick(now, vmZone, tried)
+		reached := !(cut && server < p.cutServers) && !(server >= p.cutServers && server < p.cutServers+p.deadServers)
+		if reached || len(tried) == 3 {
+			p.send(now, server)
+			return
+		}
+		tried[server] = true
+		p.scheduleReport(now+failureReportDelay, server, tally.Counts{tally.Started: 1, tally.Failed: 1})
+	}
+}
+
+// pick returns the server that Pick selects.
+func (p *simulation) pick(now time.Duration, vmZone int, tried map[int]bool) int {
 	candidates := make([]placement.Candidate, p.servers)
 	for i := range candidates {
 		st := p.stats.State(epoch.Add(now), subject(i))
-		candidates[i] = placement.Candidate{OwnZone: true, Slots: p.slots, InFlight: st.InFlight, RelativeLatency: 1, RecentRefusals: st.RecentRefusals}
+		candidates[i] = placement.Candidate{OwnZone: i%max(p.zones, 1) == vmZone, Slots: p.slots, InFlight: st.InFlight, RelativeLatency: 1, RecentRefusals: st.RecentRefusals}
 		if p.useEvidence {
 			candidates[i].FailureRate, candidates[i].IdleTime = st.FailureRate, st.IdleTime
+			candidates[i].FaultProbability = st.FaultProbability
 		}
 	}
-	server := placement.Pick(candidates, false, p.rng.Float64())
+	for server := range tried {
+		candidates[server].Tried = true
+	}
+	return placement.Pick(candidates, false, p.rng.Float64())
+}
+
+// send sends a request to a server.
+func (p *simulation) send(now time.Duration, server int) {
 	p.requests++
 	p.perServer[server]++
+	p.lastRequest[server] = now
 	failureRate := healthyFailureRate
-	if now < p.faultyUntil[server] {
+	firstGray := p.cutServers + p.deadServers
+	if now < p.faultyUntil[server] || server >= firstGray && server < firstGray+p.grayServers {
 		failureRate = faultyFailureRate
 	}
 	if p.rng.Float64() < failureRate {
@@ -139,10 +197,14 @@
 		p.scheduleReport(now+reportDelay, server, tally.Counts{tally.Refused: 1})
 		return
 	}
-	end := max(now, p.slotFreeAt[server][slot]) + time.Duration(float64(p.meanServiceTime)*math.Exp(0.5*p.rng.NormFloat64()))
+	spread := cmp.Or(p.latencySpread, 0.5)
+	end := max(now, p.slotFreeAt[server][slot]) + time.Duration(float64(p.meanServiceTime)*math.Exp(spread*p.rng.NormFloat64()))
 	p.slotFreeAt[server][slot] = end
-	if end-now > 4*p.meanServiceTime {
+	if end-now > suspectAfter*p.meanServiceTime {
 		p.late++
+		if p.suspectSlow {
+			p.scheduleReport(now+suspectAfter*p.meanServiceTime, server, tally.Counts{tally.Failed: 1})
+		}
 	}
 	p.scheduleReport(end+reportDelay, server, tally.Counts{tally.Succeeded: 1, tally.RelativeLatencyPercent: 100})
 }
@@ -186,6 +248,41 @@
 	}
 }
 
+// Guards against sound servers without requests while the others are overloaded. A
+// fault of the links between a fifth of the VMs and many servers, gray and lost servers,
+// and the typical failures of sound servers, make more servers suspect than the rest
+// can replace. At least 70% of the sound servers get a request in any 2 s.
+func TestSoundServersStayInUseWhenManyAreSuspect(t *testing.T) {
+	const window, floorShare = 2 * time.Second, 0.7
+	for _, size := range []struct {
+		servers  int
+		arrivals float64
+	}{{12, 40}, {36, 100}, {101, 330}, {100, 1500}} {
+		for seed := uint64(1); seed <= 2; seed++ {
+			p := simulation{rng: rand.New(rand.NewPCG(seed, 11)), servers: size.servers, slots: 4, arrivals: size.arrivals, zones: 3,
+				meanServiceTime: 250 * time.Millisecond, useEvidence: true, noFaults: true, duration: 3 * time.Second,
+				cutServers: size.servers * 40 / 100, cutVMs: 0.2, grayServers: size.servers * 12 / 100, latencySpread: 0.8, suspectSlow: true}
+			p.start()
+			firstSound := p.cutServers + p.grayServers
+			worst := p.servers
+			for ; p.duration < 12*time.Second; p.duration += 250 * time.Millisecond {
+				p.play()
+				used := 0
+				for _, last := range p.lastRequest[firstSound:] {
+					if p.now-last < window {
+						used++
+					}
+				}
+				worst = min(worst, used)
+			}
+			sound := p.servers - firstSound
+			if float64(worst) < floorShare*float64(sound) {
+				t.Errorf("%+v seed %d: only %d of %d sound servers got a request within %s", size, seed, worst, sound, window)
+			}
+		}
+	}
+}
+
 // Guards against all VMs sending to the server that had the least load a tenth of a
 // second ago. At three quarters of the capacity, at most 2% of the requests are shed
 // or late.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -15,6 +15,8 @@
 	InFlight float64
 	// FailureRate is the estimated share of requests that fail, from 0 to 1.
 	FailureRate float64
+	// FaultProbability is the probability (0 to 1) that the server is in a faulty phase.
+	FaultProbability float64
 	// RelativeLatency is the server's latency divided by the typical latency of the
 	// same routes; 1 if it is not known.
 	RelativeLatency float64
@@ -74,6 +76,7 @@
 		costs[i] = candidates[i].cost(retryable)
 		minCost = min(minCost, costs[i])
 	}
+	reinstate(candidates, costs, minCost)
 	total := 0.0
 	for i, c := range costs {
 		costs[i] = math.Exp((minCost - c) / softmaxTemperature)
