direct: a retry after a failed connection takes nothing from the retry budget

Cause: the budget bounds what arrives at servers beyond the first of each request. An attempt that never connected did not arrive, yet its retry took a token. While servers are lost or cut off, these retries used up the budget that shed requests need. Test: TestFailedConnectionsNeedNoRetryBudget (failed before at the request that found the budget used); retries after shedding stay bounded.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -59,6 +59,7 @@
 	tried          map[contract.ServerID]bool
 	attempts       int             // attempts made
 	maybeExecuted  int             // attempts that a server may have executed
+	unreached      int             // attempts that did not reach their server
 	inFlight       int             // attempts in flight
 	typicalLatency time.Duration   // mean latency of the route, 0 if not known
 	best           *request.Result // best result so far, nil before the first
@@ -138,6 +139,9 @@
 	if result.Outcome != request.NotRun {
 		r.maybeExecuted++
 	}
+	if e.exchange.ConnectFailed {
+		r.unreached++
+	}
 	if r.best == nil || rank(result) > rank(*r.best) {
 		r.best = &result
 	}
@@ -181,12 +185,16 @@
 
 // spendExtraAttempt reports whether the time left, maxAttempts and the retry
 // budget of the service allow another attempt. It takes the attempt out of the
-// budget.
+// budget if an earlier one reached its server, or may reach it yet. The budget limits
+// the load that retries put on servers, and a failed connection puts none on them.
 func (r *attemptLoop) spendExtraAttempt() bool {
 	now := r.d.deps.Clock()
 	if r.ctx.Err() != nil || r.attempts >= maxAttempts || r.req.Deadline.Sub(now) < minTimeLeft {
 		return false
 	}
+	if r.attempts == r.unreached {
+		return true
+	}
 	if !r.d.counters.spendRetry(now, r.req.Service, r.d.deps.Fleet.ConnectedShare(now)) {
 		r.d.deps.Observer.Count("budget_exhausted")
 		return false
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -234,6 +234,31 @@
 
 func (fifthConnected) ConnectedShare(time.Time) float64 { return 0.2 }
 
+// Guards against requests that fail because retries after failed connections have used
+// the retry budget: such an attempt never reached a server.
+func TestFailedConnectionsNeedNoRetryBudget(t *testing.T) {
+	servers := &fakeServers{respond: func(attempt int, _ contract.ServerID) upstream.Exchange {
+		if attempt%2 == 1 {
+			return connectFailed
+		}
+		return succeeded
+	}}
+	d := newDispatcher(newSource(contract.NotIdempotent), servers)
+	for i := range 50 {
+		if result := send(d); result.Outcome != request.Answered {
+			t.Fatalf("request %d got %+v, want the response of the second server", i, result)
+		}
+	}
+	rejecting := &fakeServers{respond: func(int, contract.ServerID) upstream.Exchange { return shed }}
+	d = newDispatcher(newSource(contract.NotIdempotent), rejecting)
+	for range 50 {
+		send(d)
+	}
+	if retries := len(rejecting.sentTo) - 50; retries > 30 {
+		t.Errorf("%d retries of 50 requests that all servers shed, want at most the budget", retries)
+	}
+}
+
 // Guards against groups of VMs in a network partition that each spend the whole
 // retry budget of a service.
 func TestRetriesOfADisconnectedVMStayWithinItsShare(t *testing.T) {
