retry, gossip: a restarted VM adopts the attempts of the last window

Cause: a new process knew no earlier attempts and had 7% of the slack, growing to the whole in 15 s, so each VM that was restarted or added gave out a part of the budget that the fleet had used already. Change: a VM that hears an older one pulls the counts of its window with the table copies, and has no slack until then; if all VMs are new, a tenth as before. The used part of the slack is 0.65 of it (was 0.7). The known VMs are part of a pull only at the start, as they are as large as the fleet.

--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -59,6 +59,7 @@
 
 func (wholeFleet) ConnectedShare(time.Time) float64  { return 1 }
 func (wholeFleet) AllStartedRecently(time.Time) bool { return false }
+func (wholeFleet) OlderVMsLive(time.Time) bool       { return false }
 func (wholeFleet) ConnectionTime(now time.Time) fleet.ConnectionTime {
 	return fleet.ConnectionTime{Connected: time.Duration(now.UnixNano())}
 }
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -13,6 +13,13 @@
 	"almondstile/tally"
 )
 
+// ReplicaFleet provides what the replicas of quotas and retry budgets need to know of the
+// other VMs.
+type ReplicaFleet interface {
+	quota.Fleet
+	retry.Fleet
+}
+
 // ReplicatedState is this VM's replica of the state that all VMs share by
 // exchanging counters.
 type ReplicatedState struct {
@@ -28,8 +35,8 @@
 
 // NewReplicatedState returns the state of a process that starts at the given time
 // and has received no counters yet.
-func NewReplicatedState(now time.Time, fleet quota.Fleet, budget retry.BudgetLimits) *ReplicatedState {
-	return &ReplicatedState{Quota: quota.NewReplicatedBuckets(now, fleet), RetryBudgets: retry.NewReplicatedBudgets(now, budget)}
+func NewReplicatedState(now time.Time, fleet ReplicaFleet, budget retry.BudgetLimits) *ReplicatedState {
+	return &ReplicatedState{Quota: quota.NewReplicatedBuckets(now, fleet), RetryBudgets: retry.NewReplicatedBudgets(now, fleet, budget)}
 }
 
 // Configure applies the teams' rate limits of a configuration. It does nothing for
--- a/fleet/connectiontime.go
+++ b/fleet/connectiontime.go
@@ -107,15 +107,28 @@
 // before this one, so that the fleet admitted no requests before its start. It
 // returns false until a message of another VM has been received.
 func (r *Roster) AllStartedRecently(now time.Time) bool {
-	live, startedEarlier := 0, 0
+	live, older := r.countLive(now)
+	return live > 0 && older == 0
+}
+
+// OlderVMsLive reports whether this VM receives messages from a VM that started more
+// than startSpread before it.
+func (r *Roster) OlderVMsLive(now time.Time) bool {
+	_, older := r.countLive(now)
+	return older > 0
+}
+
+// countLive returns the number of other VMs that this VM receives messages from, and
+// how many of them started more than startSpread before it.
+func (r *Roster) countLive(now time.Time) (live, older int) {
 	r.members.Range(func(_ vm.ID, m *member) bool {
 		if now.Sub(m.lastMessage) < memberTimeout {
 			live++
 			if r.started.Sub(m.started) > startSpread {
-				startedEarlier++
+				older++
 			}
 		}
 		return true
 	})
-	return live > 0 && startedEarlier == 0
+	return live, older
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -10,6 +10,7 @@
 	"almondstile/fleet"
 	"almondstile/httpconn"
 	"almondstile/logging"
+	"almondstile/retry"
 	"almondstile/tally"
 
 	"github.com/cockroachdb/errors"
@@ -51,11 +52,23 @@
 	copiesPath = "/copies"
 )
 
+// AttemptWindows holds the attempts of the last window. A VM that has just started
+// adopts them from another one.
+type AttemptWindows interface {
+	// NeedsWindowsOf reports whether a VM whose process has run for the uptime knows of
+	// attempts that this VM needs and does not know of.
+	NeedsWindowsOf(now time.Time, uptime time.Duration) bool
+	Windows(now time.Time) retry.Windows
+	Adopt(now time.Time, w retry.Windows)
+}
+
 // Dependencies are the parts of the VM that a Node uses.
 type Dependencies struct {
 	Roster  *fleet.Roster
 	Ledger  *tally.Ledger
 	Catalog *catalog.Catalog
+	// Attempts holds the attempts that the retry budgets count.
+	Attempts AttemptWindows
 	// Seeds are the host:port addresses of VMs to contact while no other VM is a live
 	// relay of this VM's zone.
 	Seeds []string
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -12,8 +12,21 @@
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	// vmsArgument asks for the known VMs in a pull.
+	vmsArgument = "vms"
+	// attemptsArgument asks for the attempts of the last window in a pull.
+	attemptsArgument = "attempts"
+)
+
+// pullParts selects the parts of a pull beyond the rows of the tables. They are as large
+// as the fleet, so a VM asks for them after its start only.
+type pullParts struct {
+	vms, attempts bool
+}
+
 // handlePull responds with the rows that changed after the table versions in the
-// request, and with the known VMs.
+// request, and with the parts that it asks for.
 func (n *Node) handlePull(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != copiesPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -31,8 +44,13 @@
 		}
 		response.Tables = append(response.Tables, n.deps.Catalog.DeltaSince(t, after))
 	}
-	for _, v := range n.deps.Roster.Others() {
-		response.Members = append(response.Members, toMember(v))
+	if ctx.QueryArgs().GetBool(vmsArgument) {
+		for _, v := range n.deps.Roster.Others() {
+			response.Members = append(response.Members, toMember(v))
+		}
+	}
+	if ctx.QueryArgs().GetBool(attemptsArgument) {
+		response.Attempts = toAttemptWindows(n.deps.Attempts.Windows(time.Now()))
 	}
 	b, err := encode(response)
 	if err != nil {
@@ -44,8 +62,8 @@
 }
 
 // pull fetches the rows of another VM's table copies that are newer than this VM's,
-// and the VMs that it knows, and merges them.
-func (n *Node) pull(ctx context.Context, address string) error {
+// and the given parts, and merges them.
+func (n *Node) pull(ctx context.Context, address string, parts pullParts) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -56,6 +74,12 @@
 		version, _ := n.deps.Catalog.VersionAsOf(t)
 		uri += t.String() + "=" + strconv.FormatUint(version, 10) + "&"
 	}
+	if parts.vms {
+		uri += vmsArgument + "=true&"
+	}
+	if parts.attempts {
+		uri += attemptsArgument + "=true&"
+	}
 	req.SetRequestURI(uri)
 	req.Header.SetHost(address)
 	if _, err := n.pool.Do(ctx, address, req, resp, nil); err != nil {
@@ -74,6 +98,9 @@
 	for _, introduced := range response.Members {
 		n.deps.Roster.Learn(time.Now(), introduced.vm())
 	}
+	if parts.attempts {
+		n.deps.Attempts.Adopt(time.Now(), response.Attempts.windows())
+	}
 	changed := false
 	for i, d := range response.Tables {
 		if i < len(catalog.Tables) && d.Version > 0 {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -99,6 +99,8 @@
 
 // pullIfNewer records the store time and the table versions of a message, and pulls
 // the sender's table copies in the background if one of them is newer than this VM's.
+// From a VM that has run for longer it also pulls what this VM does not know because it
+// has just started.
 func (n *Node) pullIfNewer(ctx context.Context, wg *conc.WaitGroup, sender vm.VM, m message, bootTime time.Duration) {
 	if m.StoreMillis > 0 {
 		n.deps.Catalog.StoreClock.Observe(bootTime, fromMillis(m.StoreMillis))
@@ -109,7 +111,8 @@
 			behind = true
 		}
 	}
-	if !behind {
+	justStarted := n.deps.Attempts.NeedsWindowsOf(time.Now(), fromMillis(m.UptimeMillis))
+	if !behind && !justStarted {
 		return
 	}
 	select {
@@ -119,7 +122,7 @@
 	}
 	wg.Go(func() {
 		defer func() { <-n.pullSlots }()
-		if err := n.pull(ctx, sender.ControlAddress); err != nil {
+		if err := n.pull(ctx, sender.ControlAddress, pullParts{vms: justStarted, attempts: justStarted}); err != nil {
 			n.deps.Log.WithError(err).WithField("vm", sender.ID).Warn("Pulling newer table copies from a VM failed.")
 		}
 	})
--- a/gossip/send_test.go
+++ b/gossip/send_test.go
@@ -10,6 +10,7 @@
 	"almondstile/catalog"
 	"almondstile/fleet"
 	"almondstile/logging"
+	"almondstile/retry"
 	"almondstile/tally"
 	"almondstile/vm"
 )
@@ -19,6 +20,13 @@
 
 func (discardCounts) Observe(time.Time, tally.Subject, tally.Counts, bool) {}
 
+// discardAttempts is an AttemptWindows that holds nothing.
+type discardAttempts struct{}
+
+func (discardAttempts) NeedsWindowsOf(time.Time, time.Duration) bool { return false }
+func (discardAttempts) Windows(time.Time) retry.Windows              { return retry.Windows{} }
+func (discardAttempts) Adopt(time.Time, retry.Windows)               {}
+
 // Guards against counts that other VMs never learn because they changed while this VM
 // knew no live relay to send them to.
 func TestChangesWaitForARelay(t *testing.T) {
@@ -71,7 +79,8 @@
 			continue
 		}
 		node, err := Listen(Dependencies{Roster: roster, Catalog: catalog.New(nil, boottime.Now, log), Log: log,
-			Ledger: tally.NewLedger(now, tally.OriginOf(self.ID, self.Incarnation), discardCounts{}, nil)})
+			Attempts: discardAttempts{},
+			Ledger:   tally.NewLedger(now, tally.OriginOf(self.ID, self.Incarnation), discardCounts{}, nil)})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -144,7 +144,7 @@
 // listen opens the listeners for VMs, callers, readiness and metrics.
 func (v *Process) listen() error {
 	node, err := gossip.Listen(gossip.Dependencies{
-		Roster: v.roster, Ledger: v.ledger, Catalog: v.catalog, Seeds: v.settings.Seeds, Log: v.log.Part("gossip"),
+		Roster: v.roster, Ledger: v.ledger, Catalog: v.catalog, Attempts: v.state.RetryBudgets, Seeds: v.settings.Seeds, Log: v.log.Part("gossip"),
 		UrgentSignal: v.urgentSend,
 	})
 	if err != nil {
--- a/retry/replicated.go
+++ b/retry/replicated.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"almondstile/contract"
@@ -27,13 +28,11 @@
 	keptSlots = windowSlots + 1
 	// usedSlackShare is the part of the slack that is used. The rest covers retries
 	// that VMs send before they receive each other's counters.
-	usedSlackShare = 0.7
-	// startupSlackShare is the part of the used slack that is available at the start
-	// of a process. It grows linearly to the whole over startupWindows windows,
-	// because the processes before this one may have used all of theirs just before
-	// they stopped.
+	usedSlackShare = 0.65
+	// startupSlackShare is the part of the used slack that is available in the first
+	// window after all VMs have started. Their earlier processes may have used all of
+	// the used slack just before they stopped, so both together stay below the slack.
 	startupSlackShare = 0.1
-	startupWindows    = 1.5
 )
 
 // ReplicatedBudgets holds a replicated retry budget for each service. Every VM
@@ -41,14 +40,26 @@
 // from the other VMs. The zero value allows no retry. It is safe for concurrent use.
 type ReplicatedBudgets struct {
 	limits   BudgetLimits
-	started  time.Time
+	fleet    Fleet
 	services shard.Map[tally.Subject, *sendCounts]
+	// completeSince is the time in Unix nanoseconds since which the counts include the
+	// attempts of all VMs: the start of this process, or an earlier time after Adopt.
+	completeSince atomic.Int64
+}
+
+// Fleet provides what this VM knows of the starts of the others.
+type Fleet interface {
+	// OlderVMsLive reports whether this VM receives messages from a VM that started
+	// clearly before it.
+	OlderVMsLive(now time.Time) bool
 }
 
 // NewReplicatedBudgets returns the budgets of a process that starts at the given time
 // and does not know of earlier attempts.
-func NewReplicatedBudgets(started time.Time, limits BudgetLimits) *ReplicatedBudgets {
-	return &ReplicatedBudgets{limits: limits, started: started}
+func NewReplicatedBudgets(started time.Time, fleet Fleet, limits BudgetLimits) *ReplicatedBudgets {
+	s := &ReplicatedBudgets{limits: limits, fleet: fleet}
+	s.completeSince.Store(started.UnixNano())
+	return s
 }
 
 // sendCounts counts a service's first attempts and retries in the slots of the
@@ -79,11 +90,18 @@
 }
 
 // availableSlack returns the number of retries of the slack that are available at
-// the given time.
+// the given time. A VM that has just started knows of no earlier attempts. Until it has
+// adopted those of an older VM it has no slack, and if there is no older VM, a part.
 func (s *ReplicatedBudgets) availableSlack(now time.Time) float64 {
-	maxSlack := s.limits.Slack * usedSlackShare
-	startupShare := now.Sub(s.started).Seconds() / (startupWindows * s.limits.Window.Seconds())
-	return maxSlack * min(max(startupSlackShare, startupShare), 1)
+	slack := s.limits.Slack * usedSlackShare
+	switch {
+	case s.CompleteFor(now) >= s.limits.Window:
+		return slack
+	case s.fleet.OlderVMsLive(now):
+		return 0
+	default:
+		return slack * startupSlackShare
+	}
 }
 
 // RecordSends counts attempts of a service that were made now. Those of other VMs
