gossip, tally: records travel in columns, totals have 64 bits

Cause: a VM of a large fleet spends most of its time on the counters of the others. Of 121 us for a datagram of 28 records, decoding nested arrays with two allocations a record took half, collecting the zone's VMs for each relay message a quarter. Totals of 32 bits wrap: the latencies of a route with 174 requests/s after 34 hours, and the records around it were lost with all their fields. Change: one CBOR column a field; the zone's VMs are collected only after a gap; addresses are parsed without a resolver; totals are uint64, with the same length on the wire for small values. A count beyond 100 in one message updates the fault model at most 100 times. VMs of the former version do not read these datagrams and are not read: counts are shared again when a zone's VMs are replaced. Tests: TestTotalsDoNotWrapInAYear (does not compile with 32 bits: the constant overflows), TestAbsurdCountsTakeNoTime (did not end before within seconds by construction: 2^64 steps).

--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -87,7 +87,7 @@
 	case evidence.Success:
 		c.ledger.Add(now, server, tally.RelativeLatencyPercent, relativeLatency)
 		c.ledger.Add(now, server, tally.Succeeded, 1)
-		millis := uint32(latency.Milliseconds())
+		millis := uint64(latency.Milliseconds())
 		c.state.Routes.RecordResponses(now, route, 1, millis)
 		c.ledger.Add(now, route, tally.GoodResponses, 1)
 		c.ledger.Add(now, route, tally.LatencyMillis, millis)
--- a/evidence/health.go
+++ b/evidence/health.go
@@ -29,6 +29,9 @@
 	// minFaultProbability bounds the effect of many successes, so that the next
 	// faulty phase is detected quickly.
 	minFaultProbability = 0.01
+	// maxUpdates bounds the number of equal results that are applied one by one. After
+	// that many the probability is at its bound.
+	maxUpdates = 100
 	// maxFaultProbability bounds the effect of many failures, so that a recovered
 	// server gets requests again soon.
 	maxFaultProbability = 0.995
@@ -38,15 +41,17 @@
 const priorFaultProbability = float64(meanFaultyPhase) / float64(meanFaultyPhase+meanHealthyPhase)
 
 // recordFailures updates the model with n failures.
-func (m *faultModel) recordFailures(n int) { m.update(n, faultyFailureRate, healthyFailureRate) }
+func (m *faultModel) recordFailures(n uint64) { m.update(n, faultyFailureRate, healthyFailureRate) }
 
 // recordSuccesses updates the model with n successful responses.
-func (m *faultModel) recordSuccesses(n int) { m.update(n, 1-faultyFailureRate, 1-healthyFailureRate) }
+func (m *faultModel) recordSuccesses(n uint64) {
+	m.update(n, 1-faultyFailureRate, 1-healthyFailureRate)
+}
 
 // update applies Bayes' rule for n equal results. likelihoodFaulty and
 // likelihoodHealthy are the probabilities of such a result in each phase.
-func (m *faultModel) update(n int, likelihoodFaulty, likelihoodHealthy float64) {
-	for range n {
+func (m *faultModel) update(n uint64, likelihoodFaulty, likelihoodHealthy float64) {
+	for range min(n, maxUpdates) {
 		faulty, healthy := m.faultProbability*likelihoodFaulty, (1-m.faultProbability)*likelihoodHealthy
 		m.faultProbability = min(max(faulty/(faulty+healthy), minFaultProbability), maxFaultProbability)
 	}
--- a/evidence/health_test.go
+++ b/evidence/health_test.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -76,3 +77,13 @@
 		t.Errorf("20 s later: %+v, want nothing in flight", got)
 	}
 }
+
+// Guards against a VM that hangs on one message with an absurd count.
+func TestAbsurdCountsTakeNoTime(t *testing.T) {
+	var s ServerStats
+	subject := ServerSubject("server-1")
+	s.RecordRemoteCounts(time.Unix(1000, 0), subject, tally.Counts{tally.Failed: math.MaxUint64, tally.Succeeded: math.MaxUint64})
+	if p := s.State(time.Unix(1000, 0), subject).FaultProbability; !(p >= 0 && p <= 1) {
+		t.Errorf("the fault probability is %f", p)
+	}
+}
--- a/evidence/routes.go
+++ b/evidence/routes.go
@@ -42,7 +42,7 @@
 
 // RecordResponses adds n successful responses whose latencies sum up to millis
 // milliseconds.
-func (r *RouteLatencies) RecordResponses(now time.Time, subject tally.Subject, n, millis uint32) {
+func (r *RouteLatencies) RecordResponses(now time.Time, subject tally.Subject, n, millis uint64) {
 	r.records.Do(subject, func() *routeRecord { return &routeRecord{updatedAt: now} }, func(e *routeRecord) {
 		decay := math.Exp(-max(now.Sub(e.updatedAt), 0).Seconds() / routeDecayTime.Seconds())
 		e.responses = e.responses*decay + float64(n)
@@ -65,9 +65,9 @@
 
 // RelativeLatencyPercent returns a latency in percent of the typical one, at most
 // maxRelativeLatencyPercent. It returns 100 if the typical latency is 0 (not known).
-func RelativeLatencyPercent(latency, typical time.Duration) uint32 {
+func RelativeLatencyPercent(latency, typical time.Duration) uint64 {
 	if typical <= 0 {
 		return typicalLatencyPercent
 	}
-	return uint32(min(100*latency/typical, maxRelativeLatencyPercent))
+	return uint64(min(100*latency/typical, maxRelativeLatencyPercent))
 }
--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -101,7 +101,7 @@
 // RecordResult records the result of a request of this VM. latencyPercent is its
 // latency in percent of the typical latency of its route; only that of a Success
 // is recorded.
-func (s *ServerStats) RecordResult(now time.Time, subject tally.Subject, result Result, latencyPercent uint32) {
+func (s *ServerStats) RecordResult(now time.Time, subject tally.Subject, result Result, latencyPercent uint64) {
 	s.records.Do(subject, newServerRecord, func(r *serverRecord) {
 		r.localInFlight--
 		r.decay(now)
@@ -129,7 +129,7 @@
 func (s *ServerStats) RecordRemoteCounts(now time.Time, subject tally.Subject, counts tally.Counts) {
 	s.records.Do(subject, newServerRecord, func(r *serverRecord) {
 		r.decay(now)
-		r.model.recordFailures(int(counts[tally.Failed]))
+		r.model.recordFailures(counts[tally.Failed])
 		r.refusals += float64(counts[tally.Refused])
 		r.recordResponses(float64(counts[tally.Succeeded]), float64(counts[tally.RelativeLatencyPercent]))
 		r.recordSends(now, int(counts[tally.Started]))
@@ -169,7 +169,7 @@
 // recordResponses records n successful responses. latencyPercentSum is the sum of
 // their relative latencies, in percent.
 func (r *serverRecord) recordResponses(n, latencyPercentSum float64) {
-	r.model.recordSuccesses(int(n))
+	r.model.recordSuccesses(uint64(n))
 	r.latencyCount += n
 	r.latencyPercentSum += latencyPercentSum
 }
--- a/gossip/load_test.go
+++ b/gossip/load_test.go
@@ -79,7 +79,7 @@
 			records = append(records, tally.Record{Origin: tally.OriginOf(loadVM(origin).ID, "1"), Uptime: time.Minute,
 				Subject: tally.SubjectOf(tally.Server, fmt.Sprint(server)), Counts: c})
 		}
-		m := message{Sender: toMember(sender), Relay: true, Tables: make([]tableVersion, 2), Groups: toGroups(records[:countFitting(records)]), UptimeMillis: 60000}
+		m := message{Sender: toMember(sender), Relay: true, Tables: make([]tableVersion, 2), Records: toColumns(records[:countFitting(records)]), UptimeMillis: 60000}
 		encoded, err := encode(m)
 		if err != nil {
 			b.Fatal(err)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -19,7 +19,7 @@
 	maxDatagramBytes = 1400
 	// maxRecordBytes bounds the records of a datagram. The rest is for the other
 	// fields: the sender, the table versions, the zones and the introduced VMs.
-	maxRecordBytes = 850
+	maxRecordBytes = 780
 	// maxIntroducedVMs bounds the number of VMs that one datagram introduces: it
 	// carries their IDs and addresses, from which receivers learn that they exist.
 	maxIntroducedVMs = 3
@@ -36,24 +36,27 @@
 	AsOfMillis int64
 }
 
-// recordGroup holds records of one origin.
-type recordGroup struct {
-	_      struct{} `cbor:",toarray"`
-	Origin []byte
-	// UptimeDeciseconds is the origin's uptime in tenths of a second at the last
-	// change of the records.
-	UptimeDeciseconds int64
-	Records           []record
-	// Resent is true if the records are sent again after a gap in messages.
-	Resent bool
-}
-
-// record holds the subject and the counts of a tally.Record. The other fields of the
-// tally.Record are in the recordGroup. Trailing zeros of the counts are left out.
-type record struct {
-	_       struct{} `cbor:",toarray"`
-	Subject []byte
-	Counts  []uint32
+// recordColumns holds tally.Records, one column for each field, so that a message of
+// many records is decoded without an allocation for each of them. The records stand in
+// groups that have the origin, the uptime and the flag in common.
+type recordColumns struct {
+	_ struct{} `cbor:",toarray"`
+	// Origins holds the origin of each group, originBytes long.
+	Origins []byte
+	// UptimeDeciseconds is for each group the origin's uptime, in tenths of a second, at
+	// the last change of the records.
+	UptimeDeciseconds []int64
+	// Resent is for each group 1 if its records are sent again after a gap in messages,
+	// and otherwise 0.
+	Resent []byte
+	// Sizes is the number of records of each group.
+	Sizes []uint64
+	// Subjects holds the subject of each record, subjectBytes long.
+	Subjects []byte
+	// Lengths is the number of counts of each record, without trailing zeros.
+	Lengths []byte
+	// Counts holds the counts of all records.
+	Counts []uint64
 }
 
 // member describes a VM: the sender, or a VM that the sender introduces.
@@ -89,7 +92,7 @@
 	// them.
 	Zones   []zoneStatus
 	Members []member // the VMs that a relay introduces
-	Groups  []recordGroup
+	Records recordColumns
 	// Live and Total are the member count of the sender's zone. Silent holds the
 	// hashes of the zone's VMs from which the sender no longer receives messages.
 	// Only relays set them.
@@ -128,7 +131,7 @@
 type slotCounts struct {
 	_              struct{} `cbor:",toarray"`
 	Age            int
-	First, Retries uint32
+	First, Retries uint64
 }
 
 func toAttemptWindows(w retry.Windows) attemptWindows {
@@ -185,11 +188,17 @@
 	return out
 }
 
+// Lengths of fields of a record in bytes.
+const (
+	originBytes  = 8
+	subjectBytes = 9
+)
+
 // Upper bounds of encoded lengths in bytes.
 const (
-	groupBytes      = 19 // origin, uptime and the CBOR headers around them
-	recordHeadBytes = 14 // subject, and the CBOR headers of subject and counts
-	maxCountBytes   = 5
+	groupBytes      = originBytes + 5 + 1 + 2 // with uptime, flag and size
+	recordHeadBytes = subjectBytes + 1        // with the number of counts
+	maxCountBytes   = 9
 )
 
 // countFitting returns how many of the records, from the first on, fit into one
@@ -214,7 +223,7 @@
 }
 
 // countBytes returns the length of a count in CBOR.
-func countBytes(n uint32) int {
+func countBytes(n uint64) int {
 	switch {
 	case n < 24:
 		return 1
@@ -222,6 +231,8 @@
 		return 2
 	case n < 1<<16:
 		return 3
+	case n < 1<<32:
+		return 5
 	default:
 		return maxCountBytes
 	}
@@ -236,28 +247,46 @@
 	resent bool
 }
 
-// toGroups groups records by origin and by whether they are resent. The uptime of a
+// toColumns groups records by origin and by whether they are resent. The uptime of a
 // group is the highest of its records.
-func toGroups(records []tally.Record) []recordGroup {
-	var out []recordGroup
-	indexes := make(map[groupKey]int)
-	for _, r := range records {
+func toColumns(records []tally.Record) recordColumns {
+	var c recordColumns
+	byGroup := make(map[groupKey][]int)
+	var keys []groupKey
+	for i, r := range records {
 		k := groupKey{r.Origin, r.Resent}
-		i, ok := indexes[k]
-		if !ok {
-			i = len(out)
-			indexes[k] = i
-			out = append(out, recordGroup{Origin: []byte(r.Origin), Resent: r.Resent})
+		if byGroup[k] == nil {
+			keys = append(keys, k)
 		}
-		g := &out[i]
-		g.UptimeDeciseconds = max(g.UptimeDeciseconds, int64(r.Uptime/uptimeUnit))
-		g.Records = append(g.Records, record{Subject: []byte(r.Subject), Counts: trimTrailingZeros(r.Counts)})
+		byGroup[k] = append(byGroup[k], i)
 	}
-	return out
+	for _, k := range keys {
+		c.addGroup(k, records, byGroup[k])
+	}
+	return c
+}
+
+// addGroup adds the records with the indexes, which have the key in common.
+func (c *recordColumns) addGroup(k groupKey, records []tally.Record, indexes []int) {
+	uptime, resent := int64(0), byte(0)
+	for _, i := range indexes {
+		uptime = max(uptime, int64(records[i].Uptime/uptimeUnit))
+		counts := trimTrailingZeros(records[i].Counts)
+		c.Subjects = append(c.Subjects, records[i].Subject...)
+		c.Lengths = append(c.Lengths, byte(len(counts)))
+		c.Counts = append(c.Counts, counts...)
+	}
+	if k.resent {
+		resent = 1
+	}
+	c.Origins = append(c.Origins, k.origin...)
+	c.UptimeDeciseconds = append(c.UptimeDeciseconds, uptime)
+	c.Resent = append(c.Resent, resent)
+	c.Sizes = append(c.Sizes, uint64(len(indexes)))
 }
 
 // trimTrailingZeros returns the counts without trailing zeros.
-func trimTrailingZeros(c tally.Counts) []uint32 {
+func trimTrailingZeros(c tally.Counts) []uint64 {
 	n := len(c)
 	for n > 0 && c[n-1] == 0 {
 		n--
@@ -265,17 +294,38 @@
 	return c[:n]
 }
 
-func fromGroups(groups []recordGroup) []tally.Record {
-	var out []tally.Record
-	for _, g := range groups {
-		for _, r := range g.Records {
-			t := tally.Record{Origin: tally.Origin(g.Origin), Subject: tally.Subject(r.Subject),
-				Uptime: time.Duration(g.UptimeDeciseconds) * uptimeUnit, Resent: g.Resent}
-			copy(t.Counts[:], r.Counts)
-			out = append(out, t)
+// records returns the records of the columns. Its error is marked with ErrMalformed if
+// the columns do not fit together.
+func (c recordColumns) records() ([]tally.Record, error) {
+	groups := len(c.Sizes)
+	if len(c.Origins) != groups*originBytes || len(c.UptimeDeciseconds) != groups || len(c.Resent) != groups ||
+		len(c.Subjects) != len(c.Lengths)*subjectBytes {
+		return nil, errors.Mark(errors.New("columns of records have different lengths"), ErrMalformed)
+	}
+	// The records refer to parts of these two strings.
+	origins, subjects := string(c.Origins), string(c.Subjects)
+	out := make([]tally.Record, 0, len(c.Lengths))
+	counts := c.Counts
+	for g, size := range c.Sizes {
+		if size > uint64(len(c.Lengths)-len(out)) {
+			return nil, errors.Mark(errors.New("a group has more records than the message"), ErrMalformed)
+		}
+		for range size {
+			i := len(out)
+			n := int(c.Lengths[i])
+			if n > len(counts) || n > len(tally.Counts{}) {
+				return nil, errors.Mark(errors.New("a record has more counts than the message or the field"), ErrMalformed)
+			}
+			r := tally.Record{
+				Origin: tally.Origin(origins[g*originBytes : (g+1)*originBytes]), Subject: tally.Subject(subjects[i*subjectBytes : (i+1)*subjectBytes]),
+				Uptime: time.Duration(c.UptimeDeciseconds[g]) * uptimeUnit, Resent: c.Resent[g] == 1,
+			}
+			copy(r.Counts[:], counts[:n])
+			counts = counts[n:]
+			out = append(out, r)
 		}
 	}
-	return out
+	return out, nil
 }
 
 func toMember(v vm.VM) member {
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -12,9 +12,9 @@
 	"almondstile/vm"
 )
 
-// fullMessage returns a message of the largest encoded size: every list has its
-// maximum length, and numbers are large.
-func fullMessage() message {
+// fullMessage returns a message of the largest encoded size, and its records: every list
+// has its maximum length, and numbers are large.
+func fullMessage() (message, []tally.Record) {
 	m := message{
 		Sender: toMember(vm.VM{ID: "edge-scot-central-a-100", Zone: "scot-central-a", ControlAddress: "10.100.100.100:17560",
 			Incarnation: "12345678", Strength: 100}),
@@ -37,14 +37,16 @@
 			Counts: tally.Counts{70000, 70000, 300, 300, 7000000}, Uptime: 24 * time.Hour,
 		})
 	}
-	m.Groups = toGroups(records[:countFitting(records)])
-	return m
+	records = records[:countFitting(records)]
+	m.Records = toColumns(records)
+	return m, records
 }
 
 // Guards against datagrams that the network fragments or drops because the largest
 // message does not fit into one packet.
 func TestLargestMessageFitsIntoAPacket(t *testing.T) {
-	b, err := encode(fullMessage())
+	m, _ := fullMessage()
+	b, err := encode(m)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +58,7 @@
 // Guards against records that encoding and decoding change, and against truncated
 // messages that are accepted or crash the process.
 func TestMessagesRoundTripAndRejectTruncation(t *testing.T) {
-	want := fullMessage()
+	want, wantRecords := fullMessage()
 	b, err := encode(want)
 	if err != nil {
 		t.Fatal(err)
@@ -65,7 +67,11 @@
 	if err := decode(b, &got); err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(fromGroups(got.Groups), fromGroups(want.Groups)) {
+	gotRecords, err := got.Records.records()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(gotRecords, wantRecords) {
 		t.Error("encoding and decoding changed the records")
 	}
 	if zone := fromZones(got.Zones)[0]; zone != (fleet.ZoneStatus{Zone: "scot-central-a", Age: 500 * time.Millisecond, Members: fleet.MemberCount{Live: 400, Total: 400}}) {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -82,7 +82,7 @@
 	deps      Dependencies
 	started   time.Time
 	origin    tally.Origin
-	conn      net.PacketConn
+	conn      *net.UDPConn
 	server    *fasthttp.Server
 	listener  net.Listener
 	pool      *httpconn.Pool
@@ -109,7 +109,11 @@
 // returns a Node for it. Run starts the exchange of messages.
 func Listen(deps Dependencies) (*Node, error) {
 	address := deps.Roster.Self().ControlAddress
-	conn, err := net.ListenPacket("udp4", address)
+	datagrams, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "the control address %s", address)
+	}
+	conn, err := net.ListenUDP("udp4", datagrams)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for datagrams on %s", address)
 	}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -19,7 +19,7 @@
 func (n *Node) receive(ctx context.Context, wg *conc.WaitGroup) {
 	buf := make([]byte, 2*maxDatagramBytes)
 	for ctx.Err() == nil {
-		size, _, err := n.conn.ReadFrom(buf)
+		size, _, err := n.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 				n.deps.Log.WithError(err).Debug("Receiving a datagram failed.")
@@ -38,6 +38,11 @@
 // handleMessage applies a message of another VM to the roster, the ledger and the
 // catalog. It pulls the sender's table copies if they are newer.
 func (n *Node) handleMessage(ctx context.Context, wg *conc.WaitGroup, m message) {
+	records, err := m.Records.records()
+	if err != nil {
+		n.deps.Log.WithError(err).Debug("Ignored a datagram whose records cannot be read.")
+		return
+	}
 	now, bootTime := time.Now(), boottime.Now()
 	roster, self := n.deps.Roster, n.deps.Roster.Self()
 	sender := m.Sender.vm()
@@ -62,7 +67,7 @@
 	// A relay forwards records of other zones to its zone, and records of its zone's
 	// VMs to both. Records from another relay of the zone need no forwarding: that
 	// relay sends them to the zone and to the other zones itself.
-	n.deps.Ledger.Merge(now, fromGroups(m.Groups), tally.Forwarding{
+	n.deps.Ledger.Merge(now, records, tally.Forwarding{
 		Zone: selfIsRelay && !(inZone && m.Relay), OtherZones: selfIsRelay && inZone && !m.Relay, DeliveredInZone: inZone && m.Relay,
 	})
 	n.pullIfNewer(ctx, wg, sender, m, bootTime)
@@ -79,11 +84,15 @@
 		n.resendAfterGap(gap, true, tally.OwnZone, func(o tally.Origin) bool { return o == n.origin })
 		return
 	}
+	gap = roster.RecordRemoteRelayReport(now, sender.Zone, zones)
+	if !gap.Ended {
+		return
+	}
 	zoneOrigins := map[tally.Origin]bool{n.origin: true}
 	for _, v := range roster.OthersInZone(roster.Self().Zone) {
 		zoneOrigins[tally.OriginOf(v.ID, v.Incarnation)] = true
 	}
-	n.resendAfterGap(roster.RecordRemoteRelayReport(now, sender.Zone, zones), selfIsRelay, tally.OtherZones, func(o tally.Origin) bool { return zoneOrigins[o] })
+	n.resendAfterGap(gap, selfIsRelay, tally.OtherZones, func(o tally.Origin) bool { return zoneOrigins[o] })
 }
 
 // resendAfterGap schedules the records that changed since the start of the gap to be
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -4,7 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -140,7 +140,7 @@
 // relay it also records the member count of this VM's zone in the roster.
 func (n *Node) buildMessage(now time.Time, records []tally.Record) message {
 	roster := n.deps.Roster
-	m := message{Sender: toMember(roster.Self()), Relay: roster.IsRelay(now), Groups: toGroups(records),
+	m := message{Sender: toMember(roster.Self()), Relay: roster.IsRelay(now), Records: toColumns(records),
 		UptimeMillis: toMillis(now.Sub(n.started))}
 	if storeTime, known := n.deps.Catalog.StoreClock.At(boottime.Now()); known {
 		m.StoreMillis = toMillis(storeTime)
@@ -188,9 +188,9 @@
 }
 
 func (n *Node) sendTo(b []byte, address string) {
-	to, err := net.ResolveUDPAddr("udp4", address)
+	to, err := netip.ParseAddrPort(address)
 	if err == nil {
-		_, err = n.conn.WriteTo(b, to)
+		_, err = n.conn.WriteToUDPAddrPort(b, to)
 	}
 	if err != nil {
 		// The loss is tolerated: the next heartbeat repeats the sender's state, and each
--- a/gossip/send_test.go
+++ b/gossip/send_test.go
@@ -56,7 +56,7 @@
 	if err := decode(buf[:size], &m); err != nil {
 		t.Fatal(err)
 	}
-	if records := fromGroups(m.Groups); len(records) != 1 || records[0].Subject != subject {
+	if records, err := m.Records.records(); err != nil || len(records) != 1 || records[0].Subject != subject {
 		t.Errorf("the first message to a relay has the records %+v, want the change", records)
 	}
 }
--- a/notice/limit.go
+++ b/notice/limit.go
@@ -76,7 +76,7 @@
 
 // recordRemoteSends takes tokens for requests that another VM sent. Requests that are
 // reported after a gap in messages took no tokens of this VM's share.
-func (b *Board) recordRemoteSends(incarnation tally.Subject, sends uint32, resent bool) {
+func (b *Board) recordRemoteSends(incarnation tally.Subject, sends uint64, resent bool) {
 	if sends == 0 || resent {
 		return
 	}
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -118,7 +118,7 @@
 	}
 	switch {
 	case n.MaxPerSecond > 0:
-		c[tally.LimitStated], c[tally.LimitCentiPerSecond] = 1, uint32(math.Round(n.MaxPerSecond*centi))
+		c[tally.LimitStated], c[tally.LimitCentiPerSecond] = 1, uint64(math.Round(n.MaxPerSecond*centi))
 	case change.LimitUnstated:
 		c[tally.LimitUnstated] = 1
 	}
--- a/quota/replicated.go
+++ b/quota/replicated.go
@@ -184,7 +184,7 @@
 // burst when the other VM admitted the requests. Admissions that were
 // undelivered during a partition are taken out of the remote tokens first and
 // out of the level only beyond that.
-func (s *ReplicatedBuckets) RecordRemoteAdmissions(now time.Time, subject tally.Subject, admissions uint32, undelivered bool) {
+func (s *ReplicatedBuckets) RecordRemoteAdmissions(now time.Time, subject tally.Subject, admissions uint64, undelivered bool) {
 	s.withBucket(now, subject, func(b *sharedBucket) {
 		tokens := float64(admissions)
 		if undelivered && now.Before(b.remoteTokensUntil) {
--- a/retry/replicated.go
+++ b/retry/replicated.go
@@ -106,7 +106,7 @@
 
 // RecordSends counts attempts of a service that were made now. Those of other VMs
 // are counted when their counters arrive.
-func (s *ReplicatedBudgets) RecordSends(now time.Time, subject tally.Subject, first, retries uint32) {
+func (s *ReplicatedBudgets) RecordSends(now time.Time, subject tally.Subject, first, retries uint64) {
 	slot := s.slotNumber(now)
 	s.services.Do(subject, newSendCounts, func(c *sendCounts) { c.add(slot, float64(first), float64(retries)) })
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -29,7 +29,7 @@
 // slots between it and the slot at the time of the Windows.
 type SlotCounts struct {
 	Age            int
-	First, Retries uint32
+	First, Retries uint64
 }
 
 // CompleteFor returns the time for which the counts include the attempts of all VMs.
@@ -52,7 +52,7 @@
 		for i := range c.slots {
 			counts := &c.slots[i]
 			if age := slot - counts.number; age >= 0 && age < keptSlots {
-				service.Slots = append(service.Slots, SlotCounts{Age: int(age), First: uint32(counts.first), Retries: uint32(counts.retries)})
+				service.Slots = append(service.Slots, SlotCounts{Age: int(age), First: uint64(counts.first), Retries: uint64(counts.retries)})
 			}
 		}
 		if len(service.Slots) > 0 {
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"strings"
 	"time"
 
 	"almondstile/shard"
@@ -104,7 +105,7 @@
 }
 
 // Add adds n to a field of this VM's own totals of the subject.
-func (l *Ledger) Add(now time.Time, s Subject, f Field, n uint32) {
+func (l *Ledger) Add(now time.Time, s Subject, f Field, n uint64) {
 	var delta Counts
 	delta[f] = n
 	l.AddCounts(now, s, delta)
@@ -136,9 +137,11 @@
 // RecordActivity records that the origin, a process of another VM, is alive at the
 // time now.
 func (l *Ledger) RecordActivity(now time.Time, o Origin) {
-	l.origins.Do(o, func() *originState { return &originState{} }, func(s *originState) {
-		s.lastMessage = now
-	})
+	if l.origins.DoExisting(o, func(s *originState) { s.lastMessage = now }) {
+		return
+	}
+	o = Origin(strings.Clone(string(o))) // o may be part of a whole message
+	l.origins.Do(o, func() *originState { return &originState{} }, func(s *originState) { s.lastMessage = now })
 }
 
 // Forwarding selects the receivers to which merged records are forwarded.
@@ -180,6 +183,11 @@
 			return e, true
 		}
 		delta, newer = d, true
+		if exists {
+			r.Origin, r.Subject = e.record.Origin, e.record.Subject
+		} else { // the strings of a received record are parts of the whole message
+			r.Origin, r.Subject = Origin(strings.Clone(string(r.Origin))), Subject(strings.Clone(string(r.Subject)))
+		}
 		e.record, e.changedAt = r, now.Sub(l.started)
 		e.resentToZone, e.resentToRemote = r.Resent, r.Resent
 		if forwarding.Zone {
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -34,10 +34,10 @@
 		b := NewLedger(start, "origin-b", observed, nil)
 		now := start.Add(10 * time.Second)
 		var sent [][]Record
-		total := uint32(0)
+		total := uint64(0)
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
 			now = now.Add(50 * time.Millisecond)
-			n := uint32(rapid.IntRange(0, 3).Draw(t, "admitted"))
+			n := uint64(rapid.IntRange(0, 3).Draw(t, "admitted"))
 			if n > 0 {
 				a.Add(now, subject, Admitted, n)
 				total += n
@@ -237,3 +237,34 @@
 		t.Errorf("observed %d admissions, want 502", got)
 	}
 }
+
+// Guards against totals that wrap: with 32 bits, the latencies of a route with 174
+// requests per second did after 34 hours, and other VMs missed the counts around it. The
+// totals are those of a year at 73,000 requests per second of 200 ms.
+func TestTotalsDoNotWrapInAYear(t *testing.T) {
+	const millisPerYear = 365 * 24 * 3600 * 73000 * 200
+	now := time.Unix(1000, 0)
+	route := SubjectOf(Route, "route-1")
+	observed := &sumObserver{}
+	sender, receiver := NewLedger(now, "origin-1", observed, nil), NewLedger(now, "origin-2", observed, nil)
+	const steps = 40
+	for range steps {
+		sender.AddCounts(now, route, Counts{GoodResponses: 1, LatencyMillis: millisPerYear / steps})
+		receiver.Merge(now, sender.DequeueOwn(AllChanged), Forwarding{})
+	}
+	if want := uint64(steps); observed.sum[GoodResponses] != want {
+		t.Errorf("another VM counted %d of %d responses", observed.sum[GoodResponses], want)
+	}
+	if observed.sum[LatencyMillis] != millisPerYear/steps*steps {
+		t.Errorf("another VM counted %d ms", observed.sum[LatencyMillis])
+	}
+}
+
+// sumObserver adds all counts up.
+type sumObserver struct{ sum Counts }
+
+func (o *sumObserver) Observe(_ time.Time, _ Subject, delta Counts, _ bool) {
+	for i := range delta {
+		o.sum[i] += delta[i]
+	}
+}
--- a/tally/record.go
+++ b/tally/record.go
@@ -91,7 +91,7 @@
 )
 
 // Counts holds running totals, or the difference of two, indexed by Field.
-type Counts [fieldCount]uint32
+type Counts [fieldCount]uint64
 
 // minus returns c-o and true, or zero counts and false if a field would be negative.
 func (c Counts) minus(o Counts) (Counts, bool) {
