--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -65,7 +65,7 @@
 	notifyUrgent func()
 	entries      shard.Map[string, *entry] // by origin and subject
 	// pending holds the keys of entries with sends left. Its locks are taken
-	// before the locks of entries.
+	// before the locks of entries, and those of origins after them.
 	pending shard.Map[string, struct{}]
 	origins shard.Map[Origin, *originState]
 }
@@ -156,23 +156,27 @@
 // to the observer and schedules the records for forwarding. It ignores records of
 // this VM, and totals that are lower than the last ones because they are older.
 func (l *Ledger) Merge(now time.Time, records []Record, forwarding Forwarding) {
+	var active Origin
 	for _, r := range records {
-		if r.Origin != l.self {
-			l.merge(now, r, forwarding)
+		if r.Origin == l.self {
+			continue
 		}
+		if r.Origin != active { // the records of an origin stand together
+			active = r.Origin
+			l.RecordActivity(now, active)
+		}
+		l.merge(now, r, forwarding)
 	}
 }
 
 func (l *Ledger) merge(now time.Time, r Record, forwarding Forwarding) {
 	key := string(r.Origin) + string(r.Subject)
-	l.RecordActivity(now, r.Origin)
-	baseline := l.countsBeforeStart(now, r)
 	var delta Counts
 	newer := false
 	l.entries.Update(key, func(e *entry, exists bool) (*entry, bool) {
 		if !exists {
 			e = &entry{}
-			e.record.Counts = baseline
+			e.record.Counts = l.countsBeforeStart(now, r)
 			newer = true
 		}
 		d, ok := r.Counts.minus(e.record.Counts)
@@ -320,7 +324,9 @@
 		expired[o], s.totalsDeleted = true, true
 		return silent < silentOriginRetention
 	})
-	l.entries.Range(func(_ string, e *entry) bool { return !expired[e.record.Origin] })
+	if len(expired) > 0 {
+		l.entries.Range(func(_ string, e *entry) bool { return !expired[e.record.Origin] })
+	}
 }
 
 func newEntry() *entry { return &entry{} }
