--- a/gossip/message.go
+++ b/gossip/message.go
@@ -85,8 +85,9 @@
 	Sender member
 	Relay  bool // true if the sender relays for its zone
 	// StoreMillis is the sender's estimate of the store's clock in milliseconds, 0 if
-	// unknown.
+	// unknown. StoreHops is the number of VMs through which it hears of the clock.
 	StoreMillis int64
+	StoreHops   int
 	Tables      []tableVersion // in the order of catalog.Tables
 	// Zones are the zones from which the sender receives messages. Only relays set
 	// them.
@@ -107,6 +108,7 @@
 type pullResponse struct {
 	_           struct{} `cbor:",toarray"`
 	StoreMillis int64
+	StoreHops   int
 	Tables      []catalog.Delta
 	// Members and Attempts are set if the pull asked for them.
 	Members  []member
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -35,6 +35,7 @@
 	response := pullResponse{}
 	if storeTime, known := n.deps.Catalog.StoreClock.At(boottime.Now()); known {
 		response.StoreMillis = toMillis(storeTime)
+		response.StoreHops = n.deps.Catalog.StoreClock.Hops(boottime.Now())
 	}
 	for _, t := range catalog.Tables {
 		after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek(t.String())), 10, 64)
@@ -93,7 +94,7 @@
 		return err
 	}
 	if response.StoreMillis > 0 {
-		n.deps.Catalog.StoreClock.Observe(boottime.Now(), fromMillis(response.StoreMillis))
+		n.deps.Catalog.StoreClock.ObservePeer(boottime.Now(), fromMillis(response.StoreMillis), response.StoreHops)
 	}
 	for _, introduced := range response.Members {
 		n.deps.Roster.Learn(time.Now(), introduced.vm())
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -112,7 +112,7 @@
 // has just started.
 func (n *Node) pullIfNewer(ctx context.Context, wg *conc.WaitGroup, sender vm.VM, m message, bootTime time.Duration) {
 	if m.StoreMillis > 0 {
-		n.deps.Catalog.StoreClock.Observe(bootTime, fromMillis(m.StoreMillis))
+		n.deps.Catalog.StoreClock.ObservePeer(bootTime, fromMillis(m.StoreMillis), m.StoreHops)
 	}
 	behind := false
 	for i, peer := range m.Tables {
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -143,7 +143,7 @@
 	m := message{Sender: toMember(roster.Self()), Relay: roster.IsRelay(now), Records: toColumns(records),
 		UptimeMillis: toMillis(now.Sub(n.started))}
 	if storeTime, known := n.deps.Catalog.StoreClock.At(boottime.Now()); known {
-		m.StoreMillis = toMillis(storeTime)
+		m.StoreMillis, m.StoreHops = toMillis(storeTime), n.deps.Catalog.StoreClock.Hops(boottime.Now())
 	}
 	for _, t := range catalog.Tables {
 		version, asOf := n.deps.Catalog.VersionAsOf(t)
