placement: each VM prefers a subset of the servers of its zone

With many servers the probability also leaks to other zones: 384 servers at a cost of 3.5 get a quarter of the requests. Change: a VM ranks the servers of its zone by rendezvous hashing and prefers the first ones, so many that it sends each a request in 4 s, that a server has 8 VMs on average, and 5 at least. Servers outside and other zones are weighed like a group of the subset's size.

--- a/direct/choose.go
+++ b/direct/choose.go
@@ -48,6 +48,7 @@
 	for i := range available {
 		candidates[i] = d.candidate(&available[i], tried)
 	}
+	d.markSubset(now, req.Service, available, candidates)
 	i := placement.Pick(candidates, req.Idempotent && len(tried) == 0, rand.Float64())
 	if i < 0 {
 		return selection{}, false
@@ -55,6 +56,23 @@
 	return available[i], true
 }
 
+// markSubset marks the candidates that belong to this VM's subset of the servers of its
+// zone.
+func (d *Dispatcher) markSubset(now time.Time, service contract.ServiceID, available []selection, candidates []placement.Candidate) {
+	var own []int
+	var servers []contract.ServerID
+	for i := range candidates {
+		if candidates[i].OwnZone {
+			own = append(own, i)
+			servers = append(servers, available[i].server.Server.ID)
+		}
+	}
+	size := placement.SubsetSize(d.deps.ReplicatedState.RetryBudgets.SendRate(now, service), len(candidates), d.deps.Fleet.Size())
+	for k, preferred := range placement.Subset(d.deps.Self.ID, servers, size) {
+		candidates[own[k]].InSubset = preferred
+	}
+}
+
 // allowedByNotices reports whether a request may be sent to the server after what the
 // server stated about itself.
 func (d *Dispatcher) allowedByNotices(now time.Time, r *catalog.Registration) bool {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -9,6 +10,8 @@
 type Candidate struct {
 	// OwnZone is true for a server in the zone of this VM.
 	OwnZone bool
+	// InSubset is true for a server of this VM's subset.
+	InSubset bool
 	// Slots is the number of requests that the server executes at the same time.
 	Slots int
 	// InFlight is the estimated number of requests in flight at the server.
@@ -71,11 +74,11 @@
 		return -1
 	}
 	costs := make([]float64, len(candidates))
-	minCost := math.Inf(1)
 	for i := range candidates {
 		costs[i] = candidates[i].cost(retryable)
-		minCost = min(minCost, costs[i])
 	}
+	addGroupCosts(candidates, costs)
+	minCost := slices.Min(costs)
 	reinstate(candidates, costs, minCost)
 	total := 0.0
 	for i, c := range costs {
@@ -91,7 +94,7 @@
 	return len(costs) - 1
 }
 
-// cost returns the cost of sending the request to the server.
+// cost returns the cost of sending the request to the server, without that of its group.
 func (c *Candidate) cost(retryable bool) float64 {
 	utilization := c.InFlight / float64(max(c.Slots, 1))
 	cost := fullLoadCost*min(utilization, 1) + queueCost*max(utilization-1, 0)
@@ -100,9 +103,6 @@
 	} else {
 		cost += failureCost * c.FailureRate
 	}
-	if !c.OwnZone {
-		cost += otherZoneCost
-	}
 	if c.RelativeLatency > 1 {
 		cost += latencyCost * (c.RelativeLatency - 1)
 	}
