catalog, evidence: state of removed servers and routes is deleted

Change: what is kept of a row goes with the row; statistics go 5 minutes after the last result, if no request is in flight. Tests: TestRemovedServersAreForgotten (failed before), TestUnusedRecordsAreDeleted.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -240,13 +240,38 @@
 	for _, row := range c.tables[OperatorTable].usableRows() {
 		c.addOperatorRow(next, row, source)
 	}
-	for _, row := range c.tables[ServerTable].usableRows() {
-		if r := c.decodeRegistration(row, source); r != nil {
+	rows := c.tables[ServerTable].usableRows()
+	for _, row := range rows {
+		if r := c.decodeRegistration(row, source, len(old.Servers) == 0); r != nil {
 			next.Servers[r.Server.ID] = r
 			next.ByService[r.Service] = append(next.ByService[r.Service], r)
 		}
 	}
+	c.forgetRegistrations(rows)
 	c.view.Store(next)
+	if len(old.Servers) == 0 && len(next.Servers) > 0 {
+		c.log.WithField("servers", len(next.Servers)).WithField("services", len(next.ByService)).
+			WithField("source", source).WithField("age_ms", c.Age(ServerTable).Milliseconds()).Info("The servers' registrations are known.")
+	}
+}
+
+// forgetRegistrations deletes what was kept of rows of ServerTable that are not among the
+// given ones any more.
+func (c *Catalog) forgetRegistrations(rows []Row) {
+	if len(c.registrations) == len(rows) {
+		return
+	}
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		present[row.Key] = true
+	}
+	for key := range c.registrations {
+		if !present[key] {
+			delete(c.registrations, key)
+			delete(c.seenVersions, key)
+			delete(c.seenVersions, ServerTable.String()+key)
+		}
+	}
 }
 
 // addOperatorRow applies a row of OperatorTable to a view under construction. It
@@ -278,8 +303,9 @@
 }
 
 // decodeRegistration decodes a row of ServerTable, once for each version of the
-// row. It returns nil if the row is invalid.
-func (c *Catalog) decodeRegistration(row Row, source Source) *Registration {
+// row. It returns nil if the row is invalid. It logs the change unless this is the first
+// time that rows are decoded.
+func (c *Catalog) decodeRegistration(row Row, source Source, first bool) *Registration {
 	if r, ok := c.registrations[row.Key]; ok && r != nil && r.rowVersion == row.Version {
 		return r
 	} else if ok && r == nil && c.seenVersions[row.Key] == row.Version {
@@ -295,6 +321,9 @@
 	r.rowVersion = row.Version
 	r.ColdUntil = c.clock() + r.ColdFor
 	c.registrations[row.Key] = &r
+	if first {
+		return &r
+	}
 	c.log.WithField("server", r.Server.ID).WithField("service", r.Service).WithField("draining", r.Draining).
 		WithField("cold_ms", r.ColdFor.Milliseconds()).WithField("row_version", row.Version).
 		WithField("source", source).WithField("age_ms", c.Age(ServerTable).Milliseconds()).Info("A server's registration changed.")
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -187,3 +188,29 @@
 		t.Error("the zone is still out of use")
 	}
 }
+
+// Guards against memory that grows with each server that was ever registered.
+func TestRemovedServersAreForgotten(t *testing.T) {
+	c := newTestCatalog()
+	version := uint64(1)
+	c.Apply(ServerTable, Changes{Version: version, AsOf: c.storeNow(), FullTable: true})
+	for i := range 10000 {
+		key := fmt.Sprintf("server-%d", i)
+		value := "ok"
+		if i%10 == 0 {
+			value = "damaged"
+		}
+		version++
+		c.now += 100 * time.Millisecond
+		c.Apply(ServerTable, Changes{Version: version, AsOf: c.storeNow(), Rows: []Row{{Key: key, Value: []byte(value), Version: version}}})
+		if i < 5 {
+			continue
+		}
+		version++
+		old := fmt.Sprintf("server-%d", i-5)
+		c.Apply(ServerTable, Changes{Version: version, AsOf: c.storeNow(), Rows: []Row{{Key: old, Version: version, Removed: true}}})
+	}
+	if n := len(c.registrations) + len(c.seenVersions); n > 30 {
+		t.Errorf("%d entries are kept for %d servers", n, len(c.View().Servers))
+	}
+}
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -159,8 +159,11 @@
 	return change
 }
 
-// Sweep deletes the counts of crashes whose quarantine has expired, and old notices.
+// Sweep deletes the counts of crashes whose quarantine has expired, old notices, and the
+// statistics of servers and routes that are not used any more.
 func (s *ReplicatedState) Sweep(now time.Time) {
+	s.Servers.Sweep(now)
+	s.Routes.Sweep(now)
 	s.Crashes.sweep(now)
 	s.Notices.Sweep(now)
 }
--- a/evidence/health_test.go
+++ b/evidence/health_test.go
@@ -3,9 +3,11 @@
 import (
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
+	"almondstile/contract"
 	"almondstile/tally"
 )
 
@@ -87,3 +89,25 @@
 		t.Errorf("the fault probability is %f", p)
 	}
 }
+
+// Guards against memory that grows with each server that ever got a request, and against
+// a record that is deleted while its request is in flight.
+func TestUnusedRecordsAreDeleted(t *testing.T) {
+	var s ServerStats
+	now := time.Unix(1000, 0)
+	busy := ServerSubject("busy")
+	s.RecordStart(now, busy)
+	for i := range 10000 {
+		now = now.Add(time.Second)
+		subject := ServerSubject(contract.ServerID(strconv.Itoa(i)))
+		s.RecordStart(now, subject)
+		s.RecordResult(now, subject, Success, 100)
+		s.Sweep(now)
+	}
+	if n := s.records.Len(); n > int(retention/time.Second)+2 {
+		t.Errorf("%d records are kept", n)
+	}
+	if in := s.State(now, busy).InFlight; in != 1 {
+		t.Errorf("%v requests are in flight at a server with one", in)
+	}
+}
--- a/evidence/routes.go
+++ b/evidence/routes.go
@@ -51,6 +51,11 @@
 	})
 }
 
+// Sweep deletes the records of routes without responses for retention.
+func (r *RouteLatencies) Sweep(now time.Time) {
+	r.records.Range(func(_ tally.Subject, e *routeRecord) bool { return now.Sub(e.updatedAt) < retention })
+}
+
 // TypicalLatency returns the mean latency of the route's recent responses, or 0 if
 // it is not known.
 func (r *RouteLatencies) TypicalLatency(subject tally.Subject) time.Duration {
--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -23,6 +23,9 @@
 	// typicalLatencyPercent is the relative latency of a typical response, in percent.
 	// One such response is added to the recorded ones when the mean is taken.
 	typicalLatencyPercent = 100.0
+	// retention is the time for which the record of a server is kept without results. It
+	// is a multiple of all time constants.
+	retention = 5 * time.Minute
 	// unknownIdleTime is the idle time of a server without a record.
 	unknownIdleTime = time.Minute
 )
@@ -149,8 +152,21 @@
 	return state
 }
 
-// Delete deletes the record of a server that was removed or restarted.
-func (s *ServerStats) Delete(subject tally.Subject) { s.records.Delete(subject) }
+// Sweep deletes the records of servers about which nothing was heard for retention. By
+// then they differ little from those of a server without any results.
+func (s *ServerStats) Sweep(now time.Time) {
+	s.records.Range(func(_ tally.Subject, r *serverRecord) bool {
+		return r.localInFlight > 0 || now.Sub(r.lastEvent()) < retention
+	})
+}
+
+// lastEvent returns the time of the last send or result.
+func (r *serverRecord) lastEvent() time.Time {
+	if r.lastStart.After(r.updatedAt) {
+		return r.lastStart
+	}
+	return r.updatedAt
+}
 
 // state returns the statistics of a record that has decayed until now.
 func (r *serverRecord) state(now time.Time) State {
