tally, gossip: changes are repeated every 200 ms, route latencies are sampled

Cause: a VM sent each change at two ticks of 80 ms to two relays, so that nearly every tick sent datagrams; and every response was a record of its route at all VMs, although a mean needs few. Change: the second send waits for the next message after 200 ms, and a VM reports a response of a route with a probability that keeps about 100 of the last 15 s.

--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -85,12 +86,12 @@
 	c.state.Servers.RecordResult(now, server, result, relativeLatency)
 	switch result {
 	case evidence.Success:
-		c.ledger.Add(now, server, tally.RelativeLatencyPercent, relativeLatency)
-		c.ledger.Add(now, server, tally.Succeeded, 1)
+		c.ledger.AddCounts(now, server, tally.Counts{tally.Succeeded: 1, tally.RelativeLatencyPercent: relativeLatency})
 		millis := uint64(latency.Milliseconds())
 		c.state.Routes.RecordResponses(now, route, 1, millis)
-		c.ledger.Add(now, route, tally.GoodResponses, 1)
-		c.ledger.Add(now, route, tally.LatencyMillis, millis)
+		if rand.Float64() < c.state.Routes.ReportProbability(route) {
+			c.ledger.AddCounts(now, route, tally.Counts{tally.GoodResponses: 1, tally.LatencyMillis: millis})
+		}
 	case evidence.Failure:
 		c.ledger.Add(now, server, tally.Failed, 1)
 	case evidence.Refused:
--- a/evidence/routes.go
+++ b/evidence/routes.go
@@ -16,6 +16,9 @@
 	// minResponses is the decayed number of responses below which a route's typical
 	// latency counts as not known.
 	minResponses = 3.0
+	// reportedResponses is the decayed number of responses from which on a VM reports
+	// only a part of them.
+	reportedResponses = 100.0
 	// maxRelativeLatencyPercent bounds the effect of one response on the statistics
 	// of its server.
 	maxRelativeLatencyPercent = 1000
@@ -51,6 +54,15 @@
 	})
 }
 
+// ReportProbability returns the probability (0 to 1) with which a VM reports a response
+// of the route to the other VMs. A mean needs a bounded number of responses only, however
+// many the fleet handles.
+func (r *RouteLatencies) ReportProbability(subject tally.Subject) float64 {
+	probability := 1.0
+	r.records.DoExisting(subject, func(e *routeRecord) { probability = min(1, reportedResponses/max(e.responses, 1)) })
+	return probability
+}
+
 // Sweep deletes the records of routes without responses for retention.
 func (r *RouteLatencies) Sweep(now time.Time) {
 	r.records.Range(func(_ tally.Subject, e *routeRecord) bool { return now.Sub(e.updatedAt) < retention })
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -26,6 +26,9 @@
 	// that is not its zone's first. Its messages only cover for lost messages of
 	// the first relay.
 	standbyIntervals = 3
+	// repeatInterval is the interval at which a VM that is not a relay repeats its
+	// changes, so that the loss of one message delays them little.
+	repeatInterval = 200 * time.Millisecond
 	// heartbeatInterval is the interval at which messages are sent without changes.
 	heartbeatInterval = 200 * time.Millisecond
 	// minUrgentInterval is the minimum time between two sends of urgent changes,
@@ -101,6 +104,8 @@
 	// lastZoneSend and lastRemoteSend are the times of the last messages to VMs of
 	// this zone and of other zones.
 	lastZoneSend, lastRemoteSend time.Time
+	// lastRepeat is the time at which changes were last sent for a second time.
+	lastRepeat time.Time
 	// seeds holds Dependencies.Seeds or their replacement by SetSeeds.
 	seeds atomic.Pointer[[]string]
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -115,6 +115,9 @@
 		if len(relays) == 0 {
 			return // the changes wait until a relay is known
 		}
+		if scope == tally.AllChanged && now.Sub(n.lastRepeat) >= repeatInterval {
+			scope, n.lastRepeat = tally.WithRepeats, now
+		}
 		if n.sendRecords(now, ledger.DequeueOwn(scope), relays, zoneHeartbeatDue) {
 			n.lastZoneSend = now
 		}
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -16,7 +16,7 @@
 
 const (
 	// ownSends is the number of times that a VM sends a change of its own counts in
-	// its zone. relayZoneSends and relayRemoteSends are the number of times that a
+	// its zone: once, and again with the next message WithRepeats. relayZoneSends and relayRemoteSends are the number of times that a
 	// relay sends a change in its zone and to other zones. Two relays forward each
 	// change, so the loss of one datagram delays nothing.
 	ownSends         = 2
@@ -240,15 +240,20 @@
 
 // The scopes.
 const (
+	// AllChanged selects changes that were not sent yet.
 	AllChanged Scope = iota
+	// UrgentOnly selects those of them that don't wait for the next regular message.
 	UrgentOnly
+	// WithRepeats selects all changes that have sends left.
+	WithRepeats
 )
 
 // DequeueOwn returns this VM's own changed records that have sends left in its zone,
 // and counts one send of each.
 func (l *Ledger) DequeueOwn(scope Scope) []Record {
 	return l.dequeue(func(e *entry) (resent, due bool) {
-		if e.record.Origin != l.self {
+		repeat := e.zoneSendsLeft < ownSends
+		if e.record.Origin != l.self || repeat && scope != WithRepeats {
 			return false, false
 		}
 		return e.consumeZoneSend(scope)
