--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -55,8 +55,9 @@
 	FaultProbability float64
 	// InFlight is the estimated number of requests in flight at the server.
 	InFlight float64
-	// RecentRefusals counts recent refusals; it decays with decayTime.
-	RecentRefusals float64
+	// RecentSuccesses, RecentFailures and RecentRefusals count recent results. They
+	// decay with decayTime.
+	RecentSuccesses, RecentFailures, RecentRefusals float64
 	// RelativeLatency is the mean latency of recent responses, divided by the typical
 	// latency of their routes; 1 if there were none.
 	RelativeLatency float64
@@ -76,6 +77,7 @@
 type serverRecord struct {
 	updatedAt         time.Time
 	model             faultModel
+	failures          float64
 	refusals          float64
 	latencyPercentSum float64 // decayed sum of the relative latencies of successful responses, in percent
 	latencyCount      float64 // decayed number of responses in latencyPercentSum
@@ -112,7 +114,7 @@
 		case Success:
 			r.recordResponses(1, float64(latencyPercent))
 		case Failure:
-			r.model.recordFailures(1)
+			r.recordFailures(1)
 		case Refused:
 			r.refusals++
 		}
@@ -124,7 +126,7 @@
 func (s *ServerStats) RecordSuspectedFailure(now time.Time, subject tally.Subject) {
 	s.records.Do(subject, newServerRecord, func(r *serverRecord) {
 		r.decay(now)
-		r.model.recordFailures(1)
+		r.recordFailures(1)
 	})
 }
 
@@ -132,7 +134,7 @@
 func (s *ServerStats) RecordRemoteCounts(now time.Time, subject tally.Subject, counts tally.Counts) {
 	s.records.Do(subject, newServerRecord, func(r *serverRecord) {
 		r.decay(now)
-		r.model.recordFailures(counts[tally.Failed])
+		r.recordFailures(counts[tally.Failed])
 		r.refusals += float64(counts[tally.Refused])
 		r.recordResponses(float64(counts[tally.Succeeded]), float64(counts[tally.RelativeLatencyPercent]))
 		r.recordSends(now, int(counts[tally.Started]))
@@ -174,6 +176,8 @@
 		FailureRate:      r.model.failureRate(),
 		FaultProbability: r.model.faultProbability,
 		InFlight:         float64(r.localInFlight) + r.remoteInFlight,
+		RecentSuccesses:  r.latencyCount,
+		RecentFailures:   r.failures,
 		RecentRefusals:   r.refusals,
 		SentLastSecond:   r.sentLastSecond(now),
 		IdleTime:         now.Sub(r.lastStart),
@@ -182,6 +186,12 @@
 	return s
 }
 
+// recordFailures records n failures.
+func (r *serverRecord) recordFailures(n uint64) {
+	r.model.recordFailures(n)
+	r.failures += float64(n)
+}
+
 // recordResponses records n successful responses. latencyPercentSum is the sum of
 // their relative latencies, in percent.
 func (r *serverRecord) recordResponses(n, latencyPercentSum float64) {
@@ -199,6 +209,7 @@
 	if !r.updatedAt.IsZero() {
 		factor := math.Exp(-elapsed.Seconds() / decayTime.Seconds())
 		r.model.advance(elapsed)
+		r.failures *= factor
 		r.refusals *= factor
 		r.latencyPercentSum *= factor
 		r.latencyCount *= factor
--- a/placement/gray_test.go
+++ b/placement/gray_test.go
@@ -155,6 +155,7 @@
 		if p.useEvidence {
 			candidates[i].FailureRate, candidates[i].IdleTime = st.FailureRate, st.IdleTime
 			candidates[i].FaultProbability = st.FaultProbability
+			candidates[i].RecentSuccesses, candidates[i].RecentFailures = st.RecentSuccesses, st.RecentFailures
 		}
 	}
 	for server := range tried {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,9 +23,10 @@
 	// RelativeLatency is the server's latency divided by the typical latency of the
 	// same routes; 1 if it is not known.
 	RelativeLatency float64
-	// RecentRefusals counts the recent requests that the server refused because all
-	// of its slots were in use. Older ones count less.
-	RecentRefusals float64
+	// RecentSuccesses, RecentFailures and RecentRefusals count the recent requests that
+	// the server served, failed, or refused because all of its slots were in use. Older
+	// ones count less.
+	RecentSuccesses, RecentFailures, RecentRefusals float64
 	// IdleTime is the time since any VM sent a request to the server.
 	IdleTime time.Duration
 	// Tried is true if the server already got an attempt of this request.
