--- a/httpconn/endless_test.go
+++ b/httpconn/endless_test.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"bufio"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 )
 
 // startEndlessServer starts a server that responds to a request with prefix and then
@@ -76,3 +78,40 @@
 		})
 	}
 }
+
+// Guards against an answer that broke off halfway and reaches the caller as a complete
+// one: a body without a length ends with its connection, and the connection is reset.
+func TestResetEndsNoBodyWithoutLength(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			var req fasthttp.Request
+			_ = req.Read(bufio.NewReader(nc))
+			_, _ = nc.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of the body"))
+			time.Sleep(50 * time.Millisecond) // the bytes must arrive before the reset
+			if reset {
+				_ = nc.(*net.TCPConn).SetLinger(0)
+			}
+			_ = nc.Close()
+		})
+		options := DefaultOptions()
+		options.AllowCloseDelimitedBodies = true
+		resp, progress, err := doRequest(t, NewPool(options), listener.Addr().String(), "GET")
+		if reset && (err == nil || progress != request.Written) {
+			t.Errorf("reset: got body %q, progress %v, error %v; want an error of a written request", resp.Body(), progress, err)
+		}
+		if !reset && (err != nil || string(resp.Body()) != "half of the body") {
+			t.Errorf("closed: got body %q, error %v", resp.Body(), err)
+		}
+		_ = listener.Close()
+		wg.Wait()
+	}
+}
