--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -63,12 +63,32 @@
 	inFlight       int             // attempts in flight
 	typicalLatency time.Duration   // mean latency of the route, 0 if not known
 	best           *request.Result // best result so far, nil before the first
+	stopped        stopReason      // why there was no further attempt
+}
+
+// stopReason is why a request gets no further attempt.
+type stopReason string
+
+// The reasons for which a request gets no further attempt.
+const (
+	stoppedBySuccess     stopReason = ""
+	stoppedByOutcome     stopReason = "may-have-run"  // and may not run twice
+	stoppedByAttempts    stopReason = "attempts"      // the most that a request may have
+	stoppedByTime        stopReason = "time"          // the deadline is too close
+	stoppedByBudget      stopReason = "retry-budget"  // of the service
+	stoppedByKey         stopReason = "key-withdrawn" // during an attempt
+	stoppedWithoutServer stopReason = "no-candidate"  // no server may get the request
+)
+
+// attemptSummary says how the attempts of a request went, for the log.
+type attemptSummary struct {
+	attempts int
+	stopped  stopReason
 }
 
 // runAttempts sends the request to servers until one attempt succeeds or no
-// further attempt is allowed. It returns the best result and the number of
-// attempts.
-func (d *Dispatcher) runAttempts(ctx context.Context, route *contract.Route, req *request.Request) (request.Result, int) {
+// further attempt is allowed. It returns the best result and a summary of the attempts.
+func (d *Dispatcher) runAttempts(ctx context.Context, route *contract.Route, req *request.Request) (request.Result, attemptSummary) {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &attemptLoop{
 		d: d, ctx: ctx, route: route, req: req,
@@ -80,13 +100,13 @@
 		r.wg.Wait()
 	}()
 	if !r.startAttempt() {
-		return r.rejectWithoutServer(), 0
+		return r.rejectWithoutServer(), attemptSummary{stopped: r.stopped}
 	}
 	result := r.waitForResult()
 	if result.Outcome == request.NotRun && result.RetryAfter == 0 {
 		result.RetryAfter = r.retryAfter()
 	}
-	return result, r.attempts
+	return result, attemptSummary{r.attempts, r.stopped}
 }
 
 // rejectWithoutServer returns the result of a request that no server may get.
@@ -173,8 +193,16 @@
 
 // mayRetry decides whether another attempt follows after all have failed.
 func (r *attemptLoop) mayRetry() bool {
-	allowed := r.req.Idempotent && r.maybeExecuted < max(r.route.Attempts, 1) || r.maybeExecuted == 0
-	return allowed && r.spendExtraAttempt()
+	switch {
+	case r.maybeExecuted == 0:
+	case !r.req.Idempotent:
+		r.stopped = stoppedByOutcome
+		return false
+	case r.maybeExecuted >= max(r.route.Attempts, 1):
+		r.stopped = stoppedByAttempts
+		return false
+	}
+	return r.spendExtraAttempt()
 }
 
 // mayHedge decides whether the request is sent to a further server while an
@@ -189,7 +217,12 @@
 // the load that retries put on servers, and a failed connection puts none on them.
 func (r *attemptLoop) spendExtraAttempt() bool {
 	now := r.d.deps.Clock()
-	if r.ctx.Err() != nil || r.attempts >= maxAttempts || r.req.Deadline.Sub(now) < minTimeLeft {
+	switch {
+	case r.attempts >= maxAttempts:
+		r.stopped = stoppedByAttempts
+		return false
+	case r.ctx.Err() != nil || r.req.Deadline.Sub(now) < minTimeLeft:
+		r.stopped = stoppedByTime
 		return false
 	}
 	if r.attempts == r.unreached {
@@ -197,6 +230,7 @@
 	}
 	if !r.d.counters.spendRetry(now, r.req.Service, r.d.deps.Fleet.ConnectedShare(now)) {
 		r.d.deps.Observer.Count("budget_exhausted")
+		r.stopped = stoppedByBudget
 		return false
 	}
 	return true
@@ -220,12 +254,15 @@
 	// during the previous attempt.
 	view := r.d.deps.Source.View()
 	if r.req.Key != "" && !view.Index.KeyValid(r.req.Key, r.req.Team) {
+		r.stopped = stoppedByKey
 		return r.attempts > 0
 	}
 	selected, ok := r.d.selectServer(now, view, r.req, r.tried)
 	if !ok {
+		r.stopped = stoppedWithoutServer
 		return r.attempts > 0
 	}
+	r.stopped = stoppedBySuccess
 	if r.attempts == 0 {
 		r.d.counters.recordFirstAttempt(now, r.req.Service)
 	}
--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -100,10 +100,10 @@
 	if req.ID == "" {
 		req.ID = uuid.NewString()
 	}
-	result, attempts := d.serve(ctx, in, req)
+	result, summary := d.serve(ctx, in, req)
 	elapsed := d.deps.Clock().Sub(in.ReceivedAt)
-	d.deps.Observer.Finished(req, result, attempts, elapsed)
-	d.logResult(req, result, attempts, elapsed)
+	d.deps.Observer.Finished(req, result, summary.attempts, elapsed)
+	d.logResult(req, result, summary, elapsed)
 	return req.ID, result
 }
 
@@ -124,18 +124,18 @@
 }
 
 // serve checks the request and sends it to servers. It fills in req, and returns
-// the result and the number of attempts.
-func (d *Dispatcher) serve(ctx context.Context, in entry.IncomingRequest, req *request.Request) (request.Result, int) {
+// the result and a summary of the attempts.
+func (d *Dispatcher) serve(ctx context.Context, in entry.IncomingRequest, req *request.Request) (request.Result, attemptSummary) {
 	view := d.deps.Source.View()
 	if view.Index == nil {
-		return request.Rejected(request.ReasonNotReady), 0
+		return request.Rejected(request.ReasonNotReady), attemptSummary{}
 	}
 	route, err := entry.Authorize(view.Index, in, req)
 	if err != nil {
-		return request.Rejected(entry.ReasonOf(err)), 0
+		return request.Rejected(entry.ReasonOf(err)), attemptSummary{}
 	}
 	if req.Key != "" && d.deps.Source.Age(catalog.OperatorTable) > d.deps.Limits.MaxKeyDataAge {
-		return request.Rejected(request.ReasonStoreUnavailable), 0
+		return request.Rejected(request.ReasonStoreUnavailable), attemptSummary{}
 	}
 	req.Service = route.PickService(rand.Float64())
 	req.Deadline = in.ReceivedAt.Add(route.Timeout())
@@ -144,11 +144,11 @@
 	}
 	now := d.deps.Clock()
 	if d.deps.ReplicatedState.Crashes.quarantined(now, request.FingerprintOf(req)) {
-		return request.Rejected(request.ReasonQuarantined), 0
+		return request.Rejected(request.ReasonQuarantined), attemptSummary{}
 	}
 	if team := view.Index.Team(req.Team); team != nil {
 		if rejected := d.admit(now, team, req); rejected != nil {
-			return *rejected, 0
+			return *rejected, attemptSummary{}
 		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
@@ -174,14 +174,16 @@
 }
 
 // logResult logs each request that did not succeed at the first attempt.
-func (d *Dispatcher) logResult(req *request.Request, result request.Result, attempts int, elapsed time.Duration) {
-	if result.Outcome == request.Answered && result.Status < minServerErrorStatus && attempts <= 1 {
+func (d *Dispatcher) logResult(req *request.Request, result request.Result, summary attemptSummary, elapsed time.Duration) {
+	if result.Outcome == request.Answered && result.Status < minServerErrorStatus && summary.attempts <= 1 {
 		return
 	}
+	now := d.deps.Clock()
 	d.deps.Log.WithField("request", req.ID).WithField("route", req.Route).WithField("service", req.Service).
 		WithField("team", req.Team).WithField("idempotent", req.Idempotent).
 		WithField("outcome", result.Outcome).WithField("reason", result.Reason).WithField("status", result.Status).
-		WithField("attempts", attempts).WithField("elapsed_ms", elapsed.Milliseconds()).
+		WithField("attempts", summary.attempts).WithField("stopped", summary.stopped).
+		WithField("retries_left", d.deps.ReplicatedState.RetryBudgets.Left(now, req.Service, d.deps.Fleet.ConnectedShare(now))).WithField("elapsed_ms", elapsed.Milliseconds()).
 		WithField("operator_age_ms", d.deps.Source.Age(catalog.OperatorTable).Milliseconds()).
 		WithField("servers_age_ms", d.deps.Source.Age(catalog.ServerTable).Milliseconds()).
 		Info("A request ended.")
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -111,11 +111,16 @@
 
 // send sends a request with the valid key through the dispatcher.
 func send(d *Dispatcher) request.Result {
-	_, result := d.Do(context.Background(), entry.IncomingRequest{Method: "POST", Host: "h", Path: "/x", Target: "/x",
-		Credential: contract.HashSecret(key) + "." + key, ReceivedAt: time.Now(), Body: []byte("b")})
+	_, result := d.Do(context.Background(), incoming())
 	return result
 }
 
+// incoming returns a request with the valid key.
+func incoming() entry.IncomingRequest {
+	return entry.IncomingRequest{Method: "POST", Host: "h", Path: "/x", Target: "/x",
+		Credential: contract.HashSecret(key) + "." + key, ReceivedAt: time.Now(), Body: []byte("b")}
+}
+
 // Exchanges that the fake servers respond with.
 var (
 	succeeded     = upstream.Exchange{Result: request.Result{Outcome: request.Answered, Status: 200}}
@@ -260,6 +265,37 @@
 	}
 }
 
+// Guards against a failed request whose log does not tell why it was not sent once more.
+func TestEndOfAFailedRequestNamesWhatStoppedIt(t *testing.T) {
+	for _, c := range []struct {
+		idempotence contract.Idempotence
+		response    upstream.Exchange
+		servers     bool
+		requests    int // of which the last one is checked
+		want        stopReason
+	}{
+		{contract.NotIdempotent, serverError, true, 1, stoppedByOutcome},
+		{contract.Idempotent, serverError, true, 1, stoppedByAttempts},
+		{contract.NotIdempotent, shed, true, 20, stoppedByBudget}, // more than the budget allows at the start
+		{contract.NotIdempotent, connectFailed, true, 20, stoppedByAttempts},
+		{contract.Idempotent, succeeded, true, 1, stoppedBySuccess},
+		{contract.Idempotent, succeeded, false, 1, stoppedWithoutServer},
+	} {
+		source := newSource(c.idempotence)
+		if !c.servers {
+			source.view.ByService = nil
+		}
+		d := newDispatcher(source, &fakeServers{respond: func(int, contract.ServerID) upstream.Exchange { return c.response }})
+		var last attemptSummary
+		for range c.requests {
+			_, last = d.serve(context.Background(), incoming(), &request.Request{ID: "id"})
+		}
+		if last.stopped != c.want {
+			t.Errorf("%s, %+v: stopped by %q, want %q", c.idempotence, c.response.Result, last.stopped, c.want)
+		}
+	}
+}
+
 // Guards against requests that fail because retries after failed connections have used
 // the retry budget: such an attempt never reached a server.
 func TestFailedConnectionsNeedNoRetryBudget(t *testing.T) {
--- a/retry/replicated.go
+++ b/retry/replicated.go
@@ -89,6 +89,18 @@
 	return ok
 }
 
+// Left returns the number of retries that the budget still allows, 0 or less if it is used
+// up. share is the connected share of this VM, from 0 to 1.
+func (s *ReplicatedBudgets) Left(now time.Time, service contract.ServiceID, share float64) (left float64) {
+	slot, slack := s.slotNumber(now), s.availableSlack(now)
+	left = slack * share
+	s.services.DoExisting(tally.SubjectOf(tally.Service, string(service)), func(c *sendCounts) {
+		first, retries := c.sum(slot)
+		left += s.limits.Ratio*first - retries
+	})
+	return left
+}
+
 // availableSlack returns the number of retries of the slack that are available at
 // the given time. A VM that has just started knows of no earlier attempts. Until it has
 // adopted those of an older VM it has no slack, and if there is no older VM, a part.
