gossip: pulls carry the known VMs again

Cause: left the VMs out of all pulls but those from an older VM, so a fleet that starts learned of its members by introductions alone.

--- a/gossip/bootstrap.go
+++ b/gossip/bootstrap.go
@@ -43,7 +43,7 @@
 		n.sendTo(b, address)
 	}
 	if len(n.deps.Roster.Others()) == 0 && address != self.ControlAddress {
-		if err := n.pull(ctx, address, pullParts{vms: true}); err != nil {
+		if err := n.pull(ctx, address, false); err != nil {
 			n.deps.Log.WithError(err).WithField("seed", address).Info("Pulling table copies from a seed failed.")
 		}
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -110,8 +110,8 @@
 	StoreMillis int64
 	StoreHops   int
 	Tables      []catalog.Delta
-	// Members and Attempts are set if the pull asked for them.
-	Members  []member
+	Members     []member
+	// Attempts is set if the pull asked for it.
 	Attempts attemptWindows
 }
 
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -12,18 +12,8 @@
 	"github.com/valyala/fasthttp"
 )
 
-const (
-	// vmsArgument asks for the known VMs in a pull.
-	vmsArgument = "vms"
-	// attemptsArgument asks for the attempts of the last window in a pull.
-	attemptsArgument = "attempts"
-)
-
-// pullParts selects the parts of a pull beyond the rows of the tables. They are as large
-// as the fleet, so a VM asks for them after its start only.
-type pullParts struct {
-	vms, attempts bool
-}
+// attemptsArgument asks for the attempts of the last window in a pull.
+const attemptsArgument = "attempts"
 
 // handlePullGuarded handles a pull, and responds with an error if that panics.
 func (n *Node) handlePullGuarded(ctx *fasthttp.RequestCtx) {
@@ -33,7 +23,8 @@
 }
 
 // handlePull responds with the rows that changed after the table versions in the
-// request, and with the parts that it asks for.
+// request, with the known VMs and, if it asks for them, with the attempts of the last
+// window.
 func (n *Node) handlePull(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != copiesPath {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -52,10 +43,8 @@
 		}
 		response.Tables = append(response.Tables, n.deps.Catalog.DeltaSince(t, after))
 	}
-	if ctx.QueryArgs().GetBool(vmsArgument) {
-		for _, v := range n.deps.Roster.Others() {
-			response.Members = append(response.Members, toMember(v))
-		}
+	for _, v := range n.deps.Roster.Others() {
+		response.Members = append(response.Members, toMember(v))
 	}
 	if ctx.QueryArgs().GetBool(attemptsArgument) {
 		response.Attempts = toAttemptWindows(n.deps.Attempts.Windows(time.Now()))
@@ -69,9 +58,10 @@
 	ctx.SetBody(b)
 }
 
-// pull fetches the rows of another VM's table copies that are newer than this VM's,
-// and the given parts, and merges them.
-func (n *Node) pull(ctx context.Context, address string, parts pullParts) error {
+// pull fetches the rows of another VM's table copies that are newer than this VM's, the
+// VMs that it knows and, if withAttempts is set, the attempts of the last window, and
+// merges them.
+func (n *Node) pull(ctx context.Context, address string, withAttempts bool) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -82,10 +72,7 @@
 		version, _ := n.deps.Catalog.VersionAsOf(t)
 		uri += t.String() + "=" + strconv.FormatUint(version, 10) + "&"
 	}
-	if parts.vms {
-		uri += vmsArgument + "=true&"
-	}
-	if parts.attempts {
+	if withAttempts {
 		uri += attemptsArgument + "=true&"
 	}
 	req.SetRequestURI(uri)
@@ -106,7 +93,7 @@
 	for _, introduced := range response.Members {
 		n.deps.Roster.Learn(time.Now(), introduced.vm())
 	}
-	if parts.attempts {
+	if withAttempts {
 		n.deps.Attempts.Adopt(time.Now(), response.Attempts.windows())
 	}
 	changed := false
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -137,7 +137,7 @@
 	wg.Go(func() {
 		defer func() { <-n.pullSlots }()
 		n.deps.Guard.Handle("pull", string(sender.ID), func() {
-			if err := n.pull(ctx, sender.ControlAddress, pullParts{vms: justStarted, attempts: justStarted}); err != nil {
+			if err := n.pull(ctx, sender.ControlAddress, justStarted); err != nil {
 				n.deps.Log.WithError(err).WithField("vm", sender.ID).Warn("Pulling newer table copies from a VM failed.")
 			}
 		})
--- a/gossip/send_test.go
+++ b/gossip/send_test.go
@@ -125,3 +125,25 @@
 		t.Errorf("%d of 3 records were counted", observer.observed)
 	}
 }
+
+// Guards against VMs that stay unknown to most of a fleet that starts: without the VMs in
+// pulls, those of 32 VMs were connected with a changing part of it for a whole day.
+func TestPullBringsTheKnownVMs(t *testing.T) {
+	now := time.Now()
+	donor, _ := newNonRelay(t, now, "127.0.0.1:9")
+	for i := range 300 {
+		donor.deps.Roster.Learn(now, vm.VM{ID: vm.ID(fmt.Sprintf("new-%d", i)), Zone: "zone-b", ControlAddress: "127.0.0.1:9", Incarnation: "1"})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { donor.Run(ctx) })
+	receiver, _ := newNonRelay(t, now, "127.0.0.1:9")
+	if err := receiver.pull(ctx, donor.listener.Addr().String(), false); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := receiver.deps.Roster.Size(), donor.deps.Roster.Size(); got < want-1 {
+		t.Errorf("after a pull %d VMs are known, the other VM knows %d", got, want)
+	}
+}
