placement: up to three tenths of a service's servers may stay unused

Change: a service may leave 0.3 of its servers unused (0.25 before), which is what the operators' floor of 0.7 asks for.

--- a/placement/floor.go
+++ b/placement/floor.go
@@ -9,7 +9,7 @@
 const (
 	// maxUnusedShare is the largest share of a service's servers that may stay without
 	// requests because of suspected faults while the service is degraded.
-	maxUnusedShare = 0.25
+	maxUnusedShare = 0.3
 	// degradedShare is the share of requests that servers fail or refuse from which on a
 	// service is degraded.
 	degradedShare = 0.1
