--- a/backend/servers_test.go
+++ b/backend/servers_test.go
@@ -181,6 +181,7 @@
 // that stay taken when a waiter is abandoned, and waiters that never get a
 // decision. Random events are applied to one server and compared with a model.
 func TestRandomEvents(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 6).Draw(t, "slots")
 		m := newModel(slots, rapid.IntRange(1, slots).Draw(t, "cold"))
@@ -204,6 +205,7 @@
 // requests. With start-time fair queueing, the numbers of admitted requests per
 // weight of two backlogged teams differ by at most one request of each team.
 func TestFairnessByWeight(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		servers := NewServers(Options{Ramp: RampOptions{Disabled: true}, MaxQueue: 64, MaxQueuePerTeam: 16})
 		servers.Configure(start, "loandesk", serverConfig(3, 1), true)
@@ -261,6 +263,7 @@
 // against slots that stay taken after all requests have ended. 16 goroutines request
 // slots at the same time, and every fourth request is canceled.
 func TestConcurrentWaiters(t *testing.T) {
+	t.Parallel()
 	servers := NewServers(Options{Ramp: RampOptions{Disabled: true}, MaxQueue: 64, MaxQueuePerTeam: 64})
 	servers.Configure(start, "loandesk", serverConfig(3, 1), true)
 	var running, maxRunning, admitted atomic.Int64
@@ -303,6 +306,7 @@
 // lost response must limit it to its cold slots until a response identifies its
 // process.
 func TestLostResponseLimitsUntilProcessIsKnown(t *testing.T) {
+	t.Parallel()
 	servers := NewServers(DefaultOptions())
 	servers.Configure(start, "loandesk", serverConfig(3, 1), true)
 	servers.servers.DoExisting(testServer, func(v *Server) { v.ramp.limit, v.instance = 3, "a" })
@@ -326,6 +330,7 @@
 // capacity grows by one slot for each 8 responses and 1 s, and requests above the
 // capacity are overload. The same load must overload the server without the ramp.
 func TestRampKeepsColdServerWithinCapacity(t *testing.T) {
+	t.Parallel()
 	overload := map[bool]int{}
 	for _, disabled := range []bool{false, true} {
 		o := DefaultOptions()
@@ -363,6 +368,7 @@
 // Guards against server states that are changed by encoding and decoding, and
 // against malformed bytes that make the entry VM panic.
 func TestStateEncoding(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		var states []ServerState
 		for i := rapid.IntRange(0, 5).Draw(t, "n"); i > 0; i-- {
--- a/evidence/health_test.go
+++ b/evidence/health_test.go
@@ -14,6 +14,7 @@
 // Guards against slow detection of a faulty server. After many successes, one
 // failure must raise the fault probability to a quarter and a second one to 0.9.
 func TestFailuresAfterManySuccessesAreDetected(t *testing.T) {
+	t.Parallel()
 	h := faultModel{priorFaultProbability}
 	h.recordSuccesses(200)
 	h.recordFailures(1)
@@ -29,6 +30,7 @@
 // Guards against avoiding a server for a long time after one of its ordinary
 // failures, and against never trying a server again that has recovered.
 func TestFaultProbabilityFallsAfterRecovery(t *testing.T) {
+	t.Parallel()
 	h := faultModel{priorFaultProbability}
 	h.recordFailures(1)
 	h.recordSuccesses(4)
@@ -45,6 +47,7 @@
 // Guards against a high fault probability of servers that fail at their ordinary
 // rate, 1 in 80.
 func TestHealthyServerIsSeldomSuspected(t *testing.T) {
+	t.Parallel()
 	rng := rand.New(rand.NewPCG(1, 2))
 	h := faultModel{priorFaultProbability}
 	suspect, results := 0, 20000
@@ -67,6 +70,7 @@
 // Guards against counting the requests of a VM that crashed as in flight forever,
 // and against ignoring the results of other VMs.
 func TestRemoteCounts(t *testing.T) {
+	t.Parallel()
 	var s ServerStats
 	now := time.Unix(1000, 0)
 	subject := ServerSubject("server-1")
@@ -82,6 +86,7 @@
 
 // Guards against a VM that hangs on one message with an absurd count.
 func TestAbsurdCountsTakeNoTime(t *testing.T) {
+	t.Parallel()
 	var s ServerStats
 	subject := ServerSubject("server-1")
 	s.RecordRemoteCounts(time.Unix(1000, 0), subject, tally.Counts{tally.Failed: math.MaxUint64, tally.Succeeded: math.MaxUint64})
@@ -93,6 +98,7 @@
 // Guards against memory that grows with each server that ever got a request, and against
 // a record that is deleted while its request is in flight.
 func TestUnusedRecordsAreDeleted(t *testing.T) {
+	t.Parallel()
 	var s ServerStats
 	now := time.Unix(1000, 0)
 	busy := ServerSubject("busy")
--- a/fleet/connectedshare_test.go
+++ b/fleet/connectedshare_test.go
@@ -64,6 +64,7 @@
 // zone are cut off together. Both groups still receive messages of all zones, so
 // each would count as the whole fleet if one message made a whole zone connected.
 func TestConnectedSharesOfGroupsSpanningAllZones(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1000, 0)
 	all := rostersOfZones([]string{"a", "b", "c"}, 10, start)
 	at := exchangeMessages([][]*Roster{all}, start, 20)
@@ -95,6 +96,7 @@
 // messages, although it receives theirs: no other VM learns what it admits. The VM
 // detects the gap, and its end, from the relay's list of silent VMs.
 func TestVMSilentToItsRelaysCountsAlone(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1000, 0)
 	all := rostersOfZones([]string{"a"}, 6, start)
 	at := exchangeMessages([][]*Roster{all}, start, 20)
@@ -120,6 +122,7 @@
 // Guards against refilling tokens for time in which other VMs' messages did not
 // arrive: the time of a network partition counts as disconnected, not as connected.
 func TestConnectionTimeStopsWhileAZoneIsCutOff(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1000, 0)
 	all := rostersOfZones([]string{"a", "b"}, 5, start)
 	at := exchangeMessages([][]*Roster{all}, start, 20)
--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -38,6 +38,7 @@
 // once when one falls silent. Either could happen when heartbeats are lost and VMs
 // stop and start.
 func TestZoneKeepsFewRelays(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 30).Draw(t, "vms")
 		rosters := rostersOfOneZone(n, func(i int) int { return 10 + 40*(i%2) })
@@ -88,6 +89,7 @@
 // Guards against choosing VMs as relays that have a tenth of the bandwidth of
 // others.
 func TestStrongVMsRelayFirst(t *testing.T) {
+	t.Parallel()
 	rosters := rostersOfOneZone(20, func(i int) int {
 		if i < 4 {
 			return 80
@@ -104,6 +106,7 @@
 // Guards against groups of zones that are cut off from each other and together
 // admit more than a team's rate, because their connected shares exceed 1 in total.
 func TestConnectedSharesOfSeparatedZonesAddUpToOne(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		zones := []string{"a", "b", "c"}
 		var all []vm.VM
--- a/notice/limit_test.go
+++ b/notice/limit_test.go
@@ -168,6 +168,7 @@
 // operators': one and a half times what the limit allows in 4 s, plus 5. Also guards
 // against a limit that leaves the server idle: at least half of it is used.
 func TestLimitOfServerHoldsOverAllVMs(t *testing.T) {
+	t.Parallel()
 	for _, vms := range []int{12, 36, 98} {
 		for _, limit := range []float64{1, 2.8, 6} {
 			for _, arrivals := range []float64{14, 95, 320} {
--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -11,6 +11,7 @@
 // Guards against notices that end too early or never: a pause ends by itself, a limit
 // after two responses in a row without one, and leaving only with a new incarnation.
 func TestNoticesEnd(t *testing.T) {
+	t.Parallel()
 	var b notice.Board
 	server := notice.SubjectOf("a", 1)
 	b.Record(epoch, server, notice.Notice{Leaving: true, MaxPerSecond: 2, PauseFor: time.Second})
@@ -35,6 +36,7 @@
 // Guards against VMs that do not learn the limit that a server stated to another VM,
 // or its end.
 func TestNoticesReachOtherVMs(t *testing.T) {
+	t.Parallel()
 	var from, to notice.Board
 	server := notice.SubjectOf("a", 1)
 	tell := func(n notice.Notice) {
--- a/outlier/bounds_test.go
+++ b/outlier/bounds_test.go
@@ -64,6 +64,7 @@
 // case injects one fault into one server and measures the time to its ejection. The
 // log also shows that time without the check that is meant to detect the fault.
 func TestDetectionTime(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name          string
 		kind          fault
@@ -109,6 +110,7 @@
 // of the whole service could cause. The log also shows the number without the parts
 // of the detection that prevent them.
 func TestNoFalseEjections(t *testing.T) {
+	t.Parallel()
 	ejected := falseEjections(Ablation{})
 	t.Logf("false ejections in %d runs of %v: %d", boundSeeds, healthyRun, ejected)
 	t.Logf("without aligned reports: %d; with a tolerance that ignores the others' shares: %d; with neither: %d",
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -174,6 +174,7 @@
 // through arbitrary reports, late or lost replies, and several homes that act at the
 // same time while the home role moves.
 func TestFloorHolds(t *testing.T) {
+	t.Parallel()
 	ejected := 0
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFloorSimulation(t)
@@ -192,6 +193,7 @@
 // against a server that stays out of service after it recovered. One server fails for
 // 1000 reports, then works again.
 func TestEjectionTimeDoublesAndRecoveredServerReturns(t *testing.T) {
+	t.Parallel()
 	d, now := NewDetector(Ablation{}), simStart
 	config := ServiceConfig{FloorShare: 0.5}
 	for i := 0; i < simServers; i++ {
@@ -247,6 +249,7 @@
 // Guards against an ejection that stays in force for good when its home is lost, and
 // against a new home that does not learn the grants of the former one from reports.
 func TestGrantsExpireWithoutHomeAndSurviveHomeChange(t *testing.T) {
+	t.Parallel()
 	f := newFleet(7, Ablation{}, fault{server: 2, from: simWarmup, until: time.Hour, errorShare: 1})
 	f.run(simWarmup + 4*time.Second)
 	owner := f.owner(2)
@@ -275,6 +278,7 @@
 // do not learn of the earlier crashes, and against a repeated crash message that
 // counts twice.
 func TestCrashQuarantineReachesAllOwners(t *testing.T) {
+	t.Parallel()
 	f := newFleet(1, Ablation{})
 	poison := &request.Request{Team: "harbour", Method: "POST", Target: "/loans", Body: []byte("x")}
 	other := &request.Request{Team: "harbour", Method: "POST", Target: "/loans", Body: []byte("y")}
@@ -311,6 +315,7 @@
 // Guards against wrong significance levels through errors in binomialTail's recurrence.
 // Its result is compared with the sum of the definition.
 func TestBinomialTail(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(0, 60).Draw(t, "n")
 		k := rapid.IntRange(0, 61).Draw(t, "k")
@@ -331,6 +336,7 @@
 // Guards against states that are assigned to the wrong servers after a change of the
 // configuration, because packed states contain no server IDs.
 func TestPackedStates(t *testing.T) {
+	t.Parallel()
 	config := ServiceConfig{ConfigVersion: 3, Servers: []ServerConfig{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
 	const mostLoad = float64(math.MaxUint8) / packedLoadUnit
 	states := []backend.ServerState{{Server: "a", Ejected: true, Load: 1.5}, {Server: "b", LowWeight: true, Warm: true, Load: mostLoad}, {Server: "c", Probing: true}}
--- a/outlier/quarantine_test.go
+++ b/outlier/quarantine_test.go
@@ -13,6 +13,7 @@
 // were in flight on several servers that crashed together. Also guards against a
 // poison request that is not rejected because other servers restart now and then.
 func TestOnlyTheCauseOfCrashesIsRejected(t *testing.T) {
+	t.Parallel()
 	type event struct {
 		after  time.Duration
 		server int
--- a/outlier/reporter_test.go
+++ b/outlier/reporter_test.go
@@ -36,6 +36,7 @@
 // Guards against a Reporter that keeps running after its context ends, and against
 // counts that are lost with a report that could not be sent.
 func TestReporterRunKeepsEvidenceAndStops(t *testing.T) {
+	t.Parallel()
 	f := newFleet(1, Ablation{})
 	owner := f.owner(0)
 	caller := &flakyCaller{node: owner, reports: make(chan Report)}
@@ -76,6 +77,7 @@
 // Guards against empty report messages. Logs the size of a report and its reply, and
 // the traffic that the reports of one VM cause at the target scale.
 func TestReportSize(t *testing.T) {
+	t.Parallel()
 	config, reports := largeService()
 	d := NewDetector(Ablation{})
 	message := Report{Service: simService, Servers: reports[:1]}
@@ -113,6 +115,7 @@
 // Guards against ejections and quarantines that the observer does not count, and
 // against one that is counted again at each decision.
 func TestDecisionsAreCounted(t *testing.T) {
+	t.Parallel()
 	for share, want := range map[float64]decisionCounter{0.5: {granted: 1}, 1: {blocked: 1}} {
 		var got decisionCounter
 		d, now := NewDetector(Ablation{}), simStart
--- a/placement/floor_test.go
+++ b/placement/floor_test.go
@@ -35,6 +35,7 @@
 // failure while many servers of the service are suspect. Beyond three tenths of the servers,
 // the least suspect ones get at least half of an even share of the requests.
 func TestLeastSuspectServersAreReinstated(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ servers, unused int }{{5, 3}, {12, 5}, {36, 15}, {101, 42}, {480, 200}} {
 		const requests = 100000
 		picks := countPicks(suspectedService(size.servers, size.unused), requests)
@@ -51,6 +52,7 @@
 // servers, nor those that are all but certainly faulty, nor those of a service that serves
 // nearly all requests are reinstated.
 func TestFaultyServersAreNotReinstated(t *testing.T) {
+	t.Parallel()
 	few := suspectedService(30, 6)
 	calm := suspectedService(30, 15)
 	for i := range calm {
--- a/placement/gray_test.go
+++ b/placement/gray_test.go
@@ -219,6 +219,7 @@
 // begun to fail some of them. With the failure rates, at least half of the
 // additional failures are avoided at several sizes, and no server is left unused.
 func TestEvidenceKeepsRequestsFromGrayServers(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct {
 		servers, slots int
 		arrivals       float64
@@ -254,6 +255,7 @@
 // and the typical failures of sound servers, make more servers suspect than the rest
 // can replace. At least 70% of the sound servers get a request in any 2 s.
 func TestSoundServersStayInUseWhenManyAreSuspect(t *testing.T) {
+	t.Parallel()
 	const window, floorShare = 2 * time.Second, 0.7
 	for _, size := range []struct {
 		servers  int
@@ -288,6 +290,7 @@
 // second ago. At three quarters of the capacity, at most 2% of the requests are shed
 // or late.
 func TestLoadIsSpreadWithDelayedStatistics(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 5; seed++ {
 		p := simulation{rng: rand.New(rand.NewPCG(seed, 9)), servers: 12, slots: 3,
 			arrivals: 0.75 * 36 / 0.2, meanServiceTime: 180 * time.Millisecond, useEvidence: true, noFaults: true, duration: 30 * time.Second}
--- a/placement/slowstart_test.go
+++ b/placement/slowstart_test.go
@@ -56,6 +56,7 @@
 // in a second to a server that sustained 5. A load of 100 requests a second has the
 // same effect without a restart.
 func TestSlowStartLimitsRequestRate(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 20; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		for _, maxPerSecond := range []float64{5, 11, 30} {
@@ -73,6 +74,7 @@
 // Guards against a slow start that leaves a server idle although its rate allows
 // more: at a low rate of arrivals it must get all requests.
 func TestSlowStartUsesServerAtLowLoad(t *testing.T) {
+	t.Parallel()
 	c := SlowStart{MaxPerSecond: 10, SentLastSecond: 0, ArrivalsPerSecond: 8, VMs: 48}
 	if got := c.AdmitProbability(); got < 1 {
 		t.Errorf("probability %v at 8 arrivals/s and a rate of 10/s, want 1", got)
--- a/placement/subset_test.go
+++ b/placement/subset_test.go
@@ -11,6 +11,7 @@
 // Guards against servers that no VM prefers, or only VMs that may be lost together, and
 // against subsets that change as a whole when a server comes or goes.
 func TestSubsetsCoverAllServers(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct {
 		vms, servers, zones int // of one zone, and the number of zones
 		requestsPerSecond   float64
@@ -50,6 +51,7 @@
 // Guards against requests that leave the subset, or the zone, because the other servers
 // are many, and against a busy subset while others are free.
 func TestSubsetGetsMostRequestsUntilItIsBusy(t *testing.T) {
+	t.Parallel()
 	const requests = 100000
 	service := func(inFlight float64) []Candidate {
 		candidates := make([]Candidate, 480)
--- a/quota/bucketid_test.go
+++ b/quota/bucketid_test.go
@@ -13,6 +13,7 @@
 // Guards against a split that admits more or less than the team's rate limit.
 // The shares of a team's buckets must add up to its rate and burst.
 func TestSharesAddUp(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		team := contract.Team{
 			ID: "walkers", RatePerSecond: rapid.Float64Range(0.1, 1e6).Draw(t, "rate"),
--- a/quota/cut_test.go
+++ b/quota/cut_test.go
@@ -224,6 +224,7 @@
 // were cut off. No window may exceed the rate limit by more than the
 // tolerance of a tenth and 20 requests.
 func TestPartitionsStayWithinRateLimit(t *testing.T) {
+	t.Parallel()
 	const length, window = 16 * time.Second, 5 * time.Second
 	zonePartition := func(from, to time.Duration) partition {
 		return partition{from, to, func(v vm.VM, _ int) bool { return v.Zone == "z0" }, false}
@@ -327,6 +328,7 @@
 // admissions of the other from its bucket, and rejected requests within the
 // rate for seconds although both had kept to their share.
 func TestPartitionLeavesNoDebtWithinRate(t *testing.T) {
+	t.Parallel()
 	const from, to, length = 4 * time.Second, 9 * time.Second, 14 * time.Second
 	for seed := uint64(1); seed <= 3; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -360,6 +362,7 @@
 // of the downtime. A team far over its rate must still stay within its rate
 // limit.
 func TestKillOfAllVMsKeepsRateLimit(t *testing.T) {
+	t.Parallel()
 	const killedAt, downtime, length, window = 6 * time.Second, 500 * time.Millisecond, 12 * time.Second, 5 * time.Second
 	for seed := uint64(1); seed <= 4; seed++ {
 		for name, load := range map[string]float64{"inside": 0.6, "over": 5} {
--- a/quota/exact_test.go
+++ b/quota/exact_test.go
@@ -251,6 +251,7 @@
 // let clocks drift, change the rate limit, and move the home with or without
 // a handover.
 func TestAdmissionsNeverExceedRateAndBurst(t *testing.T) {
+	t.Parallel()
 	admitted, handedOver := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
@@ -280,6 +281,7 @@
 // home must continue with the level and the open loans of the previous one,
 // and must apply a handover only once.
 func TestHandoverKeepsTheLevel(t *testing.T) {
+	t.Parallel()
 	f := &simFleet{now: epoch, since: epoch, version: 1}
 	f.setRateLimit(0.001, 10)
 	for i := range 2 {
--- a/quota/replicated_test.go
+++ b/quota/replicated_test.go
@@ -36,6 +36,7 @@
 // exceed the rate limit only by the requests that arrive within one message
 // delay.
 func TestSharedBucketsBoundTheSumOfAllVMs(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		const vms, step, length = 12, 20 * time.Millisecond, 8 * time.Second
 		team := &contract.Team{ID: "team-1",
@@ -105,6 +106,7 @@
 // Guards against a VM that is cut off from the others admitting a team's
 // whole rate. Every VM that is cut off would do the same.
 func TestCutOffVMAdmitsItsShare(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1000, 0)
 	s := NewReplicatedBuckets(start, &fakeFleet{start, 0.05})
 	team := &contract.Team{ID: "team-1", RatePerSecond: 100, Burst: 100}
@@ -126,6 +128,7 @@
 // of the team itself. It then refilled its bucket for the whole time, and
 // many such VMs admitted several bursts.
 func TestIdleVMKeepsCountOfOthers(t *testing.T) {
+	t.Parallel()
 	start := time.Unix(1000, 0)
 	team := contract.Team{ID: "team-1", RatePerSecond: 20, Burst: 20}
 	busy, idle := NewReplicatedBuckets(start, connectedFleet(start)), NewReplicatedBuckets(start, connectedFleet(start))
--- a/quota/tokens_test.go
+++ b/quota/tokens_test.go
@@ -175,6 +175,7 @@
 // Guards against wrongful rejections of small teams without faults. They
 // occur when tokens lie idle on other VMs or loans stay open after their use.
 func TestSmallTeamsInsideTheirRateAreServed(t *testing.T) {
+	t.Parallel()
 	interArrivals := []func(r *rand.Rand) time.Duration{
 		func(*rand.Rand) time.Duration { return 100 * time.Millisecond },
 		func(r *rand.Rand) time.Duration { return time.Duration(r.ExpFloat64() * float64(450*time.Millisecond)) },
@@ -197,6 +198,7 @@
 // Guards against wrongful rejections of a few large teams, whose tokens are
 // prefetched.
 func TestLargeTeamsInsideTheirRateAreServed(t *testing.T) {
+	t.Parallel()
 	chooseVM := func(r *rand.Rand, _ int) int { return r.IntN(48) }
 	seed := uint64(10)
 	for _, rate := range []float64{50, 400, 3000} {
@@ -218,6 +220,7 @@
 // Concurrent requests of a team must share one call, and a rejection must
 // tell when the next token is due.
 func TestConcurrentTakesShareOneCall(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(3, contract.Team{ID: "a", RatePerSecond: 1, Burst: 20})
 		stop := f.run()
@@ -247,6 +250,7 @@
 // are an unreachable home, a home that moves, a home that replies to the
 // second call, an unknown team, and a caller's deadline.
 func TestTakeReportsWhyThereIsNoToken(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(2, contract.Team{ID: "a", RatePerSecond: 10, Burst: 5})
 		stop := f.run()
--- a/retry/replicated_test.go
+++ b/retry/replicated_test.go
@@ -31,6 +31,7 @@
 // VMs receive each other's counters late. After a kill of all VMs at once or one by
 // one, the retries of the earlier processes still count.
 func TestSharedBudgetHoldsOverAllVMs(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		kill := rapid.SampledFrom([]string{"none", "all", "one by one"}).Draw(t, "kill")
 		failFrom := []time.Duration{0}
@@ -44,6 +45,7 @@
 // Guards against retries beyond the budget if all VMs are killed while they use what
 // the requests before a fault allow at once: the processes after them do not know of it.
 func TestSharedBudgetHoldsIfAllVMsAreKilledDuringAFault(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		checkSharedBudget(t, "all", rapid.SampledFrom(beforeKill).Draw(t, "fail_from"))
 	})
@@ -143,6 +145,7 @@
 // Guards against a VM that refuses retries for a whole window after its own restart,
 // although the others know that the slack is unused.
 func TestRestartedVMAdoptsTheWindows(t *testing.T) {
+	t.Parallel()
 	const service contract.ServiceID = "service-1"
 	limits := BudgetLimits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
 	start := time.Unix(1000, 0)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -14,6 +14,7 @@
 // and may have been executed, of a request that got a successful response, after the
 // deadline, and beyond the maximum number of attempts.
 func TestDecideNeverRetriesWhatMayHaveBeenExecuted(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		result := request.Result{
 			Outcome: rapid.SampledFrom([]request.Outcome{request.Answered, request.NotRun, request.Unknown}).Draw(t, "outcome"),
@@ -40,6 +41,7 @@
 // Guards against giving up a request that another server may execute, and against
 // retrying one that every server answers alike.
 func TestDecideByReason(t *testing.T) {
+	t.Parallel()
 	for reason, want := range map[request.Reason]Decision{
 		request.ReasonConnectFailed: Retry, request.ReasonBusy: Retry, request.ReasonShed: Retry, request.ReasonLeaving: Retry,
 		request.ReasonNotOwner: Redirect, request.ReasonEjected: Redirect,
@@ -60,6 +62,7 @@
 // Guards against retries that multiply the load on a failing service. A service gets
 // at most 20% of its recent successes plus 3 retries, independent of other services.
 func TestBudgetLimitsRetries(t *testing.T) {
+	t.Parallel()
 	var b Budgets
 	now := time.Unix(1000, 0)
 	spend := func() (n int) {
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -28,6 +28,7 @@
 // Guards against counting an admission twice or never when messages are lost,
 // duplicated or reordered. The sums must agree once the newest totals have arrived.
 func TestTotalsSurviveLossDuplicationAndReordering(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		observed := observedCounts{}
 		a := NewLedger(start, "origin-a", observedCounts{}, nil)
@@ -58,6 +59,7 @@
 // Guards against a newly started VM counting the totals of running VMs as new
 // admissions. It would find every team far over its rate.
 func TestNewVMIgnoresCountsFromBeforeItsStart(t *testing.T) {
+	t.Parallel()
 	a := NewLedger(start, "origin-a", observedCounts{}, nil)
 	a.Add(start.Add(time.Minute), subject, Admitted, 500)
 	observed := observedCounts{}
@@ -77,6 +79,7 @@
 // after its first seconds, because they had not changed before. It found teams far
 // over their rates and healthy servers failing.
 func TestOldTotalsReceivedLateAreNotCounted(t *testing.T) {
+	t.Parallel()
 	server := SubjectOf(Server, "server-1")
 	a := NewLedger(start, "origin-a", observedCounts{}, nil)
 	a.Add(start.Add(time.Minute), subject, Admitted, 500)
@@ -103,6 +106,7 @@
 // Guards against VMs that start together, as after a kill of the whole fleet,
 // ignoring each other's counts of the first seconds as counts from before the start.
 func TestVMsThatStartTogetherCountFirstTotals(t *testing.T) {
+	t.Parallel()
 	a := NewLedger(start, "origin-a", observedCounts{}, nil)
 	observed := observedCounts{}
 	b := NewLedger(start.Add(200*time.Millisecond), "origin-b", observed, nil)
@@ -116,6 +120,7 @@
 // Guards against a relay that does not forward a change, forwards it repeatedly, or
 // sends a change from another zone to other zones again.
 func TestRelayForwardsEachChangeOnce(t *testing.T) {
+	t.Parallel()
 	a := NewLedger(start, "origin-a", observedCounts{}, nil)
 	relay := NewLedger(start, "origin-r", observedCounts{}, nil)
 	now := start.Add(10 * time.Second)
@@ -137,6 +142,7 @@
 // Guards against both relays of a zone sending the same records to all its VMs, and
 // against a relay holding back newer totals than the other relay has sent.
 func TestRelaySkipsRecordsDeliveredByOtherRelay(t *testing.T) {
+	t.Parallel()
 	a := NewLedger(start, "origin-a", observedCounts{}, nil)
 	relay := NewLedger(start, "origin-r", observedCounts{}, nil)
 	now := start.Add(10 * time.Second)
@@ -159,6 +165,7 @@
 // because it was sent only once. Also guards against resending records that no
 // shared limit needs.
 func TestUndeliveredTotalsAreResent(t *testing.T) {
+	t.Parallel()
 	a := NewLedger(start, "origin-a", observedCounts{}, nil)
 	at := start.Add(10 * time.Second)
 	a.Add(at, subject, Admitted, 3)
@@ -188,6 +195,7 @@
 // Guards against a failure, or a team near its limit, waiting for the next regular
 // message. Other VMs would go on sending to the failing server, or admit too much.
 func TestFailuresAreUrgent(t *testing.T) {
+	t.Parallel()
 	calls := 0
 	l := NewLedger(start, "origin-a", observedCounts{}, func() { calls++ })
 	server := SubjectOf(Server, "server-1")
@@ -225,6 +233,7 @@
 // Guards against counting all totals of a VM again whose messages did not arrive for
 // longer than totals are kept, for instance because regions lost each other.
 func TestTotalsOfAVMThatWasSilentForLongAreNotCountedAgain(t *testing.T) {
+	t.Parallel()
 	observed := observedCounts{}
 	a := NewLedger(start, "origin-a", observedCounts{}, nil)
 	b := NewLedger(start, "origin-b", observed, nil)
@@ -248,6 +257,7 @@
 // requests per second did after 34 hours, and other VMs missed the counts around it. The
 // totals are those of a year at 73,000 requests per second of 200 ms.
 func TestTotalsDoNotWrapInAYear(t *testing.T) {
+	t.Parallel()
 	const millisPerYear = 365 * 24 * 3600 * 73000 * 200
 	now := time.Unix(1000, 0)
 	route := SubjectOf(Route, "route-1")
