--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -63,13 +63,59 @@
 	// notifyUrgent is called when a change of this VM, or one to forward, is urgent
 	// according to isUrgent.
 	notifyUrgent func()
-	entries      shard.Map[string, *entry] // by origin and subject
+	entries      shard.Map[Subject, map[Origin]*entry]
 	// pending holds the keys of entries with sends left. Its locks are taken
 	// before the locks of entries, and those of origins after them.
-	pending shard.Map[string, struct{}]
+	pending shard.Map[entryKey, struct{}]
 	origins shard.Map[Origin, *originState]
 }
 
+// entryKey is the subject and then the origin of an entry.
+type entryKey string
+
+func keyOf(s Subject, o Origin) entryKey { return entryKey(string(s) + string(o)) }
+
+// parts returns the subject and the origin of the key.
+func (k entryKey) parts() (Subject, Origin) {
+	return Subject(k[:subjectBytes]), Origin(k[subjectBytes:])
+}
+
+// updateEntry calls fn with the entry of the origin and the subject while it is locked.
+// Without one, it first stores the result of create.
+func (l *Ledger) updateEntry(s Subject, o Origin, create func() *entry, fn func(*entry)) {
+	l.entries.Do(s, func() map[Origin]*entry { return make(map[Origin]*entry) }, func(byOrigin map[Origin]*entry) {
+		e, ok := byOrigin[o]
+		if !ok {
+			e = create()
+			byOrigin[e.record.Origin] = e
+		}
+		fn(e)
+	})
+}
+
+// existingEntry calls fn with the entry of the key, if there is one, while it is locked.
+func (l *Ledger) existingEntry(k entryKey, fn func(*entry)) {
+	s, o := k.parts()
+	l.entries.DoExisting(s, func(byOrigin map[Origin]*entry) {
+		if e, ok := byOrigin[o]; ok {
+			fn(e)
+		}
+	})
+}
+
+// retainEntries calls fn for each entry while it is locked, and deletes those for which
+// fn returns false.
+func (l *Ledger) retainEntries(fn func(*entry) (keep bool)) {
+	l.entries.Range(func(_ Subject, byOrigin map[Origin]*entry) bool {
+		for o, e := range byOrigin {
+			if !fn(e) {
+				delete(byOrigin, o)
+			}
+		}
+		return len(byOrigin) > 0
+	})
+}
+
 // originState holds the time of the last message or record of an origin.
 type originState struct {
 	lastMessage time.Time
@@ -114,10 +160,8 @@
 // AddCounts adds to several fields of this VM's own totals of the subject. Other VMs
 // get all of them in the same record.
 func (l *Ledger) AddCounts(now time.Time, s Subject, delta Counts) {
-	key := string(l.self) + string(s)
 	urgent := isUrgent(s, delta)
-	l.entries.Do(key, newEntry, func(e *entry) {
-		e.record.Origin, e.record.Subject = l.self, s
+	l.updateEntry(s, l.self, func() *entry { return newEntry(s, l.self) }, func(e *entry) {
 		for f := range delta {
 			e.record.Counts[f] += delta[f]
 		}
@@ -128,7 +172,7 @@
 			e.markUrgent()
 		}
 	})
-	l.pending.Store(key, struct{}{})
+	l.pending.Store(keyOf(s, l.self), struct{}{})
 	if urgent {
 		l.notifyUrgent()
 	}
@@ -170,28 +214,25 @@
 }
 
 func (l *Ledger) merge(now time.Time, r Record, forwarding Forwarding) {
-	key := string(r.Origin) + string(r.Subject)
 	var delta Counts
-	newer := false
-	l.entries.Update(key, func(e *entry, exists bool) (*entry, bool) {
-		if !exists {
-			e = &entry{}
-			e.record.Counts = l.countsBeforeStart(now, r)
-			newer = true
-		}
+	created, newer := false, false
+	create := func() *entry {
+		// The strings of a received record are parts of the whole message.
+		e := newEntry(Subject(strings.Clone(string(r.Subject))), Origin(strings.Clone(string(r.Origin))))
+		e.record.Counts = l.countsBeforeStart(now, r)
+		created, newer = true, true
+		return e
+	}
+	l.updateEntry(r.Subject, r.Origin, create, func(e *entry) {
 		d, ok := r.Counts.minus(e.record.Counts)
 		if ok && forwarding.DeliveredInZone {
 			e.zoneSendsLeft, e.urgentZone = 0, false
 		}
-		if !ok || (exists && d == Counts{}) {
-			return e, true
+		if !ok || (!created && d == Counts{}) {
+			return
 		}
 		delta, newer = d, true
-		if exists {
-			r.Origin, r.Subject = e.record.Origin, e.record.Subject
-		} else { // the strings of a received record are parts of the whole message
-			r.Origin, r.Subject = Origin(strings.Clone(string(r.Origin))), Subject(strings.Clone(string(r.Subject)))
-		}
+		r.Origin, r.Subject = e.record.Origin, e.record.Subject
 		e.record, e.changedAt = r, now.Sub(l.started)
 		e.resentToZone, e.resentToRemote = r.Resent, r.Resent
 		if forwarding.Zone {
@@ -203,10 +244,9 @@
 		if isUrgent(r.Subject, delta) {
 			e.markUrgent()
 		}
-		return e, true
 	})
 	if newer && (forwarding.Zone || forwarding.OtherZones) {
-		l.pending.Store(key, struct{}{})
+		l.pending.Store(keyOf(r.Subject, r.Origin), struct{}{})
 		if isUrgent(r.Subject, delta) {
 			l.notifyUrgent()
 		}
@@ -297,8 +337,8 @@
 // and removes those without sends left from pending.
 func (l *Ledger) dequeue(consume func(*entry) (resent, due bool)) []Record {
 	var out []Record
-	l.pending.Range(func(key string, _ struct{}) (keep bool) {
-		l.entries.DoExisting(key, func(e *entry) {
+	l.pending.Range(func(key entryKey, _ struct{}) (keep bool) {
+		l.existingEntry(key, func(e *entry) {
 			if resent, due := consume(e); due {
 				r := e.record
 				r.Resent = resent
@@ -330,8 +370,11 @@
 		return silent < silentOriginRetention
 	})
 	if len(expired) > 0 {
-		l.entries.Range(func(_ string, e *entry) bool { return !expired[e.record.Origin] })
+		l.retainEntries(func(e *entry) bool { return !expired[e.record.Origin] })
 	}
 }
 
-func newEntry() *entry { return &entry{} }
+// newEntry returns the entry of an origin and a subject without counts.
+func newEntry(s Subject, o Origin) *entry {
+	return &entry{record: Record{Subject: s, Origin: o}}
+}
--- a/tally/record.go
+++ b/tally/record.go
@@ -28,9 +28,12 @@
 // the same hash is below 1 in 10^12.
 type Subject string
 
+// subjectBytes is the length of a Subject.
+const subjectBytes = 9
+
 // SubjectOf returns the subject of the given kind and name.
 func SubjectOf(kind Kind, name string) Subject {
-	var b [9]byte
+	var b [subjectBytes]byte
 	b[0] = byte(kind)
 	binary.BigEndian.PutUint64(b[1:], xxhash.Sum64String(name))
 	return Subject(b[:])
--- a/tally/resend.go
+++ b/tally/resend.go
@@ -18,15 +18,15 @@
 // Records of servers and routes are left out, because they are out of date by now.
 func (l *Ledger) Resend(since time.Time, to Receivers, includes func(Origin) bool) {
 	sinceUptime := since.Sub(l.started)
-	var keys []string
-	l.entries.Range(func(key string, e *entry) bool {
+	var keys []entryKey
+	l.retainEntries(func(e *entry) bool {
 		if e.changedAt >= sinceUptime && hasSharedLimit(e.record.Subject) && includes(e.record.Origin) {
 			if to == OwnZone {
 				e.zoneSendsLeft, e.urgentZone, e.resentToZone = ownSends, true, true
 			} else {
 				e.remoteSendsLeft, e.urgentRemote, e.resentToRemote = relayRemoteSends, true, true
 			}
-			keys = append(keys, key)
+			keys = append(keys, keyOf(e.record.Subject, e.record.Origin))
 		}
 		return true
 	})
