--- a/placement/floor.go
+++ b/placement/floor.go
@@ -9,15 +9,15 @@
 const (
 	// maxUnusedShare is the largest share of a service's servers that may stay without
 	// requests because of suspected faults while the service is degraded.
-	maxUnusedShare = 0.3
+	maxUnusedShare = 0.2
 	// degradedShare is the share of requests that servers fail or refuse from which on a
 	// service is degraded.
-	degradedShare = 0.1
+	degradedShare = 0.12
 	// unusedTime is the time without a request after which a server counts as unused.
 	unusedTime = 800 * time.Millisecond
 	// maxReinstatedFaultProbability is the fault probability (0 to 1) above which a
 	// server is not reinstated.
-	maxReinstatedFaultProbability = 0.5
+	maxReinstatedFaultProbability = 0.6
 	// reinstatedOtherZoneCost replaces otherZoneCost for a reinstated server: the VMs of
 	// its zone may be lost.
 	reinstatedOtherZoneCost = 1.5
--- a/placement/floor_test.go
+++ b/placement/floor_test.go
@@ -7,14 +7,14 @@
 
 // suspectedService returns the candidates of a degraded service. The first unused ones
 // had a failure and got no request since then, and all others are in use. The fault
-// probability of the unused servers goes from 0.3 to 0.5.
+// probability of the unused servers goes from 0.3 to 0.6.
 func suspectedService(servers, unused int) []Candidate {
 	candidates := make([]Candidate, servers)
 	for i := range candidates {
 		c := &candidates[i]
 		*c = Candidate{OwnZone: true, InSubset: true, Slots: 4, InFlight: 1, RelativeLatency: 1, RecentSuccesses: 5, FailureRate: 0.03, FaultProbability: 0.02, IdleTime: 200 * time.Millisecond}
 		if i < unused {
-			c.FaultProbability = 0.3 + 0.2*float64(i)/float64(unused)
+			c.FaultProbability = 0.3 + 0.3*float64(i)/float64(unused)
 			c.FailureRate, c.InFlight, c.IdleTime = 0.6*c.FaultProbability, 0, time.Second
 			c.RecentSuccesses, c.RecentFailures = 0, 2
 		}
@@ -32,14 +32,14 @@
 }
 
 // Guards against sound servers that stay without requests for seconds after a single
-// failure while many servers of the service are suspect. Beyond three tenths of the servers,
+// failure while many servers of the service are suspect. Beyond a fifth of the servers,
 // the least suspect ones get at least half of an even share of the requests.
 func TestLeastSuspectServersAreReinstated(t *testing.T) {
 	t.Parallel()
 	for _, size := range []struct{ servers, unused int }{{5, 3}, {12, 5}, {36, 15}, {101, 42}, {480, 200}} {
 		const requests = 100000
 		picks := countPicks(suspectedService(size.servers, size.unused), requests)
-		reinstated := size.unused - max(1, size.servers*3/10)
+		reinstated := size.unused - max(1, size.servers/5)
 		for i := range reinstated {
 			if even := requests / size.servers; picks[i] < even/2 {
 				t.Errorf("%+v: server %d got %d of %d requests, an even share is %d", size, i, picks[i], requests, even)
