--- a/gossip/load_test.go
+++ b/gossip/load_test.go
@@ -7,10 +7,7 @@
 	"testing"
 	"time"
 
-	"almondstile/boottime"
-	"almondstile/catalog"
 	"almondstile/fleet"
-	"almondstile/logging"
 	"almondstile/tally"
 	"almondstile/vm"
 	"almondstile/zone"
@@ -30,7 +27,6 @@
 // others.
 func loadNode(b *testing.B, now time.Time, relay bool) (*Node, []vm.VM) {
 	b.Helper()
-	log := logging.Discard().Part("gossip")
 	for i := range loadVMs {
 		self := loadVM(i)
 		roster := fleet.NewRoster(now, self)
@@ -44,14 +40,7 @@
 		if roster.IsRelay(now) != relay {
 			continue
 		}
-		node, err := Listen(Dependencies{Roster: roster, Catalog: catalog.New(nil, boottime.Now, log), Log: log,
-			Attempts: discardAttempts{},
-			Ledger:   tally.NewLedger(now, tally.OriginOf(self.ID, self.Incarnation), discardCounts{}, nil)})
-		if err != nil {
-			b.Fatal(err)
-		}
-		b.Cleanup(func() { _, _ = node.conn.Close(), node.listener.Close() })
-		return node, others
+		return listenNode(b, now, roster), others
 	}
 	b.Fatal("no such VM")
 	return nil, nil
@@ -89,7 +78,9 @@
 	return out
 }
 
-func benchmarkReceive(b *testing.B, relay bool) {
+// benchmarkMessages lets a VM of a large fleet handle the messages of a relay. After each
+// of them it calls then, which may be nil.
+func benchmarkMessages(b *testing.B, relay, senderRelays bool, then func(*Node)) {
 	now := time.Now()
 	node, others := loadNode(b, now, relay)
 	messages := loadMessages(b, others[0], 1000)
@@ -101,29 +92,21 @@
 		if err := decode(messages[i%len(messages)], &m); err != nil {
 			b.Fatal(err)
 		}
+		m.Relay = senderRelays
 		node.handleMessage(context.Background(), &wg, m)
+		if then != nil {
+			then(node)
+		}
 	}
 }
 
-func BenchmarkReceiveAtPlainVM(b *testing.B) { benchmarkReceive(b, false) }
-func BenchmarkReceiveAtRelay(b *testing.B)   { benchmarkReceive(b, true) }
+func BenchmarkReceiveAtPlainVM(b *testing.B) { benchmarkMessages(b, false, true, nil) }
+func BenchmarkReceiveAtRelay(b *testing.B)   { benchmarkMessages(b, true, true, nil) }
 
 // BenchmarkSendAtRelay sends the changed records of a large zone's VMs.
 func BenchmarkSendAtRelay(b *testing.B) {
-	now := time.Now()
-	node, others := loadNode(b, now, true)
-	messages := loadMessages(b, others[0], 1000)
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		var m message
-		if err := decode(messages[i%len(messages)], &m); err != nil {
-			b.Fatal(err)
-		}
-		m.Relay = false
-		node.handleMessage(context.Background(), &wg, m)
-		node.sendChanges(time.Now(), tally.UrgentOnly)
-		node.sendChanges(time.Now(), tally.AllChanged)
-	}
+	benchmarkMessages(b, true, false, func(n *Node) {
+		n.sendChanges(time.Now(), tally.UrgentOnly)
+		n.sendChanges(time.Now(), tally.AllChanged)
+	})
 }
--- a/gossip/send_test.go
+++ b/gossip/send_test.go
@@ -64,11 +64,24 @@
 	}
 }
 
+// listenNode returns a node of the roster's VM that does not run. Its sockets are closed
+// at the end of the test.
+func listenNode(t testing.TB, now time.Time, roster *fleet.Roster) *Node {
+	t.Helper()
+	log, self := logging.Discard().Part("gossip"), roster.Self()
+	node, err := Listen(Dependencies{Roster: roster, Catalog: catalog.New(nil, boottime.Now, log), Log: log, Attempts: discardAttempts{},
+		Ledger: tally.NewLedger(now, tally.OriginOf(self.ID, self.Incarnation), discardCounts{}, nil)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = node.conn.Close(), node.listener.Close() })
+	return node
+}
+
 // newNonRelay returns the node of a VM that does not relay for its zone, and the VMs
 // before it in the relay order, which have the given address.
 func newNonRelay(t *testing.T, now time.Time, address string) (*Node, []vm.VM) {
 	t.Helper()
-	log := logging.Discard().Part("gossip")
 	for i := range 100 {
 		self := vm.VM{ID: vm.ID(fmt.Sprintf("vm-%d", i)), Zone: "zone-a", Incarnation: "1", ControlAddress: "127.0.0.1:0"}
 		roster := fleet.NewRoster(now, self)
@@ -81,14 +94,7 @@
 		if roster.IsRelay(now) {
 			continue
 		}
-		node, err := Listen(Dependencies{Roster: roster, Catalog: catalog.New(nil, boottime.Now, log), Log: log,
-			Attempts: discardAttempts{},
-			Ledger:   tally.NewLedger(now, tally.OriginOf(self.ID, self.Incarnation), discardCounts{}, nil)})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _, _ = node.conn.Close(), node.listener.Close() })
-		return node, others
+		return listenNode(t, now, roster), others
 	}
 	t.Fatal("no VM is behind the relays")
 	return nil, nil
