--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -137,6 +137,7 @@
 		case e := <-r.results:
 			r.inFlight--
 			if r.recordResult(e) {
+				r.stopped = stoppedBySuccess // also if a hedge was not allowed before
 				return *r.best
 			}
 			if r.inFlight == 0 && r.mayRetry() {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -7,6 +7,8 @@
 
 	"almondstile/logging"
 	"almondstile/shard"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -25,7 +27,7 @@
 }
 
 // Guard recovers from panics, logs and counts them. It is safe for concurrent use. A nil
-// Guard recovers without a log line.
+// Guard recovers too; it logs to the standard logger and counts nothing.
 type Guard struct {
 	log      logging.Logger
 	observer Observer
@@ -71,13 +73,14 @@
 
 // record logs and counts a panic.
 func (g *Guard) record(part, id string, value any) {
-	if g == nil {
-		return
+	log := logrus.NewEntry(logrus.StandardLogger())
+	if g != nil {
+		log = g.log
 	}
 	stack := debug.Stack()
-	g.log.WithField("in", part).WithField("id", id).WithField("panic", value).
+	log.WithField("in", part).WithField("id", id).WithField("panic", value).
 		WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error("Recovered from a panic.")
-	if g.observer != nil {
+	if g != nil && g.observer != nil {
 		g.observer.Count("panic_" + part)
 	}
 }
