gossip: records fill a datagram

Cause: records got 780 bytes of a datagram of 1,400, so that the largest message with all other fields fits; most messages have few of these. At 292 VMs and 800 requests/s a VM gets about 4,000 records a second, so the number of datagrams is that of the records. Change: what the other fields leave is used. Tests: TestRecordsFillADatagram, TestLargestMessageFitsIntoAPacket.

--- a/gossip/bootstrap.go
+++ b/gossip/bootstrap.go
@@ -39,7 +39,7 @@
 		return
 	}
 	address := addresses[rand.IntN(len(addresses))]
-	if b, err := encode(n.buildMessage(now, nil)); err == nil && address != self.ControlAddress {
+	if b, err := encode(n.buildMessage(now)); err == nil && address != self.ControlAddress {
 		n.sendTo(b, address)
 	}
 	if len(n.deps.Roster.Others()) == 0 && address != self.ControlAddress {
--- a/gossip/load_test.go
+++ b/gossip/load_test.go
@@ -58,7 +58,7 @@
 	var out [][]byte
 	for len(out) < count {
 		var records []tally.Record
-		for range 40 {
+		for range 80 {
 			origin, server := rng.IntN(loadVMs), rng.IntN(loadServers)
 			c := totals[[2]int{origin, server}]
 			c[tally.Started]++
@@ -68,7 +68,10 @@
 			records = append(records, tally.Record{Origin: tally.OriginOf(loadVM(origin).ID, "1"), Uptime: time.Minute,
 				Subject: tally.SubjectOf(tally.Server, fmt.Sprint(server)), Counts: c})
 		}
-		m := message{Sender: toMember(sender), Relay: true, Tables: make([]tableVersion, 2), Records: toColumns(records[:countFitting(records)]), UptimeMillis: 60000}
+		m := message{Sender: toMember(sender), Relay: true, Tables: make([]tableVersion, 2), UptimeMillis: 60000}
+		if _, err := m.addRecords(records); err != nil {
+			b.Fatal(err)
+		}
 		encoded, err := encode(m)
 		if err != nil {
 			b.Fatal(err)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -15,9 +15,6 @@
 const (
 	// maxDatagramBytes keeps a datagram within one packet on a typical link.
 	maxDatagramBytes = 1400
-	// maxRecordBytes bounds the records of a datagram. The rest is for the other
-	// fields: the sender, the table versions, the zones and the introduced VMs.
-	maxRecordBytes = 780
 	// maxIntroducedVMs bounds the number of VMs that one datagram introduces: it
 	// carries their IDs and addresses, from which receivers learn that they exist.
 	maxIntroducedVMs = 3
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -37,9 +37,11 @@
 			Counts: tally.Counts{70000, 70000, 300, 300, 7000000}, Uptime: 24 * time.Hour,
 		})
 	}
-	records = records[:countFitting(records)]
-	m.Records = toColumns(records)
-	return m, records
+	rest, err := m.addRecords(records)
+	if err != nil {
+		panic(err)
+	}
+	return m, records[:len(records)-len(rest)]
 }
 
 // Guards against datagrams that the network fragments or drops because the largest
@@ -84,3 +86,24 @@
 		}
 	}
 }
+
+// Guards against datagrams that are half empty: most messages introduce no VMs, and in a
+// large fleet the records are most of the traffic.
+func TestRecordsFillADatagram(t *testing.T) {
+	full, records := fullMessage()
+	m := message{Sender: full.Sender, Relay: true, StoreMillis: full.StoreMillis, Tables: full.Tables, UptimeMillis: full.UptimeMillis}
+	var many []tally.Record
+	for range 10 {
+		many = append(many, records...)
+	}
+	if _, err := m.addRecords(many); err != nil {
+		t.Fatal(err)
+	}
+	b, err := encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b) > maxDatagramBytes || len(b) < maxDatagramBytes*9/10 {
+		t.Errorf("a message with as many records as fit has %d bytes, a datagram %d", len(b), maxDatagramBytes)
+	}
+}
--- a/gossip/records.go
+++ b/gossip/records.go
@@ -41,12 +41,25 @@
 const (
 	groupBytes      = originBytes + 5 + 1 + 2 // with uptime, flag and size
 	recordHeadBytes = subjectBytes + 1        // with the number of counts
+	columnsBytes    = 7 * 2                   // headers of the columns, beyond those of empty ones
 	maxCountBytes   = 9
 )
 
-// countFitting returns how many of the records, from the first on, fit into one
-// datagram. It is at least one if there are records.
-func countFitting(records []tally.Record) int {
+// addRecords adds as many of the records to a message without records as fit into one
+// datagram, at least one if there are any, and returns the others.
+func (m *message) addRecords(records []tally.Record) (rest []tally.Record, err error) {
+	without, err := encode(m)
+	if err != nil {
+		return records, err
+	}
+	count := countFitting(records, maxDatagramBytes-len(without)-columnsBytes)
+	m.Records = toColumns(records[:count])
+	return records[count:], nil
+}
+
+// countFitting returns how many of the records, from the first on, fit into so many
+// bytes. It is at least one if there are records.
+func countFitting(records []tally.Record, maxBytes int) int {
 	groups := make(map[groupKey]bool)
 	bytes := 0
 	for i, r := range records {
@@ -58,7 +71,7 @@
 		for _, n := range trimTrailingZeros(r.Counts) {
 			bytes += countBytes(n)
 		}
-		if bytes > maxRecordBytes && i > 0 {
+		if bytes > maxBytes && i > 0 {
 			return i
 		}
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -143,18 +143,23 @@
 		return false
 	}
 	for first := true; first || len(records) > 0; first = false {
-		count := countFitting(records)
-		n.sendMessage(n.buildMessage(now, records[:count]), to)
-		records = records[count:]
+		m := n.buildMessage(now)
+		rest, err := m.addRecords(records)
+		if err != nil {
+			n.deps.Log.WithError(err).Error("Cannot encode a gossip message.")
+			return false
+		}
+		n.sendMessage(m, to)
+		records = rest
 	}
 	return true
 }
 
-// buildMessage returns a message with the records and this VM's current state. At a
+// buildMessage returns a message with this VM's current state, without records. At a
 // relay it also records the member count of this VM's zone in the roster.
-func (n *Node) buildMessage(now time.Time, records []tally.Record) message {
+func (n *Node) buildMessage(now time.Time) message {
 	roster := n.deps.Roster
-	m := message{Sender: toMember(roster.Self()), Relay: roster.IsRelay(now), Records: toColumns(records),
+	m := message{Sender: toMember(roster.Self()), Relay: roster.IsRelay(now),
 		UptimeMillis: toMillis(now.Sub(n.started))}
 	if storeTime, known := n.deps.Catalog.StoreClock.At(boottime.Now()); known {
 		m.StoreMillis, m.StoreHops = toMillis(storeTime), n.deps.Catalog.StoreClock.Hops(boottime.Now())
