--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -24,6 +24,7 @@
 // cases holds the scripted cases by name. trouble is false in the run without the
 // disruption.
 var cases = map[string]func(f *fleet, trouble bool) (verdict, error){
+	"gone-pipeline":   gonePipeline,
 	"late-refusal":    lateRefusal,
 	"stop-pipeline":   stopPipeline,
 	"stop-preconnect": stopPreconnect,
