--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -25,6 +25,7 @@
 // disruption.
 var cases = map[string]func(f *fleet, trouble bool) (verdict, error){
 	"gone-pipeline":   gonePipeline,
+	"hold-pipeline":   holdPipeline,
 	"late-refusal":    lateRefusal,
 	"stop-pipeline":   stopPipeline,
 	"stop-preconnect": stopPreconnect,
--- a/review/tools/upstream.go
+++ b/review/tools/upstream.go
@@ -17,6 +17,7 @@
 	at       time.Time
 	upstream string
 	finished bool
+	endedAt  time.Time
 	// abandoned says that the connection was closed before the answer.
 	abandoned bool
 }
@@ -40,7 +41,7 @@
 func (l *runLog) end(r *run, abandoned bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r.finished, r.abandoned = !abandoned, abandoned
+	r.finished, r.abandoned, r.endedAt = !abandoned, abandoned, time.Now()
 }
 
 func (l *runLog) of(id string) []run {
@@ -73,6 +74,8 @@
 	extras     int
 	// shedShare is the share of requests that are refused although there is room.
 	shedShare float64
+	// hangShare is the share of requests that get no answer.
+	hangShare float64
 	refusals  int
 }
 
@@ -83,6 +86,13 @@
 	u.shedShare = share
 }
 
+// setHangShare sets the share of requests that the upstream begins and does not answer.
+func (u *upstream) setHangShare(share float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.hangShare = share
+}
+
 // setExtra sets the share of answers that are sent twice, and how much later.
 func (u *upstream) setExtra(share float64, delay time.Duration) {
 	u.mu.Lock()
@@ -187,6 +197,14 @@
 		return "", false
 	}
 	running := u.log.begin(id, u.id)
+	u.mu.Lock()
+	hangs := rand.Float64() < u.hangShare
+	u.mu.Unlock()
+	if hangs {
+		<-closed
+		u.log.end(running, true)
+		return "", false
+	}
 	select {
 	case <-time.After(u.work(r)):
 	case <-closed:
