--- a/review/tools/fleet.go
+++ b/review/tools/fleet.go
@@ -221,8 +221,22 @@
 	return func() { close(done) }
 }
 
+// noteRuns writes all runs of upstreams to the record.
+func (f *fleet) noteRuns() {
+	f.log.mu.Lock()
+	defer f.log.mu.Unlock()
+	for id, runs := range f.log.runs {
+		for _, r := range runs {
+			f.note("run of request %s%s", id, f.describe([]run{*r}))
+		}
+	}
+}
+
 // describe returns where and when a request ran.
 func (f *fleet) describe(runs []run) string {
+	if len(runs) == 0 {
+		return " nowhere"
+	}
 	out := ""
 	for _, r := range runs {
 		out += fmt.Sprintf(" at %s from %.3f", r.upstream, r.at.Sub(f.began).Seconds())
--- a/review/tools/gone_pipeline.go
+++ b/review/tools/gone_pipeline.go
@@ -85,11 +85,12 @@
 			if len(runs) > 0 {
 				reached++
 			}
+			f.note("request %s, its client closed at %.3f, ran%s", id, left[i].Sub(f.began).Seconds(), f.describe(runs))
 			if !trouble || i >= goneLeave {
 				continue
 			}
 			for _, r := range runs {
-				f.note("request %s, its client left at %.3f, ran%s, worked on to the end %v", id, left[i].Sub(f.began).Seconds(), f.describe([]run{r}), r.finished)
+				f.note("   the client left early; worked on to the end %v, begun %.3f s after it had left", r.finished, r.at.Sub(left[i]).Seconds())
 				switch {
 				case r.at.After(left[i].Add(goneMargin)):
 					late++
--- a/review/tools/hold_pipeline.go
+++ b/review/tools/hold_pipeline.go
@@ -33,6 +33,7 @@
 // heldRequest is the first of two safe requests that a client sends at once.
 type heldRequest struct {
 	id     string
+	second string
 	sent   time.Time
 	took   time.Duration // until the answer, or until the client gave up
 	answer answer
@@ -99,8 +100,7 @@
 // sendTogether sends two requests in one piece on a new connection to a VM, waits for the
 // answer to the first one until its deadline, and leaves.
 func (f *fleet) sendTogether() heldRequest {
-	r := heldRequest{id: newID()}
-	second := newID()
+	r := heldRequest{id: newID(), second: newID()}
 	nc, err := net.DialTimeout("tcp4", f.address(1+rand.IntN(3), frontPort), time.Second)
 	if err != nil {
 		r.answer.err = err
@@ -110,7 +110,7 @@
 	r.sent = time.Now()
 	_ = nc.SetDeadline(r.sent.Add(holdDeadline))
 	_, err = io.WriteString(nc, requestText(http.MethodGet, "/stock/"+r.id, r.id, holdDeadline, "")+
-		requestText(http.MethodGet, "/history/"+second, second, secondWaitMs, ""))
+		requestText(http.MethodGet, "/history/"+r.second, r.second, secondWaitMs, ""))
 	if r.answer.err = err; err == nil {
 		r.answer = readAnswer(bufio.NewReader(nc))
 	}
@@ -125,6 +125,8 @@
 		if r.answer.status != 0 {
 			answered++
 		}
+		f.note("request %s sent at %.3f, status %d after %.3f s, ran%s; behind it request %s, ran%s", r.id, r.sent.Sub(f.began).Seconds(),
+			r.answer.status, r.took.Seconds(), f.describe(f.log.of(r.id)), r.second, f.describe(f.log.of(r.second)))
 		if r.took <= holdTimeout {
 			continue
 		}
@@ -134,7 +136,7 @@
 		}
 		late++
 		runs := f.log.of(r.id)
-		f.note("request %s, no answer %.3f s after it was sent, status %d in the end, ran%s", r.id, r.took.Seconds(), r.answer.status, f.describe(runs))
+		f.note("   no answer within its route's timeout-s and 0.5 s")
 		for _, run := range runs {
 			if run.finished && run.endedAt.Before(r.sent.Add(holdTimeout)) {
 				f.note("   the upstream %s had answered in full %.3f s after the request was sent", run.upstream, run.endedAt.Sub(r.sent).Seconds())
--- a/review/tools/late_refusal.go
+++ b/review/tools/late_refusal.go
@@ -75,10 +75,11 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			id := newID()
+			id, sentAt := newID(), time.Now()
 			a := sendOnce(f.address(1+rand.IntN(3), frontPort), http.MethodPost, routes[n%refusalServices].prefix+id, id, refusalDeadline, "pair=1")
 			mu.Lock()
 			answers[id] = a
+			f.note("request %s was sent %.3f s ago, status %d, error %v", id, time.Since(sentAt).Seconds(), a.status, a.err)
 			mu.Unlock()
 		}()
 	}
@@ -118,6 +119,7 @@
 			}
 		}
 	}
+	f.noteRuns()
 	extras, refusals := 0, 0
 	for _, u := range f.ups {
 		extras, refusals = extras+u.extras, refusals+u.refusals
--- a/review/tools/stop_pipeline.go
+++ b/review/tools/stop_pipeline.go
@@ -31,7 +31,7 @@
 
 // pipelinedRequest is the first of two safe requests on one connection.
 type pipelinedRequest struct {
-	id          string
+	id, second  string
 	sent, ended time.Duration
 	answer      answer
 }
@@ -73,6 +73,7 @@
 		runs := f.log.of(r.id)
 		f.note("request %s sent at %.3f, ended at %.3f, status %d with %d of %d bytes, error %v, ran%s",
 			r.id, r.sent.Seconds(), r.ended.Seconds(), r.answer.status, len(r.answer.body), pipelineBodyBytes, r.answer.err, f.describe(runs))
+		f.note("   behind it request %s, ran%s", r.second, f.describe(f.log.of(r.second)))
 		if r.answer.status == 0 && len(runs) > 0 {
 			lost++
 		}
@@ -93,7 +94,7 @@
 // sendPipelined sends two requests on a new connection to VM 0 and reads the first answer.
 func (f *fleet) sendPipelined(r *pipelinedRequest) {
 	r.id = newID()
-	second := newID()
+	r.second = newID()
 	dialer := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, pipelineWindow)
@@ -110,7 +111,7 @@
 	_, err = io.WriteString(nc, requestText(http.MethodGet, "/history/"+r.id, r.id, pipelineDeadline, ""))
 	if err == nil {
 		time.Sleep(pipelineGap)
-		_, err = io.WriteString(nc, requestText(http.MethodGet, "/history/"+second, second, pipelineDeadline, ""))
+		_, err = io.WriteString(nc, requestText(http.MethodGet, "/history/"+r.second, r.second, pipelineDeadline, ""))
 	}
 	r.answer = answer{err: err}
 	if err == nil {
