--- a/review/tools/late_refusal.go
+++ b/review/tools/late_refusal.go
@@ -12,13 +12,13 @@
 // users' site files; both come in windows, once in each disruptionPeriod.
 const (
 	refusalLength    = 100 * time.Second
-	refusalServices  = 6
-	refusalPerS      = 40 // requests to each service
-	refusalGarbled   = 5  // upstreams of 9 that send answers twice, one of a service
+	refusalServices  = 14
+	refusalUpstreams = 2  // of each service
+	refusalPerS      = 20 // requests to each service
 	refusalDeadline  = 5 * time.Second
 	refusalBodyBytes = 400
 
-	disruptionPeriod = 8500 * time.Millisecond
+	disruptionPeriod = 10 * time.Second
 	shedWindow       = 8500 * time.Millisecond // srv_grey, how "shed all"
 	shedShare        = 0.3
 	extraWindow      = 5 * time.Second // garble, how "extra late"
@@ -26,9 +26,9 @@
 	extraDelay       = 20 * time.Millisecond
 )
 
-// lateRefusal sends unsafe requests to services with one or two upstreams each. With trouble,
-// upstreams refuse a part of the requests, and one upstream of most services sends some
-// of its answers a second time, a little later.
+// lateRefusal sends unsafe requests to services with two upstreams each. With trouble,
+// upstreams refuse a part of the requests, and one upstream of each service sends some of
+// its answers a second time, a little later.
 func lateRefusal(f *fleet, trouble bool) (verdict, error) {
 	var routes []route
 	for s := range refusalServices {
@@ -38,14 +38,14 @@
 	f.configure(routes...)
 	var garbled []*upstream
 	for s := range refusalServices {
-		for i := range 1 + s%2 {
+		for i := range refusalUpstreams {
 			u, err := f.addUpstream(routes[s].service, zones[(s+i)%len(zones)], 3, 12, refusalBodyBytes, func(*http.Request) time.Duration {
 				return 100*time.Millisecond + rand.N(160*time.Millisecond)
 			})
 			if err != nil {
 				return noRun, err
 			}
-			if i == 0 && len(garbled) < refusalGarbled {
+			if i == 0 {
 				garbled = append(garbled, u)
 			}
 		}
