httpconn: a connection carries a request ID once

A server's late second copy of a refusal arrived on the connection that by then carried the next attempt of the same request. It bore the right ID, which names the request and not the attempt, so it was taken for the server's answer to that attempt.

--- a/forward/sender.go
+++ b/forward/sender.go
@@ -35,9 +35,12 @@
 	httpReq.SetRequestURI(path)
 	httpReq.Header.SetHost(to.ForwardAddress)
 	httpReq.SetBodyRaw(message)
-	progress, err = s.pool.Do(ctx, to.ForwardAddress, httpReq, httpResp, func(resp *fasthttp.Response) error {
-		body, err = s.decode(message[:macBytes], resp, reply)
-		return err
+	progress, err = s.pool.Do(ctx, to.ForwardAddress, httpconn.Call{
+		Request: httpReq, Response: httpResp,
+		Verify: func(resp *fasthttp.Response) error {
+			body, err = s.decode(message[:macBytes], resp, reply)
+			return err
+		},
 	})
 	if err != nil {
 		s.recordFailure(ctx, to.ID, err)
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -7,6 +7,7 @@
 
 	"almondstile/boottime"
 	"almondstile/catalog"
+	"almondstile/httpconn"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -77,7 +78,7 @@
 	}
 	req.SetRequestURI(uri)
 	req.Header.SetHost(address)
-	if _, err := n.pool.Do(ctx, address, req, resp, nil); err != nil {
+	if _, err := n.pool.Do(ctx, address, httpconn.Call{Request: req, Response: resp}); err != nil {
 		return errors.Wrapf(err, "pulling table copies from %s", address)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -108,6 +109,8 @@
 	// readBudget is the number of bytes that may still be read for the current
 	// response.
 	readBudget int
+	// carried records the requests with an ID that the connection has carried.
+	carried carriedRequests
 }
 
 // Read reads from the connection. It fails with ErrTooLarge when the budget of the
@@ -143,32 +146,44 @@
 	return &Pool{options: options}
 }
 
-// Do sends req to address, a host:port, and reads the whole response into
-// resp. Do never sends a request twice. When ctx ends during the exchange, Do
-// closes the connection; the peer can take that as a cancellation.
-//
-// verify, if not nil, checks the complete response. If it returns an error, Do
-// closes the connection, treats the response as not received, and returns that
-// error.
+// Call is one request and its response.
+type Call struct {
+	Request  *fasthttp.Request
+	Response *fasthttp.Response
+	// RequestID, if not empty, is the ID by which the peer's responses name the
+	// request. A connection carries only one request with the same ID, so that a late
+	// copy of the response to an earlier attempt is not taken for the response to a
+	// repeated one.
+	RequestID string
+	// Verify, if not nil, checks the complete response. If it returns an error, Do
+	// closes the connection, treats the response as not received, and returns that
+	// error.
+	Verify func(*fasthttp.Response) error
+}
+
+// Do sends a request to address, a host:port, and reads the whole response. Do never
+// sends a request twice. When ctx ends during the exchange, Do closes the connection;
+// the peer can take that as a cancellation.
 //
 // The returned progress is NothingWritten, Written or ResponseComplete. It is
 // ResponseComplete exactly if the error is nil.
-func (p *Pool) Do(ctx context.Context, address string, req *fasthttp.Request, resp *fasthttp.Response, verify func(*fasthttp.Response) error) (request.Progress, error) {
-	c, err := p.acquire(ctx, address)
+func (p *Pool) Do(ctx context.Context, address string, call Call) (request.Progress, error) {
+	c, err := p.acquire(ctx, address, call.RequestID)
 	if err != nil {
 		return request.NothingWritten, err
 	}
+	c.recordCarried(ctx, call)
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Unix(1, 0)) // a past deadline aborts reads and writes at once
 	})
-	err = c.exchange(req, resp, p.options)
-	if err == nil && verify != nil {
-		err = verify(resp)
+	err = c.exchange(call.Request, call.Response, p.options)
+	if err == nil && call.Verify != nil {
+		err = call.Verify(call.Response)
 	}
 	interrupted := !stop()
 	if err == nil {
-		c.idleTimeout = p.options.idleTimeout(resp)
-		p.release(address, c, !interrupted && reusable(req, resp, c))
+		c.idleTimeout = p.options.idleTimeout(call.Response)
+		p.release(address, c, !interrupted && reusable(call.Request, call.Response, c))
 		return request.ResponseComplete, nil
 	}
 	_ = c.Close()
@@ -178,6 +193,19 @@
 	return request.Written, withContextError(ctx, err)
 }
 
+// recordCarried records that the connection carries the call's request.
+func (c *conn) recordCarried(ctx context.Context, call Call) {
+	if call.RequestID == "" {
+		return
+	}
+	now := time.Now()
+	until := now.Add(defaultCarriedRetention)
+	if deadline, ok := ctx.Deadline(); ok {
+		until = deadline.Add(carriedRetention)
+	}
+	c.carried.add(now, call.RequestID, until, call.Request.Header.IsHead())
+}
+
 // exchange writes the request and reads the response. Errors are marked with
 // ErrClosed, ErrTruncated, ErrTooLarge or ErrMalformed.
 func (c *conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, options Options) error {
@@ -261,15 +289,16 @@
 // reusable reports whether the connection can carry another request. A connection
 // with unread bytes cannot: they would be taken for the next response.
 func reusable(req *fasthttp.Request, resp *fasthttp.Response, c *conn) bool {
-	return !req.ConnectionClose() && !resp.ConnectionClose() && c.reader.Buffered() == 0 &&
+	return !req.ConnectionClose() && !resp.ConnectionClose() && c.reader.Buffered() == 0 && !c.carried.full() &&
 		resp.Header.ContentLength() != identityLength
 }
 
-// acquire returns an idle connection that is still usable, or a new one. It closes
-// the idle connections that it finds expired or unusable.
-func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns an idle connection that is still usable and has not carried a request
+// with the ID, or a new one. It closes the idle connections that it finds expired or
+// unusable.
+func (p *Pool) acquire(ctx context.Context, address, requestID string) (*conn, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, requestID)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -281,15 +310,17 @@
 	}
 }
 
-// takeIdle removes the most recently used idle connection to the address from the
-// pool and returns it, or nil if there is none.
-func (p *Pool) takeIdle(address string) *conn {
+// takeIdle removes from the pool the most recently used idle connection to the address
+// that has not carried a request with the ID, and returns it, or nil if there is none.
+func (p *Pool) takeIdle(address, requestID string) *conn {
 	var taken *conn
 	p.idle.Update(address, func(list []*conn, _ bool) ([]*conn, bool) {
-		if n := len(list); n > 0 {
-			taken = list[n-1]
-			list[n-1] = nil
-			list = list[:n-1]
+		for i := len(list) - 1; i >= 0; i-- {
+			if requestID == "" || list[i].carried.find(requestID) == nil {
+				taken = list[i]
+				list = slices.Delete(list, i, i+1)
+				break
+			}
 		}
 		return list, len(list) > 0
 	})
--- a/httpconn/pool_test.go
+++ b/httpconn/pool_test.go
@@ -69,7 +69,7 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("/x")
 	req.Header.SetHost("test")
-	progress, err := p.Do(ctx, address, &req, &resp, nil)
+	progress, err := p.Do(ctx, address, Call{Request: &req, Response: &resp})
 	return &resp, progress, err
 }
 
@@ -231,7 +231,7 @@
 	var resp fasthttp.Response
 	req.SetRequestURI("/x")
 	req.Header.SetHost("test")
-	progress, err := NewPool(DefaultOptions()).Do(ctx, listener.Addr().String(), &req, &resp, nil)
+	progress, err := NewPool(DefaultOptions()).Do(ctx, listener.Addr().String(), Call{Request: &req, Response: &resp})
 	if !errors.Is(err, ErrCanceled) || progress != request.Written {
 		t.Fatalf("got progress %d, error %v; want Written, ErrCanceled", progress, err)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -111,8 +111,9 @@
 	defer fasthttp.ReleaseResponse(httpResp)
 	start := time.Now()
 	c.protocol.Encode(httpReq, server, req, req.Deadline.Sub(start))
-	progress, err := c.pool.Do(ctx, server.Address, httpReq, httpResp, func(resp *fasthttp.Response) error {
-		return c.protocol.Check(req, resp)
+	progress, err := c.pool.Do(ctx, server.Address, httpconn.Call{
+		Request: httpReq, Response: httpResp, RequestID: req.ID,
+		Verify: func(resp *fasthttp.Response) error { return c.protocol.Check(req, resp) },
 	})
 	e := Exchange{Latency: time.Since(start)}
 	if err != nil {
