httpfront, entry: a stopping VM takes no request that it must cut

The HTTP server passes over connections without a request when it closes idle ones, for 5 s after they were opened, and nothing compared a request's deadline with the time left.

inbound.Listener tracks callers' connections, and the shutdown closes those on which no request has begun to arrive. entry.Drain rejects, after the drain time, requests whose deadline lies behind the cut, as not run; both dispatchers use it, also for further attempts. The drain time is at most 2.7 s, so that it fits long grace times as well.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,6 +65,7 @@
 
 	forwardClient *forward.Client
 	forwardServer *forward.Server
+	dispatcher    *entry.Dispatcher
 	front         *httpfront.Server
 	operators     *operator.Server
 }
@@ -166,12 +167,12 @@
 	d.forwardServer = forward.NewServer(d.self.ID, d.secret(), d.links, d.fleet, d.owner, d.forwardClient,
 		forward.Options{MaxMessageBytes: limits.BodyBytes + maxEnvelopeBytes, IdleTimeout: forwardIdleTimeout}, d.log.Part("forward"))
 	d.forwardServer.SetExchangeRelay(owner.NewRelay(d.follower, d.fleet, d.upstream, time.Now))
-	dispatcher := entry.NewDispatcher(entry.Dependencies{
+	d.dispatcher = entry.NewDispatcher(entry.Dependencies{
 		ConfigSource: d.follower, Membership: entryMembership{d}, Tokens: d.tokens, Claims: claimAdapter{d.claims, d.log.Part("claim")},
 		Forwarder: d.forwardClient, Links: d.links, Observer: decisionCounter{d.metrics}, Clock: time.Now,
 		Limits: entry.Limits{MaxInFlight: limits.Requests, MaxInFlightPerTeam: limits.RequestsPerTeam},
 	})
-	d.front = httpfront.New(dispatcher, httpfront.Options{
+	d.front = httpfront.New(d.dispatcher, httpfront.Options{
 		MaxHeaderBytes: limits.HeaderBytes, MaxBodyBytes: limits.BodyBytes, MaxConnections: limits.Connections,
 		ReadTimeout: limits.ReadTimeout(), WriteTimeout: limits.WriteTimeout(), IdleTimeout: limits.IdleTimeout(),
 	}, d.log.Part("callers"))
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -106,6 +106,8 @@
 // shutdown stops the components that handle requests, in the order that loses no
 // request. It returns an error if requests are still in flight when ctx ends.
 func (d *Daemon) shutdown(ctx context.Context) error {
+	now := time.Now()
+	d.dispatcher.BeginDrain(now.Add(notReadyDelay), now.Add(d.settings.Shutdown.Limit()))
 	d.front.Drain()
 	wait.For(ctx, notReadyDelay)
 	if err := d.front.Shutdown(ctx); err != nil {
--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -76,6 +76,7 @@
 	stoppedByAttempts    stopReason = "attempts"      // the most that a request may have
 	stoppedByTime        stopReason = "time"          // the deadline is too close
 	stoppedByBudget      stopReason = "retry-budget"  // of the service
+	stoppedByDrain       stopReason = "vm-stopping"   // too late for an attempt before the VM stops
 	stoppedByKey         stopReason = "key-withdrawn" // during an attempt
 	stoppedWithoutServer stopReason = "no-candidate"  // no server may get the request
 )
@@ -212,8 +213,8 @@
 	return r.req.Idempotent && r.attempts < max(r.route.Attempts, 1) && r.spendExtraAttempt()
 }
 
-// spendExtraAttempt reports whether the time left, maxAttempts and the retry
-// budget of the service allow another attempt. It takes the attempt out of the
+// spendExtraAttempt reports whether the time left, a planned stop of this VM, maxAttempts
+// and the retry budget of the service allow another attempt. It takes the attempt out of the
 // budget if an earlier one reached its server, or may reach it yet. The budget limits
 // the load that retries put on servers, and a failed connection puts none on them.
 func (r *attemptLoop) spendExtraAttempt() bool {
@@ -225,6 +226,9 @@
 	case r.ctx.Err() != nil || r.req.Deadline.Sub(now) < minTimeLeft:
 		r.stopped = stoppedByTime
 		return false
+	case !r.d.drain.AllowsAttempt(now, r.typicalLatency):
+		r.stopped = stoppedByDrain
+		return false
 	}
 	if r.attempts == r.unreached {
 		return true
--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -84,6 +84,7 @@
 	deps      Dependencies
 	counters  counters
 	startedAt time.Time
+	drain     entry.Drain
 	// background holds the checks for crashed servers, which outlive the request.
 	background conc.WaitGroup
 }
@@ -107,6 +108,10 @@
 	return req.ID, result
 }
 
+// BeginDrain announces a planned stop of this VM: from rejectFrom on, it rejects requests
+// that may be running still at cutAt, and makes no attempts that would.
+func (d *Dispatcher) BeginDrain(rejectFrom, cutAt time.Time) { d.drain.Begin(rejectFrom, cutAt) }
+
 // Close waits for the background checks for crashed servers.
 func (d *Dispatcher) Close() { d.background.Wait() }
 
@@ -143,6 +148,9 @@
 		req.Deadline = in.ReceivedAt.Add(in.CallerTimeout)
 	}
 	now := d.deps.Clock()
+	if rejected := d.drain.Reject(now, req.Deadline); rejected != nil {
+		return *rejected, attemptSummary{}
+	}
 	if d.deps.ReplicatedState.Crashes.quarantined(now, request.FingerprintOf(req)) {
 		return request.Rejected(request.ReasonQuarantined), attemptSummary{}
 	}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -96,6 +96,7 @@
 	selector *selector
 	budgets  retry.Budgets
 	inFlight inFlightLimiter
+	drain    Drain
 }
 
 // NewDispatcher returns a dispatcher with the given dependencies.
@@ -116,6 +117,10 @@
 	return req.ID, result
 }
 
+// BeginDrain announces a planned stop of this VM: from rejectFrom on, it rejects requests
+// that may be running still at cutAt, and makes no attempts that would.
+func (d *Dispatcher) BeginDrain(rejectFrom, cutAt time.Time) { d.drain.Begin(rejectFrom, cutAt) }
+
 // serve fills req and returns the result and the number of attempts.
 func (d *Dispatcher) serve(ctx context.Context, in IncomingRequest, req *request.Request) (request.Result, int) {
 	if ready, _ := d.deps.Membership.Ready(d.deps.Clock()); !ready {
@@ -126,11 +131,14 @@
 	if err != nil {
 		return request.Rejected(ReasonOf(err)), 0
 	}
+	req.Deadline = in.ReceivedAt.Add(route.Timeout())
+	if rejected := d.drain.Reject(d.deps.Clock(), req.Deadline); rejected != nil {
+		return *rejected, 0
+	}
 	if !d.inFlight.acquire(req.Team) {
 		return request.Rejected(request.ReasonOverloaded), 0
 	}
 	defer d.inFlight.release(req.Team)
-	req.Deadline = in.ReceivedAt.Add(route.Timeout())
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	if rejected := d.takeToken(ctx, index, req.Team); rejected != nil {
@@ -287,6 +295,9 @@
 // redirect, to the service's retry budget, and credits it with a success.
 func (d *Dispatcher) shouldRetry(req *request.Request, last request.Result, attempts int) bool {
 	now := d.deps.Clock()
+	if !d.drain.AllowsAttempt(now, 0) {
+		return false
+	}
 	if last.Outcome == request.Answered && last.Status < retry.FirstServerError {
 		d.budgets.RecordSuccess(now, req.Service)
 	}
--- a/entry/httpfront/response.go
+++ b/entry/httpfront/response.go
@@ -140,6 +140,7 @@
 	request.ReasonInProgress:           "A request with this idempotency key is still running.",
 	request.ReasonIdempotencyKeyReused: "The idempotency key was used for another request.",
 	request.ReasonNotReady:             "This VM does not serve requests at the moment.",
+	request.ReasonStopping:             "This VM is being stopped. Send the request on a new connection.",
 	request.ReasonCanceled:             "The caller closed the connection.",
 	request.ReasonOverloaded:           "This VM is overloaded.",
 	request.ReasonInternal:             "An internal error occurred.",
--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -12,6 +12,7 @@
 	"almondstile/guard"
 	"almondstile/header"
 	"almondstile/httpconn"
+	"almondstile/inbound"
 	"almondstile/logging"
 	"almondstile/request"
 
@@ -64,6 +65,7 @@
 	guard         *guard.Guard
 	log           logging.Logger
 	http          *fasthttp.Server
+	listener      atomic.Pointer[inbound.Listener]
 	hangupWatches conc.WaitGroup
 	draining      atomic.Bool
 }
@@ -90,6 +92,7 @@
 		NoDefaultContentType:          true,
 		DisablePreParseMultipartForm:  true,
 		CloseOnShutdown:               true,
+		ConnState:                     inbound.FollowState,
 		DisableHeaderNamesNormalizing: false,
 		Logger:                        logging.DiscardPrintf{},
 	}
@@ -98,7 +101,9 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	return errors.Wrap(s.http.Serve(listener), "serving callers' requests")
+	accepting := inbound.NewListener(listener, s.log)
+	s.listener.Store(accepting)
+	return errors.Wrap(s.http.Serve(accepting), "serving callers' requests")
 }
 
 // Drain makes callers open new connections, which the balancer can send to other
@@ -107,9 +112,16 @@
 // sent.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown stops accepting connections and waits until all requests in flight
-// have finished or the context ends.
+// Shutdown stops accepting connections, closes those without a request, and waits until
+// all requests in flight have finished or the context ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if listener := s.listener.Load(); listener != nil {
+		// The HTTP server closes the connections that have carried a request.
+		if err := listener.Close(); err != nil {
+			s.log.WithError(err).Warn("The listener for callers cannot be closed.")
+		}
+		listener.CloseUnused()
+	}
 	err := s.http.ShutdownWithContext(ctx)
 	if err == nil {
 		s.hangupWatches.Wait()
@@ -129,6 +141,9 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	receivedAt := time.Now()
+	if conn, ok := ctx.Conn().(*inbound.Conn); ok && conn.Closed() {
+		return // Shutdown has closed the connection just before the request arrived
+	}
 	if framing := framingError(&ctx.Request); framing != "" {
 		ctx.SetConnectionClose()
 		writeError(ctx, "", request.Rejected(request.ReasonMalformed), framing)
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -19,8 +19,10 @@
 	expiryInterval = 200 * time.Millisecond
 	// drainTimeShare is the part of the shutdown timeout during which the VM still
 	// accepts requests while it reports not ready, so that the load balancer stops
-	// sending to it.
+	// sending to it. maxDrainTime is its upper bound: the balancer asks once a second and
+	// stops after the second answer that is not 200.
 	drainTimeShare = 0.45
+	maxDrainTime   = 2700 * time.Millisecond
 	// stopMarginShare is the part of the shutdown timeout that is left when requests in
 	// flight are canceled, and maxStopMargin its upper bound. Operators tolerate
 	// canceled requests in the last sixth only.
@@ -117,8 +119,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	v.readyServer.stopping.Store(true)
+	drainTime := min(time.Duration(drainTimeShare*float64(grace)), maxDrainTime)
+	now := time.Now()
+	v.dispatcher.BeginDrain(now.Add(drainTime), now.Add(timeout))
 	v.front.Drain()
-	wait.For(ctx, time.Duration(drainTimeShare*float64(v.settings.ShutdownTimeout)))
+	wait.For(ctx, drainTime)
 	err := v.front.Shutdown(ctx)
 	if err != nil {
 		v.log.Part("vm").WithError(err).Warn("Requests are cut at the stop limit.")
--- a/request/request.go
+++ b/request/request.go
@@ -87,6 +87,7 @@
 	ReasonIdempotencyKeyReused Reason = "idempotency-key-reused"
 	ReasonInProgress           Reason = "in-progress"
 	ReasonNotReady             Reason = "not-ready"
+	ReasonStopping             Reason = "stopping"
 	ReasonCanceled             Reason = "canceled"
 	ReasonOverloaded           Reason = "overloaded"
 	ReasonInternal             Reason = "internal"
