--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -67,12 +67,13 @@
 	http          *fasthttp.Server
 	listener      atomic.Pointer[inbound.Listener]
 	hangupWatches conc.WaitGroup
+	writeTimeout  time.Duration
 	draining      atomic.Bool
 }
 
 // New returns a server that passes requests to the dispatcher.
 func New(dispatcher Dispatcher, options Options, log logging.Logger) *Server {
-	s := &Server{dispatcher: dispatcher, protocol: options.Protocol, guard: options.Guard, log: log}
+	s := &Server{dispatcher: dispatcher, protocol: options.Protocol, guard: options.Guard, writeTimeout: options.WriteTimeout, log: log}
 	if s.protocol == nil {
 		s.protocol = nativeProtocol{}
 	}
@@ -137,6 +138,20 @@
 		ctx.SetConnectionClose()
 		s.protocol.WriteResponse(ctx, "", request.UnknownResult(request.ReasonInternal))
 	}
+	s.sendAtOnce(ctx)
+}
+
+// sendAtOnce lets the HTTP server send the response as soon as the handler returns. With
+// a pipelined request behind it, the server would hold the response back until that
+// request is served, unless the handler has set a write deadline.
+func (s *Server) sendAtOnce(ctx *fasthttp.RequestCtx) {
+	var deadline time.Time // none
+	if s.writeTimeout > 0 {
+		deadline = time.Now().Add(s.writeTimeout)
+	}
+	if err := ctx.SetWriteDeadline(deadline); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.log.WithError(err).Warn("A response may wait for the request behind it.")
+	}
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- a/entry/httpfront/stop_test.go
+++ b/entry/httpfront/stop_test.go
@@ -57,7 +57,7 @@
 const (
 	getRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 	// testLimit ends a test that would hang. It is no requirement.
-	testLimit = 20 * time.Second
+	testLimit = 10 * time.Second
 )
 
 // Guards against requests that are accepted late in a planned stop and then cut: a
