inbound: a caller's close is seen behind pipelined requests

The connection now reads ahead, within bounds, while a request is served. At the end of the stream the request is canceled and what was received behind it is dropped. The server for messages between VMs uses the same connection.

--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -11,7 +11,6 @@
 	"almondstile/entry"
 	"almondstile/guard"
 	"almondstile/header"
-	"almondstile/httpconn"
 	"almondstile/inbound"
 	"almondstile/logging"
 	"almondstile/request"
@@ -156,9 +155,15 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	receivedAt := time.Now()
-	if conn, ok := ctx.Conn().(*inbound.Conn); ok && conn.Closed() {
+	conn, ok := ctx.Conn().(*inbound.Conn)
+	if !ok || conn.Closed() {
 		return // Shutdown has closed the connection just before the request arrived
 	}
+	if conn.PeerGone() {
+		ctx.SetConnectionClose()
+		s.protocol.WriteResponse(ctx, "", request.Rejected(request.ReasonCanceled))
+		return
+	}
 	if framing := framingError(&ctx.Request); framing != "" {
 		ctx.SetConnectionClose()
 		writeError(ctx, "", request.Rejected(request.ReasonMalformed), framing)
@@ -167,7 +172,7 @@
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	in := s.protocol.ReadRequest(&ctx.Request, receivedAt)
-	stop := httpconn.WatchHangup(ctx.Conn(), s.hangupWatches.Go, cancel)
+	stop := conn.WatchHangup(s.hangupWatches.Go, cancel)
 	id, result := func() (string, request.Result) {
 		defer stop() // also if Do panics
 		return s.dispatcher.Do(runCtx, in)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -158,9 +158,7 @@
 // owner closes its connection.
 func (s *Server) relayExchange(ctx *fasthttp.RequestCtx, envelope *exchangeEnvelope, body []byte) (upstream.Exchange, bool) {
 	req := envelope.toRequest(time.Now(), body)
-	runCtx, cancel := context.WithDeadline(context.Background(), req.Deadline)
-	defer cancel()
-	stop := httpconn.WatchHangup(ctx.Conn(), s.wg.Go, cancel)
+	runCtx, stop := s.runContext(ctx, req.Deadline)
 	defer stop()
 	return s.exchangeRelay.Exchange(runCtx, envelope.From, req)
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -5,7 +5,7 @@
 	"net"
 	"time"
 
-	"almondstile/httpconn"
+	"almondstile/inbound"
 	"almondstile/link"
 	"almondstile/logging"
 	"almondstile/request"
@@ -35,7 +35,7 @@
 	exchangeRelay ExchangeRelay // nil if this VM does not accept exchange messages
 	log           logging.Logger
 	http          *fasthttp.Server
-	wg            conc.WaitGroup
+	watches       conc.WaitGroup
 	// seenMACs holds the MACs of recent messages and when each was last received,
 	// so that a message that arrives twice is not executed twice.
 	seenMACs shard.Map[string, time.Time]
@@ -63,6 +63,7 @@
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
+		ConnState:             inbound.FollowState,
 		Logger:                discardLogger{},
 	}
 	return s
@@ -70,7 +71,7 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	return errors.Wrap(s.http.Serve(listener), "serving forwarded requests")
+	return errors.Wrap(s.http.Serve(inbound.NewListener(listener, s.log)), "serving forwarded requests")
 }
 
 // Shutdown stops accepting connections and waits until all requests in flight
@@ -78,7 +79,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.http.ShutdownWithContext(ctx)
 	if err == nil {
-		s.wg.Wait()
+		s.watches.Wait()
 	}
 	return errors.Wrap(err, "shutting down the server for forwarded requests")
 }
@@ -156,9 +157,7 @@
 // run executes the request if this VM owns the server, and otherwise relays it
 // once to the owner. It cancels the request if the sender closes its connection.
 func (s *Server) run(ctx *fasthttp.RequestCtx, envelope *requestEnvelope, req *request.Request) request.Result {
-	runCtx, cancel := context.WithDeadline(context.Background(), req.Deadline)
-	defer cancel()
-	stop := httpconn.WatchHangup(ctx.Conn(), s.wg.Go, cancel)
+	runCtx, stop := s.runContext(ctx, req.Deadline)
 	defer stop()
 	if envelope.To == s.self {
 		return s.runner.Run(runCtx, req)
@@ -170,6 +169,21 @@
 	return s.client.send(runCtx, owner.ID, owner, true, req)
 }
 
+// runContext returns a context that ends at the deadline, or when the sender closes its
+// connection. The caller must call stop.
+func (s *Server) runContext(ctx *fasthttp.RequestCtx, deadline time.Time) (_ context.Context, stop func()) {
+	runCtx, cancel := context.WithDeadline(context.Background(), deadline)
+	conn, ok := ctx.Conn().(*inbound.Conn)
+	if !ok {
+		return runCtx, cancel
+	}
+	stopWatch := conn.WatchHangup(s.watches.Go, cancel)
+	return runCtx, func() {
+		stopWatch()
+		cancel()
+	}
+}
+
 // discardLogger drops fasthttp's log lines.
 type discardLogger struct{}
 
--- a/httpconn/pool_test.go
+++ b/httpconn/pool_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"almondstile/inbound"
+	"almondstile/logging"
 	"almondstile/request"
 
 	"github.com/cockroachdb/errors"
@@ -196,13 +198,14 @@
 }
 
 // Guards against a server that goes on executing a request after its caller
-// canceled it. The cancellation must close the connection, and WatchHangup at the
+// canceled it. The cancellation must close the connection, and inbound.Conn at the
 // server must detect that.
 func TestHangupIsSeenByThePeer(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	listener := inbound.NewListener(socket, logging.Discard().Part("test"))
 	defer listener.Close()
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -217,7 +220,7 @@
 		if err := req.Read(bufio.NewReader(nc)); err != nil {
 			return
 		}
-		stop := WatchHangup(nc, wg.Go, func() { close(canceled) })
+		stop := nc.(*inbound.Conn).WatchHangup(wg.Go, func() { close(canceled) })
 		defer stop()
 		close(started)
 		<-canceled
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -1,10 +1,12 @@
 package inbound
 
 import (
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
-	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -15,6 +17,12 @@
 	listener *Listener
 	id       connID
 	phase    atomic.Int32
+	// peerGone says that the peer has closed its sending side or reset the connection.
+	peerGone atomic.Bool
+
+	mu sync.Mutex
+	// ahead holds the bytes that a watch has received and the server has not read yet.
+	ahead []byte
 }
 
 // connID identifies a connection of a Listener.
@@ -32,6 +40,33 @@
 	closed
 )
 
+// Read reads what the peer sent, first the bytes that were read ahead. It returns io.EOF
+// as soon as the peer is gone, also if bytes are left.
+func (c *Conn) Read(b []byte) (int, error) {
+	if c.peerGone.Load() {
+		return 0, io.EOF
+	}
+	if n := c.readAhead(b); n > 0 {
+		return n, nil
+	}
+	n, err := c.Conn.Read(b)
+	if endsStream(err) {
+		c.peerGone.Store(true)
+	}
+	return n, err
+}
+
+// endsStream reports whether an error of a read means that nothing more will arrive.
+func endsStream(err error) bool {
+	var network net.Error
+	timedOut := errors.As(err, &network) && network.Timeout()
+	return err != nil && !timedOut
+}
+
+// PeerGone reports whether the peer has closed its sending side or reset the connection.
+// A request that was received before must not be executed any more.
+func (c *Conn) PeerGone() bool { return c.peerGone.Load() }
+
 // Closed reports whether this side has closed the connection.
 func (c *Conn) Closed() bool { return c.phase.Load() == closed }
 
@@ -52,6 +87,7 @@
 
 // release closes the socket and removes the connection from its listener.
 func (c *Conn) release() error {
+	c.dropAhead()
 	c.listener.remove(c.id)
 	return c.Conn.Close()
 }
@@ -63,11 +99,3 @@
 		c.phase.CompareAndSwap(unused, used)
 	}
 }
-
-// SyscallConn gives access to the socket. It returns an error if there is none.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	if socket, ok := c.Conn.(syscall.Conn); ok {
-		return socket.SyscallConn()
-	}
-	return nil, syscall.ENOTSOCK
-}
--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -4,6 +4,9 @@
 // The HTTP library's server parses requests and writes responses on these connections.
 // It does not know what a connection does beside that, so a Conn adds:
 //
+//   - While a request is served, it reads ahead, so that the end of the stream is seen
+//     also behind pipelined requests. A peer that has closed its sending side counts as
+//     gone: its request is canceled and what it sent behind it is dropped.
 //   - It knows whether it has carried a request, so that a shutdown can close the
 //     connections that have not.
 //
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -13,9 +13,10 @@
 // Listener accepts connections and keeps track of them. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
-	log      logging.Logger
-	conns    shard.Map[connID, *Conn]
-	accepted atomic.Int64
+	log        logging.Logger
+	conns      shard.Map[connID, *Conn]
+	accepted   atomic.Int64
+	aheadBytes atomic.Int64 // buffers of all connections for bytes read ahead
 	// closing ends with Close.
 	closing context.Context
 	cancel  context.CancelFunc
@@ -78,4 +79,16 @@
 	return conns
 }
 
+// reserveAhead takes n bytes out of maxTotalAheadBytes and reports whether so many are
+// left.
+func (l *Listener) reserveAhead(n int) bool {
+	if l.aheadBytes.Add(int64(n)) <= maxTotalAheadBytes {
+		return true
+	}
+	l.aheadBytes.Add(int64(-n))
+	return false
+}
+
+func (l *Listener) releaseAhead(n int) { l.aheadBytes.Add(int64(-n)) }
+
 func (l *Listener) remove(id connID) { l.conns.Delete(id) }
