--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -112,17 +112,31 @@
 // sent.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// lastAnswerTime is how long Shutdown waits, after it has canceled the requests in flight,
+// until their callers have been answered.
+const lastAnswerTime = 200 * time.Millisecond
+
 // Shutdown stops accepting connections, closes those without a request, and waits until
-// all requests in flight have finished or the context ends.
+// all requests in flight have finished and their callers have read the responses. If the
+// context ends before that, it cancels the requests, so that their callers get an answer,
+// and returns an error at most lastAnswerTime later.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if listener := s.listener.Load(); listener != nil {
-		// The HTTP server closes the connections that have carried a request.
-		if err := listener.Close(); err != nil {
-			s.log.WithError(err).Warn("The listener for callers cannot be closed.")
-		}
-		listener.CloseUnused()
+	listener := s.listener.Load()
+	if listener == nil {
+		return nil // Serve was not called
+	}
+	if err := listener.Close(); err != nil {
+		s.log.WithError(err).Warn("The listener for callers cannot be closed.")
 	}
-	err := s.http.ShutdownWithContext(ctx)
+	listener.CloseUnused()
+	err := s.http.ShutdownWithContext(ctx) // closes the idle connections that have carried a request
+	if err != nil {
+		s.log.WithField("requests", listener.CancelRequests()).Warn("The requests in flight are canceled.")
+		answered, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswerTime)
+		defer cancel()
+		ctx = answered
+	}
+	err = errors.CombineErrors(err, listener.WaitClosed(ctx))
 	if err == nil {
 		s.hangupWatches.Wait()
 	}
@@ -180,6 +194,9 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	if result.Reason == request.ReasonCanceled && !conn.PeerGone() {
+		result.Reason = request.ReasonStopping // Shutdown has canceled it
+	}
 	s.protocol.WriteResponse(ctx, id, result)
 }
 
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -23,19 +24,25 @@
 	mu sync.Mutex
 	// ahead holds the bytes that a watch has received and the server has not read yet.
 	ahead []byte
+	// hangup is the function of the current watch, or nil.
+	hangup context.CancelFunc
 }
 
 // connID identifies a connection of a Listener.
 type connID string
 
-// phase is what a connection does.
+// phase is what a connection does. It decides how Close ends it.
 type phase = int32
 
 const (
 	// unused is the phase until the first byte of the first request is read.
 	unused phase = iota
-	// used is the phase until the connection is closed.
-	used
+	// idle is the phase between a response and the next request.
+	idle
+	// receiving is the phase from the first byte of a request until its response.
+	receiving
+	// responding is the phase from the first byte of a response on.
+	responding
 	// closed is the last phase.
 	closed
 )
@@ -70,9 +77,26 @@
 // Closed reports whether this side has closed the connection.
 func (c *Conn) Closed() bool { return c.phase.Load() == closed }
 
-// Close closes the connection. Further calls do nothing.
+// Write writes a part of a response. After an error the peer is taken for gone.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.phase.CompareAndSwap(receiving, responding)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.peerGone.Store(true)
+	}
+	return n, err
+}
+
+// Close closes the connection. After a response the socket stays open, for a bounded
+// time, until the peer has closed its side; Close does not wait for that. Further calls
+// do nothing.
 func (c *Conn) Close() error {
-	if c.phase.Swap(closed) == closed {
+	last := c.phase.Swap(closed)
+	if last == closed {
+		return nil
+	}
+	if last == responding && !c.peerGone.Load() {
+		c.listener.lingering.Go(c.linger)
 		return nil
 	}
 	return c.release()
@@ -95,7 +119,16 @@
 // FollowState is the hook by which the HTTP server tells its connections what they do. It
 // is meant for fasthttp.Server.ConnState.
 func FollowState(nc net.Conn, state fasthttp.ConnState) {
-	if c, ok := nc.(*Conn); ok && state == fasthttp.StateActive {
-		c.phase.CompareAndSwap(unused, used)
+	c, ok := nc.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		if !c.phase.CompareAndSwap(unused, receiving) {
+			c.phase.CompareAndSwap(idle, receiving)
+		}
+	case fasthttp.StateIdle:
+		c.phase.CompareAndSwap(responding, idle)
 	}
 }
--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -7,6 +7,9 @@
 //   - While a request is served, it reads ahead, so that the end of the stream is seen
 //     also behind pipelined requests. A peer that has closed its sending side counts as
 //     gone: its request is canceled and what it sent behind it is dropped.
+//   - When the server closes it after a response, it first shuts down its sending side
+//     and drops what the peer still sends. Closing a socket with unread bytes would reset
+//     it, and the peer would lose the end of the response.
 //   - It knows whether it has carried a request, so that a shutdown can close the
 //     connections that have not.
 //
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -8,6 +8,9 @@
 
 	"almondstile/logging"
 	"almondstile/shard"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 )
 
 // Listener accepts connections and keeps track of them. It is safe for concurrent use.
@@ -17,6 +20,9 @@
 	conns      shard.Map[connID, *Conn]
 	accepted   atomic.Int64
 	aheadBytes atomic.Int64 // buffers of all connections for bytes read ahead
+	lingering  conc.WaitGroup
+	// removed gets a value when a connection is closed.
+	removed chan struct{}
 	// closing ends with Close.
 	closing context.Context
 	cancel  context.CancelFunc
@@ -24,7 +30,7 @@
 
 // NewListener returns a listener that accepts from the given one.
 func NewListener(from net.Listener, log logging.Logger) *Listener {
-	l := &Listener{Listener: from, log: log}
+	l := &Listener{Listener: from, log: log, removed: make(chan struct{}, 1)}
 	l.closing, l.cancel = context.WithCancel(context.Background())
 	return l
 }
@@ -79,6 +85,31 @@
 	return conns
 }
 
+// CancelRequests cancels the requests that are being served and returns how many there
+// were.
+func (l *Listener) CancelRequests() (canceled int) {
+	for _, c := range l.open() {
+		if c.cancelRequest() {
+			canceled++
+		}
+	}
+	return canceled
+}
+
+// WaitClosed waits until all connections are closed, also those that wait for their peers
+// to close, or until ctx ends.
+func (l *Listener) WaitClosed(ctx context.Context) error {
+	for l.conns.Len() > 0 {
+		select {
+		case <-l.removed:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d connections are open", l.conns.Len())
+		}
+	}
+	l.lingering.Wait()
+	return nil
+}
+
 // reserveAhead takes n bytes out of maxTotalAheadBytes and reports whether so many are
 // left.
 func (l *Listener) reserveAhead(n int) bool {
@@ -91,4 +122,11 @@
 
 func (l *Listener) releaseAhead(n int) { l.aheadBytes.Add(int64(-n)) }
 
-func (l *Listener) remove(id connID) { l.conns.Delete(id) }
+// remove forgets a connection that is closed.
+func (l *Listener) remove(id connID) {
+	l.conns.Delete(id)
+	select {
+	case l.removed <- struct{}{}:
+	default: // WaitClosed has yet to receive an earlier value
+	}
+}
--- a/inbound/watch.go
+++ b/inbound/watch.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return func() {}
 	}
+	c.setHangup(hangup)
 	done := make(chan struct{})
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	start(func() {
@@ -44,10 +45,29 @@
 	return func() {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // a past deadline ends the wait in the poller
 		<-done
+		c.setHangup(nil)
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
+// setHangup sets the function that cancelRequest calls.
+func (c *Conn) setHangup(hangup context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hangup = hangup
+}
+
+// cancelRequest cancels the request that is served now and reports whether there was one.
+func (c *Conn) cancelRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hangup == nil {
+		return false
+	}
+	c.hangup()
+	return true
+}
+
 // receiveAhead receives what can be read from the socket without waiting. It returns
 // false if the runtime's poller is to wait until more can be read, and true if the peer
 // is gone or no more may be read ahead.
