httpconn: late copies of earlier responses are skipped

A late second copy of a response, on a connection that by then carried another request, ended that request as unknown although its server went on and answered it. The ID in the copy names an earlier request of the connection, so the copy is now read and dropped, and the next response is awaited. Responses that name no request, or one that the connection has not carried, fail the exchange as before.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -303,6 +303,11 @@
 		d.deps.Guard.Handle("attempt", r.req.ID, func() { d.counters.recordSuspectedFailure(d.deps.Clock(), subject) })
 	})
 	e := d.deps.Exchanger.Do(r.ctx, server, r.req)
+	if e.LateCopies > 0 {
+		d.deps.Observer.Count("late_copy_skipped")
+		d.deps.Log.WithField("request", r.req.ID).WithField("server", server.ID).WithField("copies", e.LateCopies).
+			Info("A server sent responses to earlier requests again. They were skipped.")
+	}
 	if e.Notice != nil {
 		d.handleNotice(selected.server, *e.Notice)
 	}
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -155,6 +155,12 @@
 	// copy of the response to an earlier attempt is not taken for the response to a
 	// repeated one.
 	RequestID string
+	// ResponseID, if not nil, returns the ID of the request that a response names, or ""
+	// if it names none. A response that names an earlier request of the connection is a
+	// late copy; Do skips it and goes on reading.
+	ResponseID func(*fasthttp.ResponseHeader) string
+	// LateCopy, if not nil, is called with the ID of each response that is skipped.
+	LateCopy func(requestID string)
 	// Verify, if not nil, checks the complete response. If it returns an error, Do
 	// closes the connection, treats the response as not received, and returns that
 	// error.
@@ -176,7 +182,7 @@
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Unix(1, 0)) // a past deadline aborts reads and writes at once
 	})
-	err = c.exchange(call.Request, call.Response, p.options)
+	err = c.exchange(call, p.options)
 	if err == nil && call.Verify != nil {
 		err = call.Verify(call.Response)
 	}
@@ -208,8 +214,8 @@
 
 // exchange writes the request and reads the response. Errors are marked with
 // ErrClosed, ErrTruncated, ErrTooLarge or ErrMalformed.
-func (c *conn) exchange(req *fasthttp.Request, resp *fasthttp.Response, options Options) error {
-	if err := req.Write(c.writer); err != nil {
+func (c *conn) exchange(call Call, options Options) error {
+	if err := call.Request.Write(c.writer); err != nil {
 		return errors.Mark(errors.Wrap(err, "writing the request"), ErrClosed)
 	}
 	if err := c.writer.Flush(); err != nil {
@@ -218,18 +224,52 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return errors.Mark(errors.Wrap(err, "waiting for the response"), ErrClosed)
 	}
-	if err := readResponse(c.reader, resp, req.Header.IsHead(), options); err != nil {
+	if err := c.readResponse(call, options); err != nil {
 		return classifyReadError(err)
 	}
 	return nil
 }
 
-// readResponse reads the final response and skips interim (1xx) responses. Unlike
-// fasthttp, it rejects a body that has neither a length nor chunks, unless
-// options.AllowCloseDelimitedBodies is set: the end of such a body looks the same as a
-// connection that broke in the middle of it.
-func readResponse(r *bufio.Reader, resp *fasthttp.Response, head bool, options Options) error {
-	const chunked, identity = -1, identityLength // special values returned by fasthttp's ContentLength
+// readResponse reads the response to the call. It skips late copies of responses to
+// earlier requests of the connection.
+func (c *conn) readResponse(call Call, options Options) error {
+	for {
+		if err := readHead(c.reader, call.Response); err != nil {
+			return err
+		}
+		copyOf, id := c.lateCopy(call)
+		head := call.Request.Header.IsHead()
+		if copyOf != nil {
+			head = copyOf.head
+		}
+		if err := readBody(c.reader, call.Response, head, options); err != nil {
+			return err
+		}
+		if copyOf == nil {
+			return nil
+		}
+		if call.LateCopy != nil {
+			call.LateCopy(id)
+		}
+		call.Response.Reset()
+	}
+}
+
+// lateCopy returns the earlier request, and its ID, that the response whose head was read
+// belongs to, or nil if that is not known of any.
+func (c *conn) lateCopy(call Call) (copyOf *carriedRequest, id string) {
+	if call.ResponseID == nil {
+		return nil, ""
+	}
+	id = call.ResponseID(&call.Response.Header)
+	if id == "" || id == call.RequestID {
+		return nil, ""
+	}
+	return c.carried.find(id), id
+}
+
+// readHead reads the head of a final response and skips interim (1xx) responses.
+func readHead(r *bufio.Reader, resp *fasthttp.Response) error {
 	for interim := true; interim; {
 		if err := resp.Header.Read(r); err != nil {
 			return err
@@ -237,6 +277,15 @@
 		status := resp.StatusCode()
 		interim = status < 200 && status != fasthttp.StatusSwitchingProtocols
 	}
+	return nil
+}
+
+// readBody reads the body of a response, if it has one. Unlike fasthttp, it rejects a
+// body that has neither a length nor chunks, unless options.AllowCloseDelimitedBodies is
+// set: the end of such a body looks the same as a connection that broke in the middle of
+// it.
+func readBody(r *bufio.Reader, resp *fasthttp.Response, head bool, options Options) error {
+	const chunked, identity = -1, identityLength // special values returned by fasthttp's ContentLength
 	if head || bodyForbidden(resp.StatusCode()) {
 		resp.SkipBody = true
 		return nil
--- a/upstream/native.go
+++ b/upstream/native.go
@@ -42,6 +42,11 @@
 	dst.SetBodyRaw(req.Body)
 }
 
+// ResponseID implements Protocol.
+func (nativeProtocol) ResponseID(h *fasthttp.ResponseHeader) string {
+	return string(h.Peek(header.RequestID))
+}
+
 // Check implements Protocol. It returns ErrResponseMismatch if the response names
 // another request's ID. Such a response says nothing about this request, and it
 // shows that responses and requests on the connection no longer match.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -24,6 +24,9 @@
 	// Notice is what the server stated about itself in its response, or nil if no
 	// response of the server was received.
 	Notice *notice.Notice
+	// LateCopies is the number of responses to earlier requests of the connection that were
+	// skipped.
+	LateCopies int
 	// Latency is the time from the start to the end of the attempt.
 	Latency time.Duration
 	// ConnectFailed says that no connection could be made.
@@ -50,6 +53,9 @@
 	// Encode writes req to dst. timeLeft is the time until the request's
 	// deadline.
 	Encode(dst *fasthttp.Request, server *contract.Server, req *request.Request, timeLeft time.Duration)
+	// ResponseID returns the ID of the request that a response names, or "" if it names
+	// none.
+	ResponseID(h *fasthttp.ResponseHeader) string
 	// Check validates a complete response. It returns an error marked with
 	// ErrResponseMismatch if the response belongs to another request, and one
 	// marked with ErrInvalidResponse if no server of this protocol sends such a
@@ -110,12 +116,14 @@
 	defer fasthttp.ReleaseRequest(httpReq)
 	defer fasthttp.ReleaseResponse(httpResp)
 	start := time.Now()
+	lateCopies := 0
 	c.protocol.Encode(httpReq, server, req, req.Deadline.Sub(start))
 	progress, err := c.pool.Do(ctx, server.Address, httpconn.Call{
 		Request: httpReq, Response: httpResp, RequestID: req.ID,
+		ResponseID: c.protocol.ResponseID, LateCopy: func(string) { lateCopies++ },
 		Verify: func(resp *fasthttp.Response) error { return c.protocol.Check(req, resp) },
 	})
-	e := Exchange{Latency: time.Since(start)}
+	e := Exchange{Latency: time.Since(start), LateCopies: lateCopies}
 	if err != nil {
 		e.Result = failureResult(progress, err)
 		e.ConnectFailed = errors.Is(err, httpconn.ErrConnect)
