inbound: a listener survives a shortage of descriptors

A VM that had run out of descriptors answered no request any more after the connections were closed, and said that it was ready: fasthttp's accept loop ends at the first error that is not a timeout.

The listener now tries again after a pause. The VM is not ready while the listener for callers fails, and serves callers' connections with three quarters of its descriptors at most, so that its own connections do not fail.

--- a/cmd/almondstile/serve.go
+++ b/cmd/almondstile/serve.go
@@ -69,6 +69,12 @@
 // that the platform wrote at path. It logs to standard output and reloads the file
 // at SIGHUP.
 func serveOnPlatform(path string) error {
+	// Signals are received from the start on. Their default action would end the process.
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	loaded, err := platform.LoadSettings(path)
 	if err != nil {
 		return &cli.ExitError{Code: cli.ExitUsage, Err: err}
@@ -86,15 +92,20 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	return runWithReload(ctx, process.Run, func(ctx context.Context) {
+		reloadOnHangup(ctx, hangup, path, process, log.Part("settings"))
+	})
+}
+
+// runWithReload calls run, and reload in the background until run returns. run may return
+// before ctx ends, if the process fails.
+func runWithReload(ctx context.Context, run func(context.Context) error, reload func(context.Context)) error {
+	reloading, stopReloading := context.WithCancel(ctx)
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { reloadOnHangup(ctx, hangup, path, process, log.Part("settings")) })
-	return process.Run(ctx)
+	defer stopReloading()
+	wg.Go(func() { reload(reloading) })
+	return run(ctx)
 }
 
 // reloadOnHangup reads the settings file again at each SIGHUP and applies it, until
--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -106,6 +106,13 @@
 	return errors.Wrap(s.http.Serve(accepting), "serving callers' requests")
 }
 
+// Accepting reports whether the server accepts connections. It does not while the process
+// lacks descriptors.
+func (s *Server) Accepting() bool {
+	listener := s.listener.Load()
+	return listener != nil && listener.Accepting()
+}
+
 // Drain makes callers open new connections, which the balancer can send to other
 // VMs: each response from now on closes its connection. Call it before Shutdown,
 // which closes idle connections and so can lose a request that is just being
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -10,6 +10,7 @@
 	"almondstile/fleet"
 	"almondstile/guard"
 	"almondstile/httpconn"
+	"almondstile/inbound"
 	"almondstile/logging"
 	"almondstile/retry"
 	"almondstile/tally"
@@ -132,7 +133,7 @@
 	}
 	self := deps.Roster.Self()
 	n := &Node{
-		deps: deps, started: time.Now(), conn: conn, listener: listener,
+		deps: deps, started: time.Now(), conn: conn, listener: inbound.NewListener(listener, deps.Log),
 		origin:    tally.OriginOf(self.ID, self.Incarnation),
 		pool:      httpconn.NewPool(httpconn.DefaultOptions()),
 		pullSlots: make(chan struct{}, maxConcurrentPulls),
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -123,7 +123,7 @@
 		Log: log.Part("request"), Clock: time.Now, BootTime: boottime.Now,
 	})
 	v.front = httpfront.New(v.dispatcher, httpfront.Options{
-		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes,
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxConnections: s.maxCallerConnections(),
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
 		Protocol: p.CallerProtocol, Guard: v.guard,
 	}, log.Part("callers"))
@@ -157,10 +157,10 @@
 	if v.callerListener, err = net.Listen("tcp4", v.settings.CallersAddress); err != nil {
 		return errors.Wrapf(err, "listening for callers on %s", v.settings.CallersAddress)
 	}
-	if v.readyServer, err = newStatusServer(v.settings.ReadyAddress, v.isReady, v.metrics, v.guard); err != nil {
+	if v.readyServer, err = newStatusServer(v.settings.ReadyAddress, v.isReady, v.metrics, v.guard, v.log.Part("status")); err != nil {
 		return err
 	}
-	v.metricsServer, err = newStatusServer(v.settings.MetricsAddress, v.isReady, v.metrics, v.guard)
+	v.metricsServer, err = newStatusServer(v.settings.MetricsAddress, v.isReady, v.metrics, v.guard, v.log.Part("status"))
 	return err
 }
 
@@ -171,6 +171,9 @@
 	case <-v.guard.Failed():
 		return false, request.ReasonInternal
 	default:
-		return v.dispatcher.Ready()
 	}
+	if !v.front.Accepting() {
+		return false, request.ReasonOverloaded
+	}
+	return v.dispatcher.Ready()
 }
--- a/hosted/ready.go
+++ b/hosted/ready.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"almondstile/guard"
+	"almondstile/inbound"
+	"almondstile/logging"
 	"almondstile/request"
 	"almondstile/telemetry"
 
@@ -29,12 +31,12 @@
 }
 
 // newStatusServer opens a listener on the address. The caller runs http on it.
-func newStatusServer(address string, ready func() (bool, request.Reason), m *telemetry.Metrics, g *guard.Guard) (*statusServer, error) {
+func newStatusServer(address string, ready func() (bool, request.Reason), m *telemetry.Metrics, g *guard.Guard, log logging.Logger) (*statusServer, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for readiness and metrics on %s", address)
 	}
-	s := &statusServer{listener: listener}
+	s := &statusServer{listener: inbound.NewListener(listener, log)}
 	s.http = &fasthttp.Server{NoDefaultServerHeader: true, ReadTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 	handle := func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -1,6 +1,8 @@
 package hosted
 
 import (
+	"math"
+	"syscall"
 	"time"
 
 	"almondstile/retry"
@@ -26,6 +28,9 @@
 	// on all VMs; 0 stands for the default of catalog.NewReadTimes.
 	MaxChangeDelay time.Duration
 	RetryBudget    retry.BudgetLimits
+	// MaxDescriptors is the number of descriptors that the process may have, or 0 if the
+	// settings name none.
+	MaxDescriptors int
 }
 
 const (
@@ -45,6 +50,28 @@
 	return max(s.MaxKeyWithdrawalTime-keyWithdrawalMargin, s.MaxKeyWithdrawalTime/2)
 }
 
+const (
+	// callerDescriptorShare is the share of the descriptors that callers' connections may
+	// use. The others are for servers, other VMs, the store and files.
+	callerDescriptorShare = 0.75
+	// defaultMaxDescriptors applies if the system does not say how many are allowed.
+	defaultMaxDescriptors = 1024
+)
+
+// maxCallerConnections returns how many connections of callers the VM serves at a time.
+// Further ones are rejected, so that the VM keeps descriptors for its own connections.
+func (s *Settings) maxCallerConnections() int {
+	limit := defaultMaxDescriptors
+	var rlimit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rlimit) == nil {
+		limit = int(min(rlimit.Cur, math.MaxInt32))
+	}
+	if s.MaxDescriptors > 0 {
+		limit = min(limit, s.MaxDescriptors)
+	}
+	return max(1, int(callerDescriptorShare*float64(limit)))
+}
+
 // Reload applies the settings that can change while the process runs: the seeds.
 // Addresses, the VM's zone and the limits that all VMs share need a restart; Reload
 // logs a change of them.
--- a/inbound/doc.go
+++ b/inbound/doc.go
@@ -13,5 +13,6 @@
 //   - It knows whether it has carried a request, so that a shutdown can close the
 //     connections that have not.
 //
-// A Listener keeps track of its connections.
+// A Listener keeps track of its connections, and goes on accepting after a shortage of
+// descriptors.
 package inbound
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -5,9 +5,11 @@
 	"net"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"almondstile/logging"
 	"almondstile/shard"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -23,6 +25,8 @@
 	lingering  conc.WaitGroup
 	// removed gets a value when a connection is closed.
 	removed chan struct{}
+	// failing says that the last attempt to accept a connection failed.
+	failing atomic.Bool
 	// closing ends with Close.
 	closing context.Context
 	cancel  context.CancelFunc
@@ -35,20 +39,49 @@
 	return l
 }
 
-// Accept waits for a connection and returns it as a *Conn.
+const (
+	// minAcceptPause and maxAcceptPause bound the pause after a failure to accept a
+	// connection. It doubles with each failure in a row.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 500 * time.Millisecond
+)
+
+// Accept waits for a connection and returns it as a *Conn. It tries again after errors
+// such as a shortage of descriptors, which end when connections are closed; the HTTP
+// server would stop accepting for good. It returns an error marked net.ErrClosed after
+// Close.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		nc, err := l.Listener.Accept()
+		if err == nil {
+			l.failing.Store(false)
+			return l.add(nc), nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		l.failing.Store(true)
+		l.log.WithError(err).WithField("connections", l.conns.Len()).Warn("A connection cannot be accepted; trying again.")
+		if !wait.For(l.closing, pause) {
+			return nil, errors.Mark(err, net.ErrClosed)
+		}
 	}
+}
+
+// add keeps track of an accepted connection.
+func (l *Listener) add(nc net.Conn) *Conn {
 	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36))}
 	l.conns.Store(c.id, c)
 	if l.closing.Err() != nil {
 		c.closeIfUnused() // CloseUnused may have missed it
 	}
-	return c, nil
+	return c
 }
 
+// Accepting reports whether the listener accepts connections. It does not while it lacks
+// descriptors, and after Close.
+func (l *Listener) Accepting() bool { return !l.failing.Load() && l.closing.Err() == nil }
+
 // Close stops accepting connections. Further calls do nothing.
 func (l *Listener) Close() error {
 	if l.closing.Err() != nil {
--- a/inbound/listener_test.go
+++ b/inbound/listener_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"net"
+	"os"
+	"syscall"
 	"testing"
 
 	"almondstile/logging"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Guards against a connection without a request that stays open because it was accepted
@@ -30,3 +34,43 @@
 	}
 	_ = from.Close()
 }
+
+// failingListener fails with the given errors before it accepts.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+// Accept implements net.Listener.
+func (f *failingListener) Accept() (net.Conn, error) {
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+	}
+	return f.Listener.Accept()
+}
+
+// Guards against a VM that accepts no connection any more because it lacked descriptors
+// for a moment.
+func TestAcceptGoesOnAfterAShortageOfDescriptors(t *testing.T) {
+	from, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := NewListener(&failingListener{from, []error{syscall.EMFILE, syscall.ECONNABORTED, syscall.ENFILE}}, logging.Discard().Part("test"))
+	client, err := net.Dial("tcp", from.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := l.Accept()
+	if err != nil || !l.Accepting() {
+		t.Fatalf("got %v, accepting %v", err, l.Accepting())
+	}
+	_ = nc.Close()
+	_ = l.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) || l.Accepting() {
+		t.Errorf("after the close: got %v, accepting %v", err, l.Accepting())
+	}
+}
