--- a/entry/httpfront/pipeline_test.go
+++ b/entry/httpfront/pipeline_test.go
@@ -84,9 +84,7 @@
 			case <-time.After(testLimit):
 				t.Fatal("the running request was not canceled")
 			}
-			for s.http.GetOpenConnectionsCount() > 0 {
-				time.Sleep(time.Millisecond)
-			}
+			s.waitForConnections(0, 0)
 			if len(paths) != 1 {
 				t.Errorf("%d requests were dispatched, want the first one only", len(paths))
 			}
--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -63,8 +63,7 @@
 	protocol      Protocol
 	guard         *guard.Guard
 	log           logging.Logger
-	http          *fasthttp.Server
-	listener      atomic.Pointer[inbound.Listener]
+	server        *inbound.Server
 	hangupWatches conc.WaitGroup
 	writeTimeout  time.Duration
 	draining      atomic.Bool
@@ -79,7 +78,7 @@
 	if s.guard == nil {
 		s.guard = guard.New(log, nil)
 	}
-	s.http = &fasthttp.Server{
+	s.server = inbound.NewServer(&fasthttp.Server{
 		Handler:                       s.handleGuarded,
 		ErrorHandler:                  s.handleParseError,
 		ReadBufferSize:                options.MaxHeaderBytes,
@@ -92,26 +91,20 @@
 		NoDefaultContentType:          true,
 		DisablePreParseMultipartForm:  true,
 		CloseOnShutdown:               true,
-		ConnState:                     inbound.FollowState,
 		DisableHeaderNamesNormalizing: false,
 		Logger:                        logging.DiscardPrintf{},
-	}
+	}, log)
 	return s
 }
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	accepting := inbound.NewListener(listener, s.log)
-	s.listener.Store(accepting)
-	return errors.Wrap(s.http.Serve(accepting), "serving callers' requests")
+	return errors.Wrap(s.server.Serve(listener), "serving callers' requests")
 }
 
 // Accepting reports whether the server accepts connections. It does not while the process
 // lacks descriptors.
-func (s *Server) Accepting() bool {
-	listener := s.listener.Load()
-	return listener != nil && listener.Accepting()
-}
+func (s *Server) Accepting() bool { return s.server.Accepting() }
 
 // Drain makes callers open new connections, which the balancer can send to other
 // VMs: each response from now on closes its connection. Call it before Shutdown,
@@ -119,31 +112,11 @@
 // sent.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// lastAnswerTime is how long Shutdown waits, after it has canceled the requests in flight,
-// until their callers have been answered.
-const lastAnswerTime = 200 * time.Millisecond
-
-// Shutdown stops accepting connections, closes those without a request, and waits until
-// all requests in flight have finished and their callers have read the responses. If the
-// context ends before that, it cancels the requests, so that their callers get an answer,
-// and returns an error at most lastAnswerTime later.
+// Shutdown stops accepting connections and waits until all requests in flight have
+// finished and their callers have read the responses. If the context ends before that, it
+// answers the callers of these requests, and returns an error.
 func (s *Server) Shutdown(ctx context.Context) error {
-	listener := s.listener.Load()
-	if listener == nil {
-		return nil // Serve was not called
-	}
-	if err := listener.Close(); err != nil {
-		s.log.WithError(err).Warn("The listener for callers cannot be closed.")
-	}
-	listener.CloseUnused()
-	err := s.http.ShutdownWithContext(ctx) // closes the idle connections that have carried a request
-	if err != nil {
-		s.log.WithField("requests", listener.CancelRequests()).Warn("The requests in flight are canceled.")
-		answered, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswerTime)
-		defer cancel()
-		ctx = answered
-	}
-	err = errors.CombineErrors(err, listener.WaitClosed(ctx))
+	err := s.server.Shutdown(ctx)
 	if err == nil {
 		s.hangupWatches.Wait()
 	}
@@ -176,23 +149,19 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	receivedAt := time.Now()
-	conn, ok := ctx.Conn().(*inbound.Conn)
-	if !ok || conn.Closed() {
-		return // Shutdown has closed the connection just before the request arrived
-	}
-	if conn.PeerGone() {
-		ctx.SetConnectionClose()
-		s.protocol.WriteResponse(ctx, "", request.Rejected(request.ReasonCanceled))
-		return
-	}
 	if framing := framingError(&ctx.Request); framing != "" {
 		ctx.SetConnectionClose()
 		writeError(ctx, "", request.Rejected(request.ReasonMalformed), framing)
 		return
 	}
+	in := s.protocol.ReadRequest(&ctx.Request, receivedAt)
+	conn, ok := ctx.Conn().(*inbound.Conn)
+	if !ok || conn.Closed() || conn.PeerGone() {
+		s.drop(ctx, in)
+		return
+	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	in := s.protocol.ReadRequest(&ctx.Request, receivedAt)
 	stop := conn.WatchHangup(s.hangupWatches.Go, cancel)
 	id, result := func() (string, request.Result) {
 		defer stop() // also if Do panics
@@ -207,6 +176,14 @@
 	s.protocol.WriteResponse(ctx, id, result)
 }
 
+// drop ends a request that nobody waits for: its caller closed the connection after it had
+// sent the request, or Shutdown closed the connection just before the request arrived.
+func (s *Server) drop(ctx *fasthttp.RequestCtx, in entry.IncomingRequest) {
+	s.log.WithField("request", in.ID).Info("A request was dropped, because its caller has left.")
+	ctx.SetConnectionClose()
+	s.protocol.WriteResponse(ctx, in.ID, request.Rejected(request.ReasonCanceled))
+}
+
 // nativeProtocol is almondstile's own protocol with callers.
 type nativeProtocol struct{}
 
--- a/entry/httpfront/stop_test.go
+++ b/entry/httpfront/stop_test.go
@@ -54,6 +54,18 @@
 	return nc
 }
 
+// waitForConnections waits until so many connections are open, of which so many have not
+// carried a request.
+func (s *stoppableServer) waitForConnections(open, unused int) {
+	s.t.Helper()
+	for deadline := time.Now().Add(testLimit); s.server.Connections() != open || s.server.Unused() != unused; {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%d connections are open, %d of them unused; want %d and %d", s.server.Connections(), s.server.Unused(), open, unused)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 const (
 	getRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 	// testLimit ends a test that would hang. It is no requirement.
@@ -76,9 +88,7 @@
 		t.Fatal(err)
 	}
 	_, _ = io.WriteString(partial, getRequest[:10])
-	for s.http.GetOpenConnectionsCount() < 3 || s.listener.Load().Unused() > 1 {
-		time.Sleep(time.Millisecond)
-	}
+	s.waitForConnections(3, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
 	var wg conc.WaitGroup
--- a/forward/server.go
+++ b/forward/server.go
@@ -34,7 +34,7 @@
 	client        *Client
 	exchangeRelay ExchangeRelay // nil if this VM does not accept exchange messages
 	log           logging.Logger
-	http          *fasthttp.Server
+	server        *inbound.Server
 	watches       conc.WaitGroup
 	// seenMACs holds the MACs of recent messages and when each was last received,
 	// so that a message that arrives twice is not executed twice.
@@ -56,28 +56,27 @@
 // were relayed before.
 func NewServer(self vm.ID, secret link.Secret, links *link.Links, members Members, runner Runner, client *Client, options Options, log logging.Logger) *Server {
 	s := &Server{self: self, secret: secret, links: links, members: members, runner: runner, client: client, log: log}
-	s.http = &fasthttp.Server{
+	s.server = inbound.NewServer(&fasthttp.Server{
 		Handler:               s.handle,
 		MaxRequestBodySize:    options.MaxMessageBytes,
 		IdleTimeout:           options.IdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
-		ConnState:             inbound.FollowState,
-		Logger:                discardLogger{},
-	}
+		Logger:                logging.DiscardPrintf{},
+	}, log)
 	return s
 }
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	return errors.Wrap(s.http.Serve(inbound.NewListener(listener, s.log)), "serving forwarded requests")
+	return errors.Wrap(s.server.Serve(listener), "serving forwarded requests")
 }
 
-// Shutdown stops accepting connections and waits until all requests in flight
-// have finished or the context ends.
+// Shutdown stops accepting connections and waits until all requests in flight have
+// finished. If the context ends before that, it cancels them and returns an error.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.http.ShutdownWithContext(ctx)
+	err := s.server.Shutdown(ctx)
 	if err == nil {
 		s.watches.Wait()
 	}
@@ -183,8 +182,3 @@
 		cancel()
 	}
 }
-
-// discardLogger drops fasthttp's log lines.
-type discardLogger struct{}
-
-func (discardLogger) Printf(string, ...any) {}
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -116,9 +116,8 @@
 	return c.Conn.Close()
 }
 
-// FollowState is the hook by which the HTTP server tells its connections what they do. It
-// is meant for fasthttp.Server.ConnState.
-func FollowState(nc net.Conn, state fasthttp.ConnState) {
+// followState is the hook by which the HTTP server tells its connections what they do.
+func followState(nc net.Conn, state fasthttp.ConnState) {
 	c, ok := nc.(*Conn)
 	if !ok {
 		return
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -25,8 +25,8 @@
 	lingering  conc.WaitGroup
 	// removed gets a value when a connection is closed.
 	removed chan struct{}
-	// failing says that the last attempt to accept a connection failed.
-	failing atomic.Bool
+	// failedAt is when a connection could last not be accepted, in nanoseconds of Unix time.
+	failedAt atomic.Int64
 	// closing ends with Close.
 	closing context.Context
 	cancel  context.CancelFunc
@@ -44,26 +44,27 @@
 	// connection. It doubles with each failure in a row.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = 500 * time.Millisecond
+	// acceptFailureTime is how long after a failure Accepting returns false. It is longer
+	// than the pauses, so that a shortage that lasts shows all the time.
+	acceptFailureTime = 1 * time.Second
 )
 
 // Accept waits for a connection and returns it as a *Conn. It tries again after errors
 // such as a shortage of descriptors, which end when connections are closed; the HTTP
-// server would stop accepting for good. It returns an error marked net.ErrClosed after
-// Close.
+// server would stop accepting for good. After Close it returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
 		nc, err := l.Listener.Accept()
 		if err == nil {
-			l.failing.Store(false)
 			return l.add(nc), nil
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
-		l.failing.Store(true)
+		l.failedAt.Store(time.Now().UnixNano())
 		l.log.WithError(err).WithField("connections", l.conns.Len()).Warn("A connection cannot be accepted; trying again.")
 		if !wait.For(l.closing, pause) {
-			return nil, errors.Mark(err, net.ErrClosed)
+			return nil, net.ErrClosed
 		}
 	}
 }
@@ -80,7 +81,9 @@
 
 // Accepting reports whether the listener accepts connections. It does not while it lacks
 // descriptors, and after Close.
-func (l *Listener) Accepting() bool { return !l.failing.Load() && l.closing.Err() == nil }
+func (l *Listener) Accepting() bool {
+	return l.closing.Err() == nil && time.Since(time.Unix(0, l.failedAt.Load())) > acceptFailureTime
+}
 
 // Close stops accepting connections. Further calls do nothing.
 func (l *Listener) Close() error {
--- a/inbound/listener_test.go
+++ b/inbound/listener_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"almondstile/logging"
 
@@ -65,8 +66,14 @@
 	}
 	defer client.Close()
 	nc, err := l.Accept()
-	if err != nil || !l.Accepting() {
-		t.Fatalf("got %v, accepting %v", err, l.Accepting())
+	if err != nil || l.Accepting() {
+		t.Fatalf("got %v, accepting %v right after a failure", err, l.Accepting())
+	}
+	// The listener counts as accepting again without another connection: a VM that is
+	// not ready gets none.
+	l.failedAt.Store(time.Now().Add(-2 * acceptFailureTime).UnixNano())
+	if !l.Accepting() {
+		t.Error("a listener that has recovered is not accepting")
 	}
 	_ = nc.Close()
 	_ = l.Close()
