contract: an intent cannot revive a withdrawn key

An intent that removed a withdrawn key and issued it again made it valid, and one that removed a team and set it again split its buckets anew: the checks looked at the draft only, from which the item was gone. The draft keeps what an intent removes, and both checks look there too.

TestRemovingAndAddingInOneIntentChangesNothingThatIsFixed failed before in all five of its forms that must not pass.

--- a/contract/apply.go
+++ b/contract/apply.go
@@ -105,6 +105,9 @@
 	items     []T
 	positions map[string]int
 	id        func(*T) string
+	// removed holds the items that were removed, also if one with the same ID was put
+	// afterwards.
+	removed map[string]T
 }
 
 // newCollection returns a collection with a copy of the items. The function id
@@ -132,6 +135,19 @@
 	return nil
 }
 
+// getOrRemoved returns the item with the given ID or, if there is none, the removed item
+// with that ID, or nil. What must not change as long as an item exists must not change
+// either if one intent removes the item and adds it again.
+func (c *collection[T]) getOrRemoved(id string) *T {
+	if item := c.get(id); item != nil {
+		return item
+	}
+	if item, ok := c.removed[id]; ok {
+		return &item
+	}
+	return nil
+}
+
 // getRequired returns the item with the given ID. If there is none, it records a
 // fault and returns nil.
 func (c *collection[T]) getRequired(l *faultList, id string) *T {
@@ -157,6 +173,12 @@
 		return
 	}
 	i := c.positions[id]
+	if _, again := c.removed[id]; !again {
+		if c.removed == nil {
+			c.removed = make(map[string]T)
+		}
+		c.removed[id] = c.items[i]
+	}
 	c.items = slices.Delete(c.items, i, i+1)
 	c.reindex()
 }
--- a/contract/change.go
+++ b/contract/change.go
@@ -72,7 +72,8 @@
 	}
 	// IssueKey adds an API key. The team and the secret of an existing key cannot
 	// change, and a withdrawn key cannot become valid again as long as the
-	// configuration lists it. Operators issue a key with a new ID instead.
+	// configuration lists it, nor by an intent that also removes it. Operators issue a
+	// key with a new ID instead.
 	IssueKey struct {
 		ID         KeyID  `json:"id"`
 		Team       TeamID `json:"team"`
@@ -180,7 +181,7 @@
 
 func (c SetTeam) apply(d *draft) {
 	t := c.Team
-	old := d.teams.get(string(t.ID))
+	old := d.teams.getOrRemoved(string(t.ID))
 	switch {
 	case t.HomeCount == 0 && old != nil:
 		t.HomeCount = old.HomeCount
@@ -218,7 +219,7 @@
 
 func (c IssueKey) apply(d *draft) {
 	key := Key{ID: c.ID, Team: c.Team, SecretHash: c.SecretHash}
-	if old := d.keys.get(string(c.ID)); old != nil && *old != key {
+	if old := d.keys.getOrRemoved(string(c.ID)); old != nil && *old != key {
 		d.add(pathOf("keys", string(c.ID), "id"), c.ID,
 			"a key of this ID exists with another team or secret, or was withdrawn; use a new ID")
 		return
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -239,6 +239,42 @@
 	}
 }
 
+// Guards against a withdrawn key that becomes valid again, and a team whose buckets are
+// split anew, by an intent that removes the key or the team and adds it again.
+func TestRemovingAndAddingInOneIntentChangesNothingThatIsFixed(t *testing.T) {
+	c, err := Apply(base(t), NewIntent(WithdrawKey{"k1"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := *NewIndex(c).keys["k1"]
+	issue := IssueKey{ID: key.ID, Team: key.Team, SecretHash: key.SecretHash}
+	var invalid *ValidationError
+	for name, intent := range map[string]Intent{
+		"withdrawn before":   NewIntent(RemoveKey{"k1"}, issue),
+		"issued and removed": NewIntent(RemoveKey{"k1"}, issue, RemoveKey{"k1"}, issue),
+		"another secret":     NewIntent(RemoveKey{"k1"}, IssueKey{ID: key.ID, Team: key.Team, SecretHash: HashSecret("other")}),
+	} {
+		if _, err := Apply(c, intent); !errors.As(err, &invalid) {
+			t.Errorf("%s: got error %v, want a *ValidationError", name, err)
+		}
+	}
+	valid := base(t)
+	if _, err := Apply(valid, NewIntent(WithdrawKey{"k1"}, RemoveKey{"k1"}, issue)); !errors.As(err, &invalid) {
+		t.Errorf("withdrawn by the same intent: got error %v, want a *ValidationError", err)
+	}
+	if _, err := Apply(valid, NewIntent(RemoveKey{"k1"}, issue)); err != nil {
+		t.Errorf("a valid key that stays as it is: %v", err)
+	}
+	withTeam, err := Apply(valid, NewIntent(SetTeam{Team{ID: "new", RatePerSecond: 1, Burst: 1, Weight: 1}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Apply(withTeam, NewIntent(RemoveTeam{"new"}, SetTeam{Team{ID: "new", RatePerSecond: 1, Burst: 500, Weight: 1}}))
+	if err != nil || NewIndex(again).Team("new").HomeCount != 1 {
+		t.Errorf("a team that is removed and added: homes %d, error %v", NewIndex(again).Team("new").HomeCount, err)
+	}
+}
+
 // Guards against VMs that compute different results from an intent, depending on
 // whether they received it encoded in JSON. Random sequences of changes must give
 // equal results both ways, and ComputeEffect must not panic on any of them.
