link: a canceled caller does not end the dial that others wait for

Callers share the dial of a VM. It ran with the context of the first one, so when that caller gave up, the calls of all others failed and the link counted as broken for some seconds. The dial goes on by itself now, and a canceled call says nothing about the link.

TestCanceledCallerDoesNotEndTheDialOfOthers failed before (the other call returned 'context canceled', the link counted as broken).

--- a/link/client.go
+++ b/link/client.go
@@ -11,6 +11,7 @@
 	"almondstile/vm"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -27,6 +28,7 @@
 	local   *Server
 	traffic *Traffic
 	peers   shard.Map[vm.ID, *peerConn]
+	dials   conc.WaitGroup
 }
 
 // peerConn is a connection to a peer at one address, possibly still being
@@ -54,6 +56,10 @@
 		return errors.Mark(errors.Newf("link to %s is avoided after a recent failure", to.ID), ErrUnreachable)
 	}
 	peer, err := c.connect(ctx, to)
+	if errors.Is(err, context.Canceled) {
+		// The caller canceled the call, which is no evidence about the link.
+		return errors.Mark(err, ErrUnreachable)
+	}
 	if err != nil {
 		c.links.RecordFailure(to.ID, time.Now())
 		return errors.Mark(errors.Wrapf(err, "connecting to %s", to.ID), ErrUnreachable)
@@ -109,7 +115,7 @@
 
 // connect returns an authenticated connection to the peer. It dials if there is
 // none, if it is closed, or if the peer's address changed. Concurrent callers
-// share one dial.
+// share one dial, which goes on if the context of the first one ends.
 func (c *Client) connect(ctx context.Context, to vm.VM) (*peerConn, error) {
 	var peer *peerConn
 	dial := false
@@ -122,11 +128,7 @@
 		return p, true
 	})
 	if dial {
-		peer.rpc, peer.err = c.dial(ctx, to)
-		if peer.err != nil {
-			c.drop(to.ID, peer)
-		}
-		close(peer.ready)
+		c.dials.Go(func() { c.finishDial(context.WithoutCancel(ctx), to, peer) })
 	}
 	select {
 	case <-peer.ready:
@@ -136,6 +138,15 @@
 	}
 }
 
+// finishDial dials the peer and lets the callers that wait for it go on.
+func (c *Client) finishDial(ctx context.Context, to vm.VM, peer *peerConn) {
+	peer.rpc, peer.err = c.dial(ctx, to)
+	if peer.err != nil {
+		c.drop(to.ID, peer)
+	}
+	close(peer.ready)
+}
+
 // closed reports whether the dial failed or the connection ended. It returns
 // false while the dial is in progress.
 func (p *peerConn) closed() bool {
@@ -207,9 +218,9 @@
 	}
 }
 
-// Close closes all connections that are open. It does not interrupt dials in
-// progress.
+// Close waits for dials in progress, at most dialTimeout, and closes all connections.
 func (c *Client) Close() {
+	c.dials.Wait()
 	var open []*peerConn
 	c.peers.Range(func(_ vm.ID, p *peerConn) bool {
 		open = append(open, p)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -87,6 +88,64 @@
 	})
 }
 
+// Guards against a caller that gives up while its VM connects to another one, and by that
+// makes the calls of others fail and the link count as broken.
+func TestCanceledCallerDoesNotEndTheDialOfOthers(t *testing.T) {
+	peer, _ := startServer(t, "vm2", testSecret)
+	// The peer is reached through a listener that accepts only when the test lets it.
+	gate, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accept := make(chan struct{})
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer gate.Close()
+	wg.Go(func() {
+		<-accept
+		from, err := gate.Accept()
+		if err != nil {
+			return
+		}
+		defer from.Close()
+		to, err := net.Dial("tcp", peer.ControlAddress)
+		if err != nil {
+			return
+		}
+		defer to.Close()
+		wg.Go(func() {
+			_, _ = io.Copy(to, from)
+			_ = to.Close()
+		})
+		_, _ = io.Copy(from, to)
+	})
+	c, links := newClient(t, "vm1", testSecret)
+	through := vm.VM{ID: "vm2", ControlAddress: gate.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	canceled := make(chan error, 1)
+	wg.Go(func() { canceled <- c.Call(ctx, through, "echo", echoParams{}, &echoParams{}) })
+	for {
+		if _, dialing := c.peers.Load("vm2"); dialing {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	other := make(chan error, 1)
+	wg.Go(func() { _, err := call(c, through, "hello"); other <- err })
+	cancel()
+	if err := <-canceled; !errors.Is(err, context.Canceled) {
+		t.Errorf("the canceled call returned %v", err)
+	}
+	close(accept)
+	if err := <-other; err != nil {
+		t.Errorf("the other call returned %v", err)
+	}
+	if !links.Usable("vm2", time.Now()) {
+		t.Error("the link counts as broken")
+	}
+	c.Close()
+}
+
 // Guards against connections to a VM with another secret, whether it dials or
 // accepts the connection.
 func TestWrongSecretIsRejected(t *testing.T) {
