outlier: the quarantine remembers a common restart as long as its crashes

A request's crashes count for 10 minutes, but the crashes of other servers that explain them were dropped after one. A healthy request that was in flight when all servers restarted was rejected as soon as some server crashed a minute or more later. Both are kept for the same time now, at most 1,024 crashes of a service.

TestOnlyTheCauseOfCrashesIsRejected has the case, which failed before.

--- a/outlier/quarantine.go
+++ b/outlier/quarantine.go
@@ -30,9 +30,9 @@
 
 	// suspects holds the recorded crashes of each request fingerprint.
 	suspects shard.Map[request.Fingerprint, *suspectRequest]
-	// recentCrashes holds each service's crashes of the last minute, whichever
+	// serviceCrashes holds each service's crashes of serviceCrashTime, whichever
 	// requests were in flight.
-	recentCrashes shard.Map[contract.ServiceID, []serverCrash]
+	serviceCrashes shard.Map[contract.ServiceID, []serverCrash]
 	// suspectCount is the number of entries in suspects. While it is 0, which is
 	// the common case, no request needs to be hashed.
 	suspectCount atomic.Int64
@@ -61,7 +61,11 @@
 	// on servers where the request was not in flight: the servers restart together,
 	// or they crash while cold under the load that is left.
 	minUnrelatedCrashes = 2
-	recentCrashTime     = time.Minute
+	// serviceCrashTime is how long crashes of a service's servers are kept: as long as
+	// the crashes of a request count that they may explain.
+	serviceCrashTime = QuarantineDuration + relatedCrashTime
+	// maxServiceCrashes bounds the crashes that are kept for one service.
+	maxServiceCrashes = 1024
 )
 
 // recordedCrash is a crash with its time by this VM's clock.
@@ -77,7 +81,7 @@
 	if now.Sub(at) >= QuarantineDuration {
 		return false
 	}
-	q.recordRecentCrash(now, c, at)
+	q.recordServiceCrash(now, c, at)
 	q.suspects.Update(c.Fingerprint, func(s *suspectRequest, exists bool) (*suspectRequest, bool) {
 		if !exists {
 			s = &suspectRequest{}
@@ -129,25 +133,26 @@
 	if len(crashes) == 0 {
 		return false
 	}
-	recent, _ := q.recentCrashes.Load(r.Service)
+	recent, _ := q.serviceCrashes.Load(r.Service)
 	return countAttributable(crashes, recent) >= quarantineThreshold
 }
 
-// recordRecentCrash appends a crash to the recent crashes of its service, unless
+// recordServiceCrash appends a crash to the crashes of its service, unless
 // the same crash of the server is there already.
-func (q *Quarantine) recordRecentCrash(now time.Time, c Crash, at time.Time) {
-	q.recentCrashes.Update(c.Service, func(list []serverCrash, _ bool) ([]serverCrash, bool) {
+func (q *Quarantine) recordServiceCrash(now time.Time, c Crash, at time.Time) {
+	q.serviceCrashes.Update(c.Service, func(list []serverCrash, _ bool) ([]serverCrash, bool) {
 		// The slice is replaced, not modified, because readers use it without the lock.
 		kept := make([]serverCrash, 0, len(list)+1)
 		for _, s := range list {
 			if s.server == c.Server && timeBetween(s.at, at) <= sameCrashTime {
 				return list, true
 			}
-			if now.Sub(s.at) < recentCrashTime {
+			if now.Sub(s.at) < serviceCrashTime {
 				kept = append(kept, s)
 			}
 		}
-		return append(kept, serverCrash{c.Server, at}), true
+		kept = append(kept, serverCrash{c.Server, at})
+		return kept[max(0, len(kept)-maxServiceCrashes):], true
 	})
 }
 
--- a/outlier/quarantine_test.go
+++ b/outlier/quarantine_test.go
@@ -39,6 +39,10 @@
 			events: []event{{0, 0, []string{"poison"}}, {300, 3, []string{"a"}}, {600, 1, []string{"poison"}}},
 			want:   map[string]bool{"poison": true, "a": false},
 		},
+		"another server crashes minutes after a common restart": {
+			events: []event{{0, 0, []string{"a"}}, {100, 1, []string{"a"}}, {200, 2, nil}, {300, 3, nil}, {90_000, 4, nil}, {300_000, 5, nil}},
+			want:   map[string]bool{"a": false},
+		},
 		"crashes long after a common restart": {
 			events: []event{{0, 0, []string{"poison"}}, {10, 1, nil}, {20, 2, nil}, {60_000, 3, []string{"poison"}}, {90_000, 4, []string{"poison"}}},
 			want:   map[string]bool{"poison": true},
