--- a/entry/httpfront/response.go
+++ b/entry/httpfront/response.go
@@ -121,6 +121,7 @@
 	request.ReasonTooLarge:             "The request is larger than the limit.",
 	request.ReasonRateLimited:          "The team is over its rate.",
 	request.ReasonNoServer:             "No backend server of the service takes requests now.",
+	request.ReasonNoSlot:               "No backend server that was asked has a free slot.",
 	request.ReasonBusy:                 "All backend servers of the service are busy.",
 	request.ReasonDeadline:             "The request did not finish in the time that its route allows.",
 	request.ReasonEjected:              "The backend server is ejected.",
