--- a/retry/replicated.go
+++ b/retry/replicated.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -34,14 +33,6 @@
 	// window after all VMs have started. Their earlier processes may have used all of
 	// the used slack just before they stopped, so both together stay below the slack.
 	startupSlackShare = 0.1
-	// counterDelay is the time that a VM's counters take to reach the others. What is left
-	// of a budget is shared with the retries that others may send in this time.
-	counterDelay = 300 * time.Millisecond
-	// rateGrowth is the factor by which the rate of attempts may have grown since it was
-	// measured: a request that is refused wants several retries at once.
-	rateGrowth = 2
-	// rateSlots is the number of slots over which rates are counted.
-	rateSlots = 2
 )
 
 // ReplicatedBudgets holds a replicated retry budget for each service. Every VM
@@ -77,46 +68,27 @@
 	slots [keptSlots]struct {
 		number         int64 // the slot's number since the epoch
 		first, retries float64
-		// others is the number of attempts by other VMs, also counted above.
-		others float64
 	}
 }
 
 // RecordFirstAttempt counts the first attempt of a request at this VM.
 func (s *ReplicatedBudgets) RecordFirstAttempt(now time.Time, service contract.ServiceID) {
-	slot := s.slotNumber(now)
-	s.services.Do(tally.SubjectOf(tally.Service, string(service)), newSendCounts, func(c *sendCounts) { c.add(slot, 1, 0) })
+	s.RecordSends(now, tally.SubjectOf(tally.Service, string(service)), 1, 0)
 }
 
 // Spend reports whether the budget allows a retry, and counts it if so. share is the
-// connected share of this VM (0 to 1); only this part of the slack is available. When
-// less is left than other VMs may spend before this VM hears of it, Spend allows a random
-// part of the retries.
+// connected share of this VM (0 to 1); only this part of the slack is available.
 func (s *ReplicatedBudgets) Spend(now time.Time, service contract.ServiceID, share float64) (ok bool) {
 	slot, slack := s.slotNumber(now), s.availableSlack(now)
 	s.services.Do(tally.SubjectOf(tally.Service, string(service)), newSendCounts, func(c *sendCounts) {
 		first, retries := c.sum(slot)
-		left := s.limits.Ratio*first + slack*share - retries
-		if ok = left >= 1 && rand.Float64()*s.unheardSends(c, now) <= left; ok {
+		if ok = retries+1 <= s.limits.Ratio*first+slack*share; ok {
 			c.add(slot, 0, 1)
 		}
 	})
 	return ok
 }
 
-// unheardSends returns the number of attempts that other VMs may have made by now and
-// that this VM has not heard of yet. Each of them may be followed by a retry.
-func (s *ReplicatedBudgets) unheardSends(c *sendCounts, now time.Time) float64 {
-	sent, slot := 0.0, s.slotNumber(now)
-	for i := range c.slots {
-		if c.slots[i].number > slot-rateSlots && c.slots[i].number <= slot {
-			sent += c.slots[i].others
-		}
-	}
-	counted := time.Duration(now.UnixNano() - (slot-rateSlots+1)*s.slotLength())
-	return rateGrowth * sent * counterDelay.Seconds() / counted.Seconds()
-}
-
 // Left returns the number of retries that the budget still allows, 0 or less if it is used
 // up. share is the connected share of this VM, from 0 to 1.
 func (s *ReplicatedBudgets) Left(now time.Time, service contract.ServiceID, share float64) (left float64) {
@@ -148,10 +120,7 @@
 // are counted when their counters arrive.
 func (s *ReplicatedBudgets) RecordSends(now time.Time, subject tally.Subject, first, retries uint64) {
 	slot := s.slotNumber(now)
-	s.services.Do(subject, newSendCounts, func(c *sendCounts) {
-		c.add(slot, float64(first), float64(retries))
-		c.slots[slot%keptSlots].others += float64(first + retries)
-	})
+	s.services.Do(subject, newSendCounts, func(c *sendCounts) { c.add(slot, float64(first), float64(retries)) })
 }
 
 // SendRate returns the number of attempts per second of the service over the last
@@ -161,20 +130,17 @@
 	sent := 0.0
 	s.services.DoExisting(tally.SubjectOf(tally.Service, string(service)), func(c *sendCounts) {
 		for i := range c.slots {
-			if c.slots[i].number > slot-rateSlots && c.slots[i].number <= slot {
+			if c.slots[i].number == slot || c.slots[i].number == slot-1 {
 				sent += c.slots[i].first + c.slots[i].retries
 			}
 		}
 	})
-	return sent / (rateSlots * s.limits.Window.Seconds() / windowSlots)
+	return sent / (2 * s.limits.Window.Seconds() / windowSlots)
 }
 
 // slotNumber returns the number of the slot at the given time, since the epoch.
-func (s *ReplicatedBudgets) slotNumber(now time.Time) int64 { return now.UnixNano() / s.slotLength() }
-
-// slotLength returns the length of a slot in nanoseconds.
-func (s *ReplicatedBudgets) slotLength() int64 {
-	return int64(max(s.limits.Window/windowSlots, time.Millisecond))
+func (s *ReplicatedBudgets) slotNumber(now time.Time) int64 {
+	return now.UnixNano() / int64(max(s.limits.Window/windowSlots, time.Millisecond))
 }
 
 // add counts first attempts and retries in the slot with the number. It clears the
@@ -182,7 +148,7 @@
 func (c *sendCounts) add(number int64, first, retries float64) {
 	slot := &c.slots[number%keptSlots]
 	if slot.number != number {
-		slot.number, slot.first, slot.retries, slot.others = number, 0, 0, 0
+		slot.number, slot.first, slot.retries = number, 0, 0
 	}
 	slot.first += first
 	slot.retries += retries
