--- a/httpconn/carried.go
+++ b/httpconn/carried.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,7 +13,7 @@
 	carriedRetention = 2 * time.Second
 	// defaultCarriedRetention is how long a request without a deadline stays recorded.
 	defaultCarriedRetention = time.Minute
-	// maxCarriedRequests bounds the records of one connection, 24 bytes each. A
+	// maxCarriedRequests bounds the records of one connection, 40 bytes each. A
 	// connection with more is not used again.
 	maxCarriedRequests = 2048
 )
@@ -39,7 +40,7 @@
 	for expired < len(l.records) && now.After(l.records[expired].until) {
 		expired++
 	}
-	l.records = append(l.records[:0], l.records[expired:]...)
+	l.records = slices.Delete(l.records, 0, expired)
 	l.records = append(l.records, carriedRequest{xxhash.Sum64String(id), until, head})
 }
 
