httpconn: check the status line before the HTTP library reads it

What callers saw: a server in trouble sent an answer with status 000, and the caller got it with status 200.

Cause: the HTTP library keeps the status as a number and returns 200 for a stored 0. It also takes 600 to 999, HTTP/0.9, HTTP/1.2 and HTTP/2.0, an empty line in front of the status line, several blanks in it, control characters in the reason phrase, and a switch of protocols that no request asks for; it skips 099 as an interim response. On the platform such an answer with signature and ID passes every other check, and what it states (not run, leaving, limit, pause) was believed: a request that may have run was reported as not run.

Change: headScanner checks the bytes of the status line, also of interim responses, before the library reads them. httpconn is the one place that reads responses of servers (both protocols), of the platform's store and of other VMs, so each of them is covered.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -135,15 +135,36 @@
 // readHead reads the head of a final response and skips interim (1xx) responses.
 func readHead(r *bufio.Reader, resp *fasthttp.Response) error {
 	for interim := true; interim; {
-		if err := resp.Header.Read(r); err != nil {
+		if err := checkBuffered(r, &headScanner{}); err != nil {
 			return err
 		}
-		status := resp.StatusCode()
-		interim = status < 200 && status != fasthttp.StatusSwitchingProtocols
+		if err := resp.Header.Read(r); err != nil {
+			return newViolation(ViolationCodec, "%v", err)
+		}
+		interim = resp.StatusCode() < fasthttp.StatusOK
 	}
 	return nil
 }
 
+// checkBuffered waits until the reader's buffer contains all that the scanner checks. It
+// consumes nothing.
+func checkBuffered(r *bufio.Reader, s *headScanner) error {
+	for {
+		received, _ := r.Peek(r.Buffered()) // never fails for bytes that are buffered
+		complete, err := s.scan(received)
+		if complete || err != nil {
+			return err
+		}
+		_, err = r.Peek(len(received) + 1) // waits for further bytes
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return errors.Wrap(ErrTooLarge, "the head does not fit into the buffer")
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // readBody reads the body of a response, if it has one. Unlike fasthttp, it rejects a
 // body that has neither a length nor chunks, unless options.AllowCloseDelimitedBodies is
 // set: the end of such a body looks the same as a connection that broke in the middle of
--- /dev/null
+++ b/httpconn/head.go
@@ -0,0 +1,114 @@
+package httpconn
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Violation names the check of RFC 9110 or RFC 9112 that a response fails. The names are
+// used in log lines and metrics.
+type Violation string
+
+// The checks of a response's head.
+const (
+	// ViolationStatusLine is a first line that is no status line, or a reason phrase with
+	// control characters (RFC 9112, section 4).
+	ViolationStatusLine Violation = "status_line"
+	// ViolationVersion is a version other than HTTP/1.1 and HTTP/1.0. A request asks for
+	// HTTP/1.1.
+	ViolationVersion Violation = "version"
+	// ViolationStatusCode is a status code outside 100 to 599 (RFC 9110, section 15).
+	ViolationStatusCode Violation = "status_code"
+	// ViolationProtocolSwitch is a response with status 101. No request asks to change the
+	// protocol of its connection (RFC 9110, section 15.2.2).
+	ViolationProtocolSwitch Violation = "protocol_switch"
+	// ViolationCodec is an error that only the HTTP library finds.
+	ViolationCodec Violation = "codec"
+)
+
+// maxQuotedBytes is how much of a line an error quotes.
+const maxQuotedBytes = 64
+
+// violationError is the error of a response that fails a check.
+type violationError struct {
+	violation Violation
+	detail    string
+}
+
+// Error implements error.
+func (e *violationError) Error() string {
+	return fmt.Sprintf("httpconn: the response fails the check %s: %s", e.violation, e.detail)
+}
+
+// newViolation returns an error of a response that fails a check.
+func newViolation(violation Violation, format string, args ...any) error {
+	return &violationError{violation, fmt.Sprintf(format, args...)}
+}
+
+// ViolationOf returns the check that a response failed because of which Pool.Do returned
+// err, or "" if that is not the reason.
+func ViolationOf(err error) Violation {
+	var failed *violationError
+	if errors.As(err, &failed) {
+		return failed.violation
+	}
+	return ""
+}
+
+// headScanner checks the head of a response. The HTTP library accepts more than HTTP
+// allows and interprets it in its own way, so that what it returns does not show any
+// more what the server sent.
+type headScanner struct {
+	// checked is the number of bytes from the start of the head that were checked.
+	checked int
+}
+
+// scan checks the complete lines of b that it has not checked before. b holds what was
+// received from the start of the head on. complete says that b contains the whole head;
+// its size is then s.checked.
+func (s *headScanner) scan(b []byte) (complete bool, err error) {
+	for {
+		size := bytes.IndexByte(b[s.checked:], '\n') + 1
+		if size == 0 {
+			return false, nil
+		}
+		line := string(bytes.TrimSuffix(b[s.checked:s.checked+size-1], []byte{'\r'}))
+		first := s.checked == 0
+		s.checked += size
+		switch {
+		case first:
+			if err := checkStatusLine(line); err != nil {
+				return false, err
+			}
+		case line == "":
+			return true, nil
+		}
+	}
+}
+
+// statusCodeBytes is the length of a status code.
+const statusCodeBytes = 3
+
+// checkStatusLine checks the first line of a head. The blank between the status code and
+// an empty reason phrase may be missing.
+func checkStatusLine(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	if version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return newViolation(ViolationVersion, "the response starts with %.*q", maxQuotedBytes, line)
+	}
+	code, reason, _ := strings.Cut(rest, " ")
+	if len(code) != statusCodeBytes || strings.Trim(code, "0123456789") != "" || !httpguts.ValidHeaderFieldValue(reason) {
+		return newViolation(ViolationStatusLine, "%.*q", maxQuotedBytes, line)
+	}
+	switch {
+	case code < "100" || code > "599":
+		return newViolation(ViolationStatusCode, "status %s", code)
+	case code == "101":
+		return newViolation(ViolationProtocolSwitch, "status %s", code)
+	}
+	return nil
+}
