httpconn: check the field lines of a head before the HTTP library reads them

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with the line passed on, or with a body that was not the server's.

Cause: the HTTP library passes a name with a blank on as it is, drops a blank before the colon, joins folded lines, and ends a head at a line feed alone, so that the rest of the head becomes body; a misspelled Content-Length makes a body that ends with its connection. It does so in interim responses too. What such heads state was believed, as with a broken status line. Control bytes inside a name, other than a line feed, were rejected before.

Change: headScanner checks each line: it ends with CR LF, does not begin with white space, has a token as name (a blank before the colon counts as a part of the name), and has no control character but tabs in its value. Tokens and values are checked by golang.org/x/net/http/httpguts. A line is checked when it has arrived, so that a broken head on an open connection fails at once. Where RFC 9110 and RFC 9112 let a reader choose between repair and rejection, it is rejected: no repair can then hand a caller bytes that were not meant as body.

--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -50,8 +50,9 @@
 // Guards against a reply of another VM that counts although HTTP does not allow its head.
 func TestMalformedReplyIsNoResult(t *testing.T) {
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 OK",
-		"HTTP/2.0":   "HTTP/2.0 200 OK",
+		"status 000":      "HTTP/1.1 000 OK",
+		"HTTP/2.0":        "HTTP/2.0 200 OK",
+		"blank in a name": "HTTP/1.1 200 OK\r\nX-No te: a",
 	} {
 		t.Run(name, func(t *testing.T) {
 			owner := startMalformedReplies(t, head)
--- a/gossip/malformed_test.go
+++ b/gossip/malformed_test.go
@@ -22,8 +22,9 @@
 		t.Fatal(err)
 	}
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 OK",
-		"HTTP/2.0":   "HTTP/2.0 200 OK",
+		"status 000":      "HTTP/1.1 000 OK",
+		"HTTP/2.0":        "HTTP/2.0 200 OK",
+		"blank in a name": "HTTP/1.1 200 OK\r\nX-No te: a",
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -26,6 +26,20 @@
 	// ViolationProtocolSwitch is a response with status 101. No request asks to change the
 	// protocol of its connection (RFC 9110, section 15.2.2).
 	ViolationProtocolSwitch Violation = "protocol_switch"
+	// ViolationLineBreak is a line that ends with a line feed alone. A reader may take it
+	// for the end of a line or for a part of one, so the end of the head is in doubt (RFC
+	// 9112, section 2.2).
+	ViolationLineBreak Violation = "line_break"
+	// ViolationLineFolding is a line that begins with a blank or a tab: the continuation
+	// of the line before it, or white space in front of the first field (RFC 9112,
+	// sections 2.2 and 5.2).
+	ViolationLineFolding Violation = "line_folding"
+	// ViolationFieldName is a line without a colon, or with a field name that is no token.
+	// A blank between name and colon counts as a part of the name (RFC 9112, section 5.1).
+	ViolationFieldName Violation = "field_name"
+	// ViolationFieldValue is a field value with a control character other than a tab (RFC
+	// 9110, section 5.5).
+	ViolationFieldValue Violation = "field_value"
 	// ViolationCodec is an error that only the HTTP library finds.
 	ViolationCodec Violation = "codec"
 )
@@ -76,16 +90,22 @@
 		if size == 0 {
 			return false, nil
 		}
-		line := string(bytes.TrimSuffix(b[s.checked:s.checked+size-1], []byte{'\r'}))
+		line, ok := strings.CutSuffix(string(b[s.checked:s.checked+size]), "\r\n")
+		if !ok {
+			return false, newViolation(ViolationLineBreak, "%.*q", maxQuotedBytes, line)
+		}
 		first := s.checked == 0
 		s.checked += size
 		switch {
 		case first:
-			if err := checkStatusLine(line); err != nil {
-				return false, err
-			}
+			err = checkStatusLine(line)
 		case line == "":
 			return true, nil
+		default:
+			err = checkFieldLine(line)
+		}
+		if err != nil {
+			return false, err
 		}
 	}
 }
@@ -112,3 +132,18 @@
 	}
 	return nil
 }
+
+// checkFieldLine checks a line of a head after the first one.
+func checkFieldLine(line string) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return newViolation(ViolationLineFolding, "%.*q", maxQuotedBytes, line)
+	}
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) {
+		return newViolation(ViolationFieldName, "%.*q", maxQuotedBytes, line)
+	}
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return newViolation(ViolationFieldValue, "field %s", name)
+	}
+	return nil
+}
--- a/httpconn/malformed_test.go
+++ b/httpconn/malformed_test.go
@@ -8,6 +8,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// statusOK is a status line.
+const statusOK = "HTTP/1.1 200 OK\r\n"
+
 // body2 is the rest of a head and a body of two bytes.
 const body2 = "Content-Length: 2\r\n\r\nok"
 
@@ -47,6 +50,51 @@
 	ViolationProtocolSwitch: {
 		"101": "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nok",
 	},
+	ViolationLineBreak: {
+		"in the status line":        "HTTP/1.1 200 OK\n" + body2,
+		"everywhere":                "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+		"in front of a name":        statusOK + "\nX-Note: a\r\n" + body2,
+		"in a name":                 statusOK + "X-No\nte: a\r\n" + body2,
+		"in a value":                statusOK + "X-Note: a\nb\r\n" + body2,
+		"at the end of the head":    statusOK + "Content-Length: 2\r\n\nok",
+		"in an interim response":    "HTTP/1.1 100 Continue\r\nX-Note: a\n\r\n" + statusOK + body2,
+		"behind an interim's start": "HTTP/1.1 100 Continue\r\n\n" + statusOK + body2,
+	},
+	ViolationLineFolding: {
+		"value":          statusOK + "X-Note: a\r\n b\r\n" + body2,
+		"tab":            statusOK + "X-Note: a\r\n\tb\r\n" + body2,
+		"field":          statusOK + "X-Note: a\r\n Content-Length: 1\r\n" + body2,
+		"first line":     statusOK + " X-Note: a\r\n" + body2,
+		"blank line":     statusOK + "X-Note: a\r\n \r\n" + body2,
+		"of the length":  statusOK + "Content-Length:\r\n 2\r\n\r\nok",
+		"interim's line": "HTTP/1.1 100 Continue\r\nX-Note: a\r\n b\r\n\r\n" + statusOK + body2,
+	},
+	ViolationFieldName: {
+		"blank":                     statusOK + "X-No te: a\r\n" + body2,
+		"blank behind the length":   statusOK + body2[:len("Content-Length: 2\r\n")] + "X-No te: a\r\n\r\nok",
+		"blank in the length":       statusOK + "Content-Len gth: 2\r\n\r\nok",
+		"blank before the colon":    statusOK + "X-Note : a\r\n" + body2,
+		"tab before the colon":      statusOK + "X-Note\t: a\r\n" + body2,
+		"blank behind the length's": statusOK + "Content-Length : 2\r\n\r\nok",
+		"NUL":                       statusOK + "X-No\x00te: a\r\n" + body2,
+		"control":                   statusOK + "X-No\x01te: a\r\n" + body2,
+		"DEL":                       statusOK + "X-No\x7fte: a\r\n" + body2,
+		"CR":                        statusOK + "X-No\rte: a\r\n" + body2,
+		"CR in front":               statusOK + "\rX-Note: a\r\n" + body2,
+		"tab":                       statusOK + "X-No\tte: a\r\n" + body2,
+		"separator":                 statusOK + "X(Note): a\r\n" + body2,
+		"bytes over 0x7f":           statusOK + "X-N\xc3\xb6te: a\r\n" + body2,
+		"empty":                     statusOK + ": a\r\n" + body2,
+		"no colon":                  statusOK + "X-Note\r\n" + body2,
+		"in an interim response":    "HTTP/1.1 100 Continue\r\nX-No te: a\r\n\r\n" + statusOK + body2,
+	},
+	ViolationFieldValue: {
+		"NUL":     statusOK + "X-Note: a\x00\r\n" + body2,
+		"control": statusOK + "X-Note: a\x01b\r\n" + body2,
+		"DEL":     statusOK + "X-Note: \x7f\r\n" + body2,
+		"CR":      statusOK + "X-Note: a\rb\r\n" + body2,
+		"two CRs": statusOK + "X-Note: a\r\r\n" + body2,
+	},
 }
 
 // Guards against passing on a response that HTTP does not allow, of which the HTTP
@@ -90,14 +138,22 @@
 
 // soundResponses are responses that HTTP allows, with the body "ok".
 var soundResponses = map[string]string{
-	"reason phrase":       "HTTP/1.1 200 All is well: \x80\xff\t!\r\n" + body2,
-	"empty reason phrase": "HTTP/1.1 200 \r\n" + body2,
-	"no reason phrase":    "HTTP/1.1 200\r\n" + body2,
-	"smallest status":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + body2,
-	"unknown interim":     "HTTP/1.1 199 Wait\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + body2,
-	"unknown status":      "HTTP/1.1 299 Fine\r\n" + body2,
-	"largest status":      "HTTP/1.1 599 Bad\r\n" + body2,
-	"HTTP/1.0":            "HTTP/1.0 200 OK\r\n" + body2,
+	"reason phrase":         "HTTP/1.1 200 All is well: \x80\xff\t!\r\n" + body2,
+	"empty reason phrase":   "HTTP/1.1 200 \r\n" + body2,
+	"no reason phrase":      "HTTP/1.1 200\r\n" + body2,
+	"smallest status":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + body2,
+	"unknown interim":       "HTTP/1.1 199 Wait\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + body2,
+	"unknown status":        "HTTP/1.1 299 Fine\r\n" + body2,
+	"largest status":        "HTTP/1.1 599 Bad\r\n" + body2,
+	"HTTP/1.0":              "HTTP/1.0 200 OK\r\n" + body2,
+	"all token characters":  statusOK + "!#$%&'*+-.^_`|~09azAZ: a\r\n" + body2,
+	"empty values":          statusOK + "X-A:\r\nX-B: \r\nX-C:\t\r\n" + body2,
+	"bytes of values":       statusOK + "X-A:v\r\nX-B: a\tb:c \x80\xff\"(,)/\t \r\n" + body2,
+	"blanks and the length": statusOK + "Content-Length: \t2 \r\n\r\nok",
+	"no length":             statusOK + "\r\nok",
+	"no length, HTTP/1.0":   "HTTP/1.0 200 OK\r\nX-Note: a\r\n\r\nok",
+	"chunks":                statusOK + "transfer-encoding: Chunked\r\n\r\n1;a=b;c=\"d\"\r\no\r\n01\r\nk\r\n0;e\r\n\r\n",
+	"trailer":               statusOK + "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: a\r\nX-Other:\r\n\r\n",
 }
 
 // Guards against checks that reject what HTTP allows.
