httpconn: reject responses whose framing fields contradict each other

Of a Content-Length beside a Transfer-Encoding it took the latter; a Transfer-Encoding in HTTP/1.0 was ignored, so that the chunk lines reached the caller as body; a 204 or an interim response that announces a body lost it.

Change: headScanner notes both fields, version and status, and rejects such a head at its end (RFC 9112, 6.1 and 6.3). What the library rejects already is tested and left to it: lengths that are doubled, lists or no numbers, and codings other than chunked. 204 with length 0, and 304 and HEAD with a length or a coding, pass as before.

Evidence: TestMalformedResponses/framing failed with the reading of the commit before in all eight cases (200 with body "2\r\nok\r\n0\r\n\r\n" for the coding in HTTP/1.0) and passes; TestSoundResponsesWithoutBody passes before and after.

--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -40,6 +41,9 @@
 	// ViolationFieldValue is a field value with a control character other than a tab (RFC
 	// 9110, section 5.5).
 	ViolationFieldValue Violation = "field_value"
+	// ViolationFraming is a head that says in two ways where the body ends, or that
+	// announces a body where HTTP allows none (RFC 9112, section 6).
+	ViolationFraming Violation = "framing"
 	// ViolationCodec is an error that only the HTTP library finds.
 	ViolationCodec Violation = "codec"
 )
@@ -79,6 +83,44 @@
 type headScanner struct {
 	// checked is the number of bytes from the start of the head that were checked.
 	checked int
+	framing framing
+}
+
+// framing holds what the lines of a head say of the end of the body.
+type framing struct {
+	// http10 says that the version is HTTP/1.0, which has no transfer codings.
+	http10 bool
+	// noBody says that responses with this status have no body.
+	noBody bool
+	// length says that there is a Content-Length, and nonzero that it is not "0".
+	length, nonzero bool
+	// coded says that there is a Transfer-Encoding.
+	coded bool
+}
+
+// addField adds what a field of the head says.
+func (f *framing) addField(name, value string) {
+	switch {
+	case strings.EqualFold(name, fasthttp.HeaderContentLength):
+		f.length = true
+		f.nonzero = strings.Trim(value, " \t") != "0"
+	case strings.EqualFold(name, fasthttp.HeaderTransferEncoding):
+		f.coded = true
+	}
+}
+
+// check returns an error if the fields contradict each other, the version or the status.
+// The HTTP library checks the values of the fields.
+func (f *framing) check() error {
+	switch {
+	case f.coded && f.length:
+		return newViolation(ViolationFraming, "both Transfer-Encoding and Content-Length")
+	case f.coded && f.http10:
+		return newViolation(ViolationFraming, "a Transfer-Encoding in HTTP/1.0")
+	case f.noBody && (f.coded || f.nonzero):
+		return newViolation(ViolationFraming, "a body for a status that has none")
+	}
+	return nil
 }
 
 // scan checks the complete lines of b that it has not checked before. b holds what was
@@ -98,11 +140,11 @@
 		s.checked += size
 		switch {
 		case first:
-			err = checkStatusLine(line)
+			err = s.checkStatusLine(line)
 		case line == "":
-			return true, nil
+			return true, s.framing.check()
 		default:
-			err = checkFieldLine(line)
+			err = s.checkFieldLine(line)
 		}
 		if err != nil {
 			return false, err
@@ -115,7 +157,7 @@
 
 // checkStatusLine checks the first line of a head. The blank between the status code and
 // an empty reason phrase may be missing.
-func checkStatusLine(line string) error {
+func (s *headScanner) checkStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	if version != "HTTP/1.1" && version != "HTTP/1.0" {
 		return newViolation(ViolationVersion, "the response starts with %.*q", maxQuotedBytes, line)
@@ -130,11 +172,13 @@
 	case code == "101":
 		return newViolation(ViolationProtocolSwitch, "status %s", code)
 	}
+	s.framing.http10 = version == "HTTP/1.0"
+	s.framing.noBody = code < "200" || code == "204"
 	return nil
 }
 
 // checkFieldLine checks a line of a head after the first one.
-func checkFieldLine(line string) error {
+func (s *headScanner) checkFieldLine(line string) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return newViolation(ViolationLineFolding, "%.*q", maxQuotedBytes, line)
 	}
@@ -145,5 +189,6 @@
 	if !httpguts.ValidHeaderFieldValue(value) {
 		return newViolation(ViolationFieldValue, "field %s", name)
 	}
+	s.framing.addField(name, value)
 	return nil
 }
--- a/httpconn/malformed_test.go
+++ b/httpconn/malformed_test.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"strings"
 	"testing"
 
 	"almondstile/request"
@@ -14,20 +15,22 @@
 // body2 is the rest of a head and a body of two bytes.
 const body2 = "Content-Length: 2\r\n\r\nok"
 
+// chunks is a body of two bytes in chunks.
+const chunks = "2\r\nok\r\n0\r\n\r\n"
+
 // malformedResponses are responses that HTTP does not allow, by the check that they fail.
 var malformedResponses = map[Violation]map[string]string{
 	ViolationVersion: {
-		"not HTTP":        "hello hello hello\r\n\r\n",
-		"another name":    "XTTP/1.1 200 OK\r\n" + body2,
-		"lower case":      "http/1.1 200 OK\r\n" + body2,
-		"HTTP/0.9":        "HTTP/0.9 200 OK\r\n" + body2,
-		"HTTP/1.2":        "HTTP/1.2 200 OK\r\n" + body2,
-		"HTTP/2.0":        "HTTP/2.0 200 OK\r\n" + body2,
-		"empty line":      "\r\nHTTP/1.1 200 OK\r\n" + body2,
-		"tab":             "HTTP/1.1\t200 OK\r\n" + body2,
-		"no blank":        "HTTP/1.1200 OK\r\n" + body2,
-		"after interim":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/2.0 200 OK\r\n" + body2,
-		"body of interim": "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n" + body2,
+		"not HTTP":      "hello hello hello\r\n\r\n",
+		"another name":  "XTTP/1.1 200 OK\r\n" + body2,
+		"lower case":    "http/1.1 200 OK\r\n" + body2,
+		"HTTP/0.9":      "HTTP/0.9 200 OK\r\n" + body2,
+		"HTTP/1.2":      "HTTP/1.2 200 OK\r\n" + body2,
+		"HTTP/2.0":      "HTTP/2.0 200 OK\r\n" + body2,
+		"empty line":    "\r\nHTTP/1.1 200 OK\r\n" + body2,
+		"tab":           "HTTP/1.1\t200 OK\r\n" + body2,
+		"no blank":      "HTTP/1.1200 OK\r\n" + body2,
+		"after interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/2.0 200 OK\r\n" + body2,
 	},
 	ViolationStatusLine: {
 		"no status":           "HTTP/1.1\r\n" + body2,
@@ -50,6 +53,32 @@
 	ViolationProtocolSwitch: {
 		"101": "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nok",
 	},
+	ViolationFraming: {
+		"length and coding":      statusOK + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"coding and length":      statusOK + "transfer-encoding: chunked\r\ncontent-length: 12\r\n\r\n" + chunks,
+		"coding in HTTP/1.0":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"204 with length":        "HTTP/1.1 204 No Content\r\n" + body2,
+		"204 with coding":        "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"interim with length":    "HTTP/1.1 100 Continue\r\n" + body2 + statusOK + body2,
+		"interim with coding":    "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + statusOK + body2,
+		"interim's length alone": "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n" + statusOK + body2,
+	},
+	ViolationCodec: { // what the library rejects
+		"two lengths":       statusOK + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+		"two equal lengths": statusOK + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+		"list of lengths":   statusOK + "Content-Length: 2, 2\r\n\r\nok",
+		"sign":              statusOK + "Content-Length: +2\r\n\r\nok",
+		"negative":          statusOK + "Content-Length: -2\r\n\r\nok",
+		"hexadecimal":       statusOK + "Content-Length: 0x2\r\n\r\nok",
+		"two numbers":       statusOK + "Content-Length: 2 2\r\n\r\nok",
+		"letter":            statusOK + "Content-Length: 2a\r\n\r\nok",
+		"empty":             statusOK + "Content-Length:\r\n\r\nok",
+		"overflow":          statusOK + "Content-Length: 18446744073709551618\r\n\r\nok",
+		"two codings":       statusOK + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+		"coding twice":      statusOK + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"unknown coding":    statusOK + "Transfer-Encoding: x\r\n\r\n" + chunks,
+		"identity":          statusOK + "Transfer-Encoding: identity\r\n\r\nok",
+	},
 	ViolationLineBreak: {
 		"in the status line":        "HTTP/1.1 200 OK\n" + body2,
 		"everywhere":                "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
@@ -156,6 +185,36 @@
 	"trailer":               statusOK + "Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: a\r\nX-Other:\r\n\r\n",
 }
 
+// Guards against checks that reject responses without a body that HTTP allows.
+func TestSoundResponsesWithoutBody(t *testing.T) {
+	for name, raw := range map[string]string{
+		"204":             "HTTP/1.1 204 No Content\r\n\r\n",
+		"204, length 0":   "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+		"304 with length": "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+		"304 with coding": "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"205":             "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n",
+		"HEAD":            statusOK + "Content-Length: 2\r\n\r\n",
+		"HEAD, chunked":   statusOK + "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := startScriptedServer(t, func(int64) []byte { return []byte(raw) })
+			method, _, _ := strings.Cut(name, ",")
+			if method != "HEAD" {
+				method = "GET"
+			}
+			p := NewPool(DefaultOptions())
+			defer p.CloseIdle(true)
+			for range 2 { // on one connection
+				resp, progress, err := doRequest(t, p, address, method)
+				if err != nil || progress != request.ResponseComplete || len(resp.Body()) > 0 {
+					t.Errorf("got body %q, progress %d, error %v; want the whole response", resp.Body(), progress, err)
+				}
+			}
+		})
+	}
+}
+
 // Guards against checks that reject what HTTP allows.
 func TestSoundResponses(t *testing.T) {
 	for name, raw := range soundResponses {
