httpconn: check the trailer of a chunked response

The same cause behind the body: the HTTP library takes blanks in the names of trailer fields, folded lines, and a line feed alone as the end of a trailer. Trailer fields are not passed on, but bytes behind such an end count as the start of the next response, and a sender whose trailer is broken may have broken its chunks as well.

Change: headScanner checks the lines of a trailer as it checks those of a head. Framing fields in trailers, and chunk lines that can be read in two ways, are rejected by the library already; they get tests (TestMalformedChunks) and nothing else.

Chunks with extensions and trailers in TestSoundResponses pass before and after, as does TestMalformedChunks.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -182,7 +182,18 @@
 		return err
 	}
 	if length == chunkedLength {
-		return resp.Header.ReadTrailer(r)
+		return readTrailer(r, resp)
+	}
+	return nil
+}
+
+// readTrailer reads the trailer of a chunked response. Its fields are not passed on.
+func readTrailer(r *bufio.Reader, resp *fasthttp.Response) error {
+	if err := checkBuffered(r, &headScanner{trailer: true}); err != nil {
+		return err
+	}
+	if err := resp.Header.ReadTrailer(r); err != nil {
+		return newViolation(ViolationCodec, "%v", err)
 	}
 	return nil
 }
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -77,13 +77,15 @@
 	return ""
 }
 
-// headScanner checks the head of a response. The HTTP library accepts more than HTTP
+// headScanner checks the head of a response, or its trailer. The HTTP library accepts more than HTTP
 // allows and interprets it in its own way, so that what it returns does not show any
 // more what the server sent.
 type headScanner struct {
 	// checked is the number of bytes from the start of the head that were checked.
 	checked int
 	framing framing
+	// trailer says that the lines are those of a trailer, which has no status line.
+	trailer bool
 }
 
 // framing holds what the lines of a head say of the end of the body.
@@ -136,10 +138,10 @@
 		if !ok {
 			return false, newViolation(ViolationLineBreak, "%.*q", maxQuotedBytes, line)
 		}
-		first := s.checked == 0
+		isStatusLine := s.checked == 0 && !s.trailer
 		s.checked += size
 		switch {
-		case first:
+		case isStatusLine:
 			err = s.checkStatusLine(line)
 		case line == "":
 			return true, s.framing.check()
--- a/httpconn/malformed_test.go
+++ b/httpconn/malformed_test.go
@@ -18,6 +18,9 @@
 // chunks is a body of two bytes in chunks.
 const chunks = "2\r\nok\r\n0\r\n\r\n"
 
+// statusChunks is a response in chunks up to its trailer.
+const statusChunks = statusOK + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+
 // malformedResponses are responses that HTTP does not allow, by the check that they fail.
 var malformedResponses = map[Violation]map[string]string{
 	ViolationVersion: {
@@ -64,20 +67,22 @@
 		"interim's length alone": "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n" + statusOK + body2,
 	},
 	ViolationCodec: { // what the library rejects
-		"two lengths":       statusOK + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
-		"two equal lengths": statusOK + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
-		"list of lengths":   statusOK + "Content-Length: 2, 2\r\n\r\nok",
-		"sign":              statusOK + "Content-Length: +2\r\n\r\nok",
-		"negative":          statusOK + "Content-Length: -2\r\n\r\nok",
-		"hexadecimal":       statusOK + "Content-Length: 0x2\r\n\r\nok",
-		"two numbers":       statusOK + "Content-Length: 2 2\r\n\r\nok",
-		"letter":            statusOK + "Content-Length: 2a\r\n\r\nok",
-		"empty":             statusOK + "Content-Length:\r\n\r\nok",
-		"overflow":          statusOK + "Content-Length: 18446744073709551618\r\n\r\nok",
-		"two codings":       statusOK + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
-		"coding twice":      statusOK + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
-		"unknown coding":    statusOK + "Transfer-Encoding: x\r\n\r\n" + chunks,
-		"identity":          statusOK + "Transfer-Encoding: identity\r\n\r\nok",
+		"two lengths":         statusOK + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+		"two equal lengths":   statusOK + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+		"list of lengths":     statusOK + "Content-Length: 2, 2\r\n\r\nok",
+		"sign":                statusOK + "Content-Length: +2\r\n\r\nok",
+		"negative":            statusOK + "Content-Length: -2\r\n\r\nok",
+		"hexadecimal":         statusOK + "Content-Length: 0x2\r\n\r\nok",
+		"two numbers":         statusOK + "Content-Length: 2 2\r\n\r\nok",
+		"letter":              statusOK + "Content-Length: 2a\r\n\r\nok",
+		"empty":               statusOK + "Content-Length:\r\n\r\nok",
+		"overflow":            statusOK + "Content-Length: 18446744073709551618\r\n\r\nok",
+		"two codings":         statusOK + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+		"coding twice":        statusOK + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"unknown coding":      statusOK + "Transfer-Encoding: x\r\n\r\n" + chunks,
+		"length in a trailer": statusChunks + "Content-Length: 7\r\n\r\n",
+		"coding in a trailer": statusChunks + "Transfer-Encoding: chunked\r\n\r\n",
+		"identity":            statusOK + "Transfer-Encoding: identity\r\n\r\nok",
 	},
 	ViolationLineBreak: {
 		"in the status line":        "HTTP/1.1 200 OK\n" + body2,
@@ -87,6 +92,9 @@
 		"in a value":                statusOK + "X-Note: a\nb\r\n" + body2,
 		"at the end of the head":    statusOK + "Content-Length: 2\r\n\nok",
 		"in an interim response":    "HTTP/1.1 100 Continue\r\nX-Note: a\n\r\n" + statusOK + body2,
+		"in front of the trailer":   statusChunks + "\nX-Sum: a\r\n\r\n",
+		"in a trailer":              statusChunks + "X-Sum: a\nX-Other: b\r\n\r\n",
+		"at the end of the trailer": statusChunks + "X-Sum: a\r\n\n",
 		"behind an interim's start": "HTTP/1.1 100 Continue\r\n\n" + statusOK + body2,
 	},
 	ViolationLineFolding: {
@@ -96,33 +104,39 @@
 		"first line":     statusOK + " X-Note: a\r\n" + body2,
 		"blank line":     statusOK + "X-Note: a\r\n \r\n" + body2,
 		"of the length":  statusOK + "Content-Length:\r\n 2\r\n\r\nok",
+		"trailer":        statusChunks + "X-Sum: a\r\n b\r\n\r\n",
+		"first trailer":  statusChunks + " X-Sum: a\r\n\r\n",
 		"interim's line": "HTTP/1.1 100 Continue\r\nX-Note: a\r\n b\r\n\r\n" + statusOK + body2,
 	},
 	ViolationFieldName: {
-		"blank":                     statusOK + "X-No te: a\r\n" + body2,
-		"blank behind the length":   statusOK + body2[:len("Content-Length: 2\r\n")] + "X-No te: a\r\n\r\nok",
-		"blank in the length":       statusOK + "Content-Len gth: 2\r\n\r\nok",
-		"blank before the colon":    statusOK + "X-Note : a\r\n" + body2,
-		"tab before the colon":      statusOK + "X-Note\t: a\r\n" + body2,
-		"blank behind the length's": statusOK + "Content-Length : 2\r\n\r\nok",
-		"NUL":                       statusOK + "X-No\x00te: a\r\n" + body2,
-		"control":                   statusOK + "X-No\x01te: a\r\n" + body2,
-		"DEL":                       statusOK + "X-No\x7fte: a\r\n" + body2,
-		"CR":                        statusOK + "X-No\rte: a\r\n" + body2,
-		"CR in front":               statusOK + "\rX-Note: a\r\n" + body2,
-		"tab":                       statusOK + "X-No\tte: a\r\n" + body2,
-		"separator":                 statusOK + "X(Note): a\r\n" + body2,
-		"bytes over 0x7f":           statusOK + "X-N\xc3\xb6te: a\r\n" + body2,
-		"empty":                     statusOK + ": a\r\n" + body2,
-		"no colon":                  statusOK + "X-Note\r\n" + body2,
-		"in an interim response":    "HTTP/1.1 100 Continue\r\nX-No te: a\r\n\r\n" + statusOK + body2,
+		"blank":                          statusOK + "X-No te: a\r\n" + body2,
+		"blank behind the length":        statusOK + body2[:len("Content-Length: 2\r\n")] + "X-No te: a\r\n\r\nok",
+		"blank in the length":            statusOK + "Content-Len gth: 2\r\n\r\nok",
+		"blank before the colon":         statusOK + "X-Note : a\r\n" + body2,
+		"tab before the colon":           statusOK + "X-Note\t: a\r\n" + body2,
+		"blank behind the length's":      statusOK + "Content-Length : 2\r\n\r\nok",
+		"NUL":                            statusOK + "X-No\x00te: a\r\n" + body2,
+		"control":                        statusOK + "X-No\x01te: a\r\n" + body2,
+		"DEL":                            statusOK + "X-No\x7fte: a\r\n" + body2,
+		"CR":                             statusOK + "X-No\rte: a\r\n" + body2,
+		"CR in front":                    statusOK + "\rX-Note: a\r\n" + body2,
+		"tab":                            statusOK + "X-No\tte: a\r\n" + body2,
+		"separator":                      statusOK + "X(Note): a\r\n" + body2,
+		"bytes over 0x7f":                statusOK + "X-N\xc3\xb6te: a\r\n" + body2,
+		"empty":                          statusOK + ": a\r\n" + body2,
+		"no colon":                       statusOK + "X-Note\r\n" + body2,
+		"in a trailer":                   statusChunks + "X-Su m: a\r\n\r\n",
+		"control in a trailer":           statusChunks + "X-Su\x01m: a\r\n\r\n",
+		"blank before a trailer's colon": statusChunks + "X-Sum : a\r\n\r\n",
+		"in an interim response":         "HTTP/1.1 100 Continue\r\nX-No te: a\r\n\r\n" + statusOK + body2,
 	},
 	ViolationFieldValue: {
-		"NUL":     statusOK + "X-Note: a\x00\r\n" + body2,
-		"control": statusOK + "X-Note: a\x01b\r\n" + body2,
-		"DEL":     statusOK + "X-Note: \x7f\r\n" + body2,
-		"CR":      statusOK + "X-Note: a\rb\r\n" + body2,
-		"two CRs": statusOK + "X-Note: a\r\r\n" + body2,
+		"NUL":          statusOK + "X-Note: a\x00\r\n" + body2,
+		"control":      statusOK + "X-Note: a\x01b\r\n" + body2,
+		"DEL":          statusOK + "X-Note: \x7f\r\n" + body2,
+		"CR":           statusOK + "X-Note: a\rb\r\n" + body2,
+		"in a trailer": statusChunks + "X-Sum: \x00\r\n\r\n",
+		"two CRs":      statusOK + "X-Note: a\r\r\n" + body2,
 	},
 }
 
@@ -165,6 +179,38 @@
 	}
 }
 
+// Guards against chunk lines that can be read in two ways.
+func TestMalformedChunks(t *testing.T) {
+	for name, body := range map[string]string{
+		"LF behind a size":         "2\nok\r\n0\r\n\r\n",
+		"LF behind a chunk":        "2\r\nok\n0\r\n\r\n",
+		"LF behind an extension":   "2;a\nok\r\n0\r\n\r\n",
+		"LF in an extension":       "2;a\n2\r\nok\r\n0\r\n\r\n",
+		"CR in an extension":       "2;a\rb\r\nok\r\n0\r\n\r\n",
+		"LF behind the last chunk": "2\r\nok\r\n0\n\r\n",
+		"prefix":                   "0x2\r\nok\r\n0\r\n\r\n",
+		"sign":                     "+2\r\nok\r\n0\r\n\r\n",
+		"negative":                 "-2\r\nok\r\n0\r\n\r\n",
+		"blank in front":           " 2\r\nok\r\n0\r\n\r\n",
+		"empty":                    "\r\nok\r\n0\r\n\r\n",
+		"overflow":                 "10000000000000002\r\nok\r\n0\r\n\r\n",
+		"junk":                     "2 x\r\nok\r\n0\r\n\r\n",
+		"no line break":            "2\r\nok0\r\n\r\n",
+		"too long":                 "2\r\nokk\r\n0\r\n\r\n",
+		"too short":                "3\r\nok\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			raw := statusOK + "Transfer-Encoding: chunked\r\n\r\n" + body
+			address, _ := startScriptedServer(t, func(int64) []byte { return []byte(raw) })
+			resp, progress, err := doRequest(t, NewPool(DefaultOptions()), address, "GET")
+			if !errors.IsAny(err, ErrMalformed, ErrTruncated) || errors.Is(err, ErrDeadline) || progress != request.Written {
+				t.Errorf("got body %q, progress %d, error %v; want Written, ErrMalformed or ErrTruncated", resp.Body(), progress, err)
+			}
+		})
+	}
+}
+
 // soundResponses are responses that HTTP allows, with the body "ok".
 var soundResponses = map[string]string{
 	"reason phrase":         "HTTP/1.1 200 All is well: \x80\xff\t!\r\n" + body2,
