--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -101,12 +100,12 @@
 }
 
 // addField adds what a field of the head says.
-func (f *framing) addField(name, value string) {
+func (f *framing) addField(name, value []byte) {
 	switch {
-	case strings.EqualFold(name, fasthttp.HeaderContentLength):
+	case bytes.EqualFold(name, contentLength):
 		f.length = true
-		f.nonzero = strings.Trim(value, " \t") != "0"
-	case strings.EqualFold(name, fasthttp.HeaderTransferEncoding):
+		f.nonzero = string(bytes.Trim(value, " \t")) != "0"
+	case bytes.EqualFold(name, transferEncoding):
 		f.coded = true
 	}
 }
@@ -134,7 +133,7 @@
 		if size == 0 {
 			return false, nil
 		}
-		line, ok := strings.CutSuffix(string(b[s.checked:s.checked+size]), "\r\n")
+		line, ok := bytes.CutSuffix(b[s.checked:s.checked+size], crlf)
 		if !ok {
 			return false, newViolation(ViolationLineBreak, "%.*q", maxQuotedBytes, line)
 		}
@@ -143,7 +142,7 @@
 		switch {
 		case isStatusLine:
 			err = s.checkStatusLine(line)
-		case line == "":
+		case len(line) == 0:
 			return true, s.framing.check()
 		default:
 			err = s.checkFieldLine(line)
@@ -154,41 +153,60 @@
 	}
 }
 
+// Parts of the lines of a head.
+var (
+	crlf             = []byte("\r\n")
+	blank            = []byte(" ")
+	colon            = []byte(":")
+	contentLength    = []byte(fasthttp.HeaderContentLength)
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+)
+
 // statusCodeBytes is the length of a status code.
 const statusCodeBytes = 3
 
 // checkStatusLine checks the first line of a head. The blank between the status code and
 // an empty reason phrase may be missing.
-func (s *headScanner) checkStatusLine(line string) error {
-	version, rest, _ := strings.Cut(line, " ")
-	if version != "HTTP/1.1" && version != "HTTP/1.0" {
+func (s *headScanner) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, blank)
+	if string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" {
 		return newViolation(ViolationVersion, "the response starts with %.*q", maxQuotedBytes, line)
 	}
-	code, reason, _ := strings.Cut(rest, " ")
-	if len(code) != statusCodeBytes || strings.Trim(code, "0123456789") != "" || !httpguts.ValidHeaderFieldValue(reason) {
+	code, reason, _ := bytes.Cut(rest, blank)
+	if !isStatusCode(code) || !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return newViolation(ViolationStatusLine, "%.*q", maxQuotedBytes, line)
 	}
 	switch {
-	case code < "100" || code > "599":
+	case code[0] < '1' || code[0] > '5':
 		return newViolation(ViolationStatusCode, "status %s", code)
-	case code == "101":
+	case string(code) == "101":
 		return newViolation(ViolationProtocolSwitch, "status %s", code)
 	}
-	s.framing.http10 = version == "HTTP/1.0"
-	s.framing.noBody = code < "200" || code == "204"
+	s.framing.http10 = string(version) == "HTTP/1.0"
+	s.framing.noBody = code[0] == '1' || string(code) == "204"
 	return nil
 }
 
+// isStatusCode reports whether b consists of three digits.
+func isStatusCode(b []byte) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(b) == statusCodeBytes
+}
+
 // checkFieldLine checks a line of a head after the first one.
-func (s *headScanner) checkFieldLine(line string) error {
+func (s *headScanner) checkFieldLine(line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return newViolation(ViolationLineFolding, "%.*q", maxQuotedBytes, line)
 	}
-	name, value, found := strings.Cut(line, ":")
-	if !found || !httpguts.ValidHeaderFieldName(name) {
+	name, value, found := bytes.Cut(line, colon)
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 		return newViolation(ViolationFieldName, "%.*q", maxQuotedBytes, line)
 	}
-	if !httpguts.ValidHeaderFieldValue(value) {
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
 		return newViolation(ViolationFieldValue, "field %s", name)
 	}
 	s.framing.addField(name, value)
