direct, owner: show which check a malformed response failed

Cause: a malformed response was logged and counted as response-truncated only, so that the logs did not tell a broken head from a body that breaks off.

Change: an exchange names the failed check, also over the relay of an exchange. The log line of the attempt has it as violation, and the counter decision.malformed_response.CHECK counts by check. The attempt counts against the server as before.

--- a/daemon/decisions.go
+++ b/daemon/decisions.go
@@ -13,13 +13,14 @@
 // configuration versions.
 type decisionCounter struct{ *telemetry.Metrics }
 
-func (d decisionCounter) EjectionGranted()              { d.Count("ejection.granted") }
-func (d decisionCounter) EjectionBlocked()              { d.Count("ejection.blocked") }
-func (d decisionCounter) RequestQuarantined()           { d.Count("quarantine.entered") }
-func (d decisionCounter) HomeRoleTakenOver()            { d.Count("role.service_home.taken_over") }
-func (d decisionCounter) OwnerRoleTakenOver()           { d.Count("role.server_owner.taken_over") }
-func (d decisionCounter) ServerLinkEvent(change string) { d.Count("serverlink." + change) }
-func (d decisionCounter) TokenRejected()                { d.Count("token.rejected") }
+func (d decisionCounter) EjectionGranted()               { d.Count("ejection.granted") }
+func (d decisionCounter) EjectionBlocked()               { d.Count("ejection.blocked") }
+func (d decisionCounter) RequestQuarantined()            { d.Count("quarantine.entered") }
+func (d decisionCounter) HomeRoleTakenOver()             { d.Count("role.service_home.taken_over") }
+func (d decisionCounter) OwnerRoleTakenOver()            { d.Count("role.server_owner.taken_over") }
+func (d decisionCounter) ServerLinkEvent(change string)  { d.Count("serverlink." + change) }
+func (d decisionCounter) MalformedResponse(check string) { d.Count("malformed_response." + check) }
+func (d decisionCounter) TokenRejected()                 { d.Count("token.rejected") }
 
 func (d decisionCounter) RetriedOrRedirected(decision retry.Decision) {
 	if decision == retry.Redirect {
--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -372,7 +372,12 @@
 	if result == evidence.Success {
 		return
 	}
-	d.deps.Log.WithField("request", req.ID).WithField("server", selected.server.Server.ID).WithField("zone", selected.server.Server.Zone).
+	log := d.deps.Log
+	if e.Violation != "" {
+		d.deps.Observer.Count("malformed_response." + string(e.Violation))
+		log = log.WithField("violation", e.Violation)
+	}
+	log.WithField("request", req.ID).WithField("server", selected.server.Server.ID).WithField("zone", selected.server.Server.Zone).
 		WithField("service", req.Service).WithField("outcome", e.Result.Outcome).WithField("reason", e.Result.Reason).
 		WithField("status", e.Result.Status).WithField("shed", e.Result.ShedStatus).WithField("latency_ms", e.Latency.Milliseconds()).
 		WithField("failing", selected.state.FailureRate).WithField("faulty", selected.state.FaultProbability).WithField("running", selected.state.InFlight).
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -58,14 +58,15 @@
 // of the server's response. Its fields correspond to those of upstream.Exchange.
 type exchangeResultEnvelope struct {
 	resultEnvelope
-	Ran                   bool   `json:"ran,omitempty"`
-	Instance              string `json:"instance,omitempty"`
-	LatencyMicros         int64  `json:"latency_us,omitempty"`
-	ConnectFailed         bool   `json:"connect_failed,omitempty"`
-	ConnectionRefused     bool   `json:"refused,omitempty"`
-	Silent                bool   `json:"silent,omitempty"`
-	ClosedWithoutResponse bool   `json:"cut,omitempty"`
-	Crashed               bool   `json:"crashed,omitempty"`
+	Ran                   bool               `json:"ran,omitempty"`
+	Instance              string             `json:"instance,omitempty"`
+	Violation             httpconn.Violation `json:"violation,omitempty"`
+	LatencyMicros         int64              `json:"latency_us,omitempty"`
+	ConnectFailed         bool               `json:"connect_failed,omitempty"`
+	ConnectionRefused     bool               `json:"refused,omitempty"`
+	Silent                bool               `json:"silent,omitempty"`
+	ClosedWithoutResponse bool               `json:"cut,omitempty"`
+	Crashed               bool               `json:"crashed,omitempty"`
 }
 
 // ExchangeClient sends exchange messages to relays.
@@ -121,14 +122,14 @@
 func newExchangeResultEnvelope(e *upstream.Exchange, ran bool) *exchangeResultEnvelope {
 	return &exchangeResultEnvelope{
 		resultEnvelope: *newResultEnvelope(&e.Result), Ran: ran,
-		Instance: e.Instance, LatencyMicros: e.Latency.Microseconds(),
+		Instance: e.Instance, Violation: e.Violation, LatencyMicros: e.Latency.Microseconds(),
 		ConnectFailed: e.ConnectFailed, ConnectionRefused: e.ConnectionRefused, Silent: e.Silent, ClosedWithoutResponse: e.ClosedWithoutResponse, Crashed: e.Crashed,
 	}
 }
 
 func (e *exchangeResultEnvelope) toExchange(body []byte) upstream.Exchange {
 	return upstream.Exchange{
-		Result: e.toResult(body), Instance: e.Instance,
+		Result: e.toResult(body), Instance: e.Instance, Violation: e.Violation,
 		Latency:       time.Duration(e.LatencyMicros) * time.Microsecond,
 		ConnectFailed: e.ConnectFailed, ConnectionRefused: e.ConnectionRefused, Silent: e.Silent, ClosedWithoutResponse: e.ClosedWithoutResponse, Crashed: e.Crashed,
 	}
--- a/forward/exchange_test.go
+++ b/forward/exchange_test.go
@@ -26,7 +26,7 @@
 // relayedExchange has a value in each field.
 var relayedExchange = upstream.Exchange{
 	Result:   request.Result{Outcome: request.Unknown, Reason: request.ReasonServerCrashed, Body: []byte("part")},
-	Instance: "i1", Latency: time.Millisecond, ConnectFailed: true, ConnectionRefused: true, Silent: true, ClosedWithoutResponse: true, Crashed: true,
+	Instance: "i1", Violation: httpconn.ViolationFieldName, Latency: time.Millisecond, ConnectFailed: true, ConnectionRefused: true, Silent: true, ClosedWithoutResponse: true, Crashed: true,
 }
 
 func (x *fakeRelay) Exchange(ctx context.Context, from vm.ID, req *request.Request) (upstream.Exchange, bool) {
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -169,6 +169,11 @@
 // whether the link or the server failed.
 func (a *admittedRequest) recordAttempt(attempt serverlink.Attempt, e upstream.Exchange, evidence serverlink.Evidence) backend.Sample {
 	o := a.owner
+	if e.Violation != "" {
+		o.deps.Observer.MalformedResponse(string(e.Violation))
+		o.deps.Log.WithField("request", a.req.ID).WithField("server", a.server.ID).WithField("violation", e.Violation).
+			Info("A response of a server is malformed.")
+	}
 	if evidence.Failed() && attempt.Direct() {
 		a.findRelays()
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -59,6 +59,9 @@
 	// for instance with "relaying", and with "relay-exchange" for each exchange
 	// over a relay.
 	ServerLinkEvent(event string)
+	// MalformedResponse is called for each response of a server that fails a check of
+	// HTTP, with the name of the check.
+	MalformedResponse(check string)
 }
 
 // Dependencies are what New needs to build an Owner.
--- a/owner/site_test.go
+++ b/owner/site_test.go
@@ -138,8 +138,9 @@
 // observer counts link events under the same metric names as the daemon.
 type observer struct{ *telemetry.Metrics }
 
-func (o observer) OwnerRoleTakenOver()          {}
-func (o observer) ServerLinkEvent(event string) { o.Count("serverlink." + event) }
+func (o observer) OwnerRoleTakenOver()            {}
+func (o observer) ServerLinkEvent(event string)   { o.Count("serverlink." + event) }
+func (o observer) MalformedResponse(check string) { o.Count("malformed_response." + check) }
 
 // startOwner starts the owner vm1, or replaces it. The address is the one at which
 // it connects to the server.
@@ -220,7 +221,12 @@
 
 // linkEventCount returns the value of the metric of a link event.
 func (s *setup) linkEventCount(event string) int64 {
-	counter, ok := s.metrics.Registry().Get("decision.serverlink." + event).(metrics.Counter)
+	return s.decisionCount("serverlink." + event)
+}
+
+// decisionCount returns the value of the metric of a decision.
+func (s *setup) decisionCount(decision string) int64 {
+	counter, ok := s.metrics.Registry().Get("decision." + decision).(metrics.Counter)
 	if !ok {
 		return 0
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -27,6 +27,9 @@
 	// LateCopies is the number of responses to earlier requests of the connection that were
 	// skipped.
 	LateCopies int
+	// Violation names the check of HTTP that the server's response failed. It is empty if
+	// there was no such response.
+	Violation httpconn.Violation
 	// Latency is the time from the start to the end of the attempt.
 	Latency time.Duration
 	// ConnectFailed says that no connection could be made.
@@ -126,6 +129,7 @@
 	e := Exchange{Latency: time.Since(start), LateCopies: lateCopies}
 	if err != nil {
 		e.Result = failureResult(progress, err)
+		e.Violation = httpconn.ViolationOf(err)
 		e.ConnectFailed = errors.Is(err, httpconn.ErrConnect)
 		e.ConnectionRefused = e.ConnectFailed && errors.Is(err, syscall.ECONNREFUSED)
 		e.Silent = progress == request.Written && peerSilent(err)
