store: check the heads of responses of the platform's services

The same cause at the third place where answers are read: the clients of the table, the object store and the VM list use net/http, which takes HTTP/2.0, folded lines, blanks in names and before colons, and a line feed alone as the end of a head. Such a response acknowledged a write, or its rest was read as an object ("X-Note: a\r\nContent-Length: 0\r\n\r\n"). Status 000 and 999 and control bytes in names were errors before.

Change: httpconn.NewTransport gives net/http connections that check heads with headScanner. The boundary of responses needs no parser: what is read after a request was written is a head. TLS and its configuration work as before; HTTP/2, which only the client of the VM list could use, does not. The command line keeps net/http's own transport, which honors the proxies of its environment; it reads only the fleet's operator API.

--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -83,6 +83,8 @@
 	// checked is the number of bytes from the start of the head that were checked.
 	checked int
 	framing framing
+	// interim says that the status is one of an interim response (1xx).
+	interim bool
 	// trailer says that the lines are those of a trailer, which has no status line.
 	trailer bool
 }
@@ -183,7 +185,8 @@
 		return newViolation(ViolationProtocolSwitch, "status %s", code)
 	}
 	s.framing.http10 = string(version) == "HTTP/1.0"
-	s.framing.noBody = code[0] == '1' || string(code) == "204"
+	s.interim = code[0] == '1'
+	s.framing.noBody = s.interim || string(code) == "204"
 	return nil
 }
 
--- a/store/dynamo/client.go
+++ b/store/dynamo/client.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"almondstile/httpconn"
+
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
@@ -51,16 +53,14 @@
 	if o.CallTimeout <= 0 {
 		o.CallTimeout = defaultCallTimeout
 	}
-	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
+	transport := httpconn.NewTransport(&net.Dialer{Timeout: o.ConnectTimeout})
+	transport.MaxIdleConnsPerHost = maxIdleConnections
 	client := dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(o.Endpoint),
 		Region:       o.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnections,
-		}},
+		HTTPClient:   &http.Client{Transport: transport},
 	})
 	return &Table{client: client, name: o.Table, callTimeout: o.CallTimeout}
 }
--- a/store/s3/store.go
+++ b/store/s3/store.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"almondstile/httpconn"
 	"almondstile/store"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
@@ -65,7 +66,6 @@
 	if o.MaxObjectBytes <= 0 {
 		o.MaxObjectBytes = defaultMaxObjectBytes
 	}
-	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
 	client := s3.New(s3.Options{
 		BaseEndpoint: aws.String(o.Endpoint),
 		Region:       o.Region,
@@ -76,7 +76,7 @@
 		// the newer checksum headers.
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
-		HTTPClient:                 &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
+		HTTPClient:                 &http.Client{Transport: httpconn.NewTransport(&net.Dialer{Timeout: o.ConnectTimeout})},
 	})
 	return &Store{client: client, bucket: o.Bucket, callTimeout: o.CallTimeout, maxObjectBytes: o.MaxObjectBytes}
 }
--- a/store/vmlist/client.go
+++ b/store/vmlist/client.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"almondstile/httpconn"
 	"almondstile/store"
 
 	"github.com/cockroachdb/errors"
@@ -37,7 +39,7 @@
 	if o.CallTimeout <= 0 {
 		o.CallTimeout = defaultCallTimeout
 	}
-	return &Client{http: &http.Client{Timeout: o.CallTimeout, Transport: &http.Transport{}}, url: o.URL}
+	return &Client{http: &http.Client{Timeout: o.CallTimeout, Transport: httpconn.NewTransport(&net.Dialer{})}, url: o.URL}
 }
 
 // List implements store.VMList. All its errors are marked store.ErrNotDone.
