cli: a reply with status 000 or a malformed head is no reply

Change: a status outside 200 to 599 counts as no reply, with the exit code for an unknown outcome, and heads are checked by httpconn.NewTransport. Where the environment names a proxy for the VM, net/http's own transport is used as before, without the check of the head.

Evidence: without the change TestExitCodes exits with 0 ("Accepted at version 5.") for both heads, and TestUnknownStatusIsNoReply fails for 0, 99, 100, 199, 600 and 999; both pass.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -19,6 +19,7 @@
 	"almondstile/operator"
 	"almondstile/settings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 )
@@ -81,6 +82,19 @@
 	return func(w http.ResponseWriter) { writeError(w, status, code) }
 }
 
+// rawReply returns a reply of an accepted plan with a head that HTTP does not allow.
+func rawReply(head string) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		nc, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer nc.Close()
+		body, _ := json.Marshal(configstore.Outcome{Kind: configstore.Accepted, Version: 5})
+		_, _ = fmt.Fprintf(nc, "%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+}
+
 // largeStatus returns the status of a fleet at the target scale (420 VMs, 170
 // services with 30 servers each) in which no server and no VM is healthy.
 func largeStatus() operator.Status {
@@ -126,6 +140,8 @@
 		{"confirm p1", errorReply(503, operator.CodeUnavailable), ExitFailed, "text of unavailable"},
 		{"confirm p1", errorReply(504, operator.CodeOutcomeUnknown), ExitOutcomeUnknown, "confirm p1"},
 		{"confirm p1", nil, ExitOutcomeUnknown, "confirm p1"},
+		{"confirm p1", rawReply("HTTP/1.1 000 OK"), ExitOutcomeUnknown, "confirm p1"},
+		{"confirm p1", rawReply("HTTP/1.1 200 OK\r\nX-No te: a"), ExitOutcomeUnknown, "confirm p1"},
 		{"zone out a --yes", nil, ExitOutcomeUnknown, "confirm p1"},
 		{"zone out a --yes", writeAccepted, ExitOK, "Accepted at version 5."},
 		{"server leave refuse-1", writeAccepted, ExitFailed, "text of refused"},
@@ -162,6 +178,20 @@
 	}
 }
 
+// Guards against a status that no API sends and that counts as success or as a definite
+// failure, where the reply comes through a proxy.
+func TestUnknownStatusIsNoReply(t *testing.T) {
+	accepted, _ := json.Marshal(configstore.Outcome{Kind: configstore.Accepted, Version: 5})
+	refused, _ := json.Marshal(operator.ErrorBody{Error: operator.ErrorDetail{Code: operator.CodeRefused}})
+	for _, status := range []int{0, 99, 100, 199, 600, 999} {
+		for _, body := range [][]byte{accepted, refused} {
+			if err := decodeReply(status, body, new(configstore.Outcome)); !errors.Is(err, errNoReply) {
+				t.Errorf("status %d, body %s: got error %v, want errNoReply", status, body, err)
+			}
+		}
+	}
+}
+
 // Guards against a client that sends the secret of a new key instead of only its
 // hash. Also guards against a credential that is not shown when the confirm gets no
 // reply, or that doesn't match the hash.
--- a/cli/client.go
+++ b/cli/client.go
@@ -15,6 +15,7 @@
 
 	"almondstile/configstore"
 	"almondstile/contract"
+	"almondstile/httpconn"
 	"almondstile/operator"
 
 	"github.com/cockroachdb/errors"
@@ -93,7 +94,8 @@
 	if contentType != "" {
 		request.Header.Set("Content-Type", contentType)
 	}
-	reply, err := http.DefaultClient.Do(request)
+	client := http.Client{Transport: transportFor(request)}
+	reply, err := client.Do(request)
 	if err != nil {
 		var opErr *net.OpError
 		if errors.As(err, &opErr) && opErr.Op == "dial" {
@@ -109,9 +111,23 @@
 	return decodeReply(reply.StatusCode, data, result)
 }
 
+// transportFor returns a transport that rejects malformed replies, or, if the environment
+// names a proxy for the request, the default one, which supports proxies.
+func transportFor(request *http.Request) http.RoundTripper {
+	if proxy, err := http.ProxyFromEnvironment(request); proxy != nil || err != nil {
+		return http.DefaultTransport
+	}
+	transport := httpconn.NewTransport(&net.Dialer{})
+	transport.DisableKeepAlives = true
+	return transport
+}
+
 // decodeReply decodes the body of a reply into result or into an apiError. A body
-// that can't be decoded counts as no reply.
+// that can't be decoded, and a status that the API does not use, count as no reply.
 func decodeReply(status int, data []byte, result any) error {
+	if status < 200 || status > 599 {
+		return errors.Mark(errors.Newf("HTTP status %03d", status), errNoReply)
+	}
 	if status < 300 {
 		return errors.Mark(errors.Wrap(json.Unmarshal(data, result), "decoding the reply"), errNoReply)
 	}
