standin: one server of raw bytes for the tests of malformed responses

Change: standin/rawserver, which closes its connections with itself, so that a test that fails does not wait for them. Test names say space for the character.

--- a/standin/platformsim/malformed_test.go
+++ b/standin/platformsim/malformed_test.go
@@ -1,53 +1,30 @@
 package platformsim_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
+	"almondstile/standin/rawserver"
 	"almondstile/store"
 	"almondstile/store/s3"
 	"almondstile/store/vmlist"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 )
 
-// startRawService starts a service that responds to each request with a head and a body.
+// startRawService starts a service that responds to each request with a head and a body
+// and closes the connection, so that a body without a length ends.
 // The head has no line break at its end.
 func startRawService(t *testing.T, head, body string) (url string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := rawserver.StartClosing(rawserver.Always(fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)))
 	if err != nil {
 		t.Fatal(err)
 	}
-	serve := func(nc net.Conn) {
-		defer nc.Close()
-		_ = nc.SetDeadline(time.Now().Add(5 * time.Second))
-		req, err := http.ReadRequest(bufio.NewReader(nc))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		_, _ = fmt.Fprintf(nc, "%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	}
-	var wg conc.WaitGroup
-	wg.Go(func() {
-		for {
-			nc, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() { serve(nc) })
-		}
-	})
-	t.Cleanup(func() { _ = listener.Close(); wg.Wait() })
-	return "http://" + listener.Addr().String()
+	t.Cleanup(server.Close)
+	return "http://" + server.Address()
 }
 
 // malformedHeads are heads that HTTP does not allow.
@@ -55,9 +32,9 @@
 	"status 000":            "HTTP/1.1 000 OK",
 	"status 999":            "HTTP/1.1 999 OK",
 	"HTTP/2.0":              "HTTP/2.0 200 OK",
-	"blank in a name":       "HTTP/1.1 200 OK\r\nX-No te: a",
+	"space in a name":       "HTTP/1.1 200 OK\r\nX-No te: a",
 	"control in a name":     "HTTP/1.1 200 OK\r\nX-No\x01te: a",
-	"blank before a colon":  "HTTP/1.1 200 OK\r\nX-Note : a",
+	"space before a colon":  "HTTP/1.1 200 OK\r\nX-Note : a",
 	"folded line":           "HTTP/1.1 200 OK\r\nX-Note: a\r\n b",
 	"LF in front of a name": "HTTP/1.1 200 OK\r\n\nX-Note: a",
 }
