httpconn: errors quote the name of a field and not its line

Cause: the error of a broken field name quoted the start of the line with the value, which may hold what does not belong into a log.

Change: it quotes what stands before the colon.

--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -142,7 +142,7 @@
 	}
 	name, value, found := bytes.Cut(line, colon)
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-		return newViolation(ViolationFieldName, "%.*q", maxQuotedBytes, line)
+		return newViolation(ViolationFieldName, "%.*q", maxQuotedBytes, name)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
 		return newViolation(ViolationFieldValue, "field %s", name)
--- a/httpconn/violation.go
+++ b/httpconn/violation.go
@@ -40,7 +40,8 @@
 	// ViolationFraming is a head that says in two ways where the body ends, or that
 	// announces a body where HTTP allows none (RFC 9112, section 6).
 	ViolationFraming Violation = "framing"
-	// ViolationCodec is an error that only the HTTP library finds.
+	// ViolationCodec is an error that only the HTTP library finds: a length that is no
+	// number or is there twice, or a coding other than chunked.
 	ViolationCodec Violation = "codec"
 )
 
