httpconn, platform: tests that see a broken connection used again

Cause: two tests said that the connection of a malformed response is not used again and could not fail for it. With the pool changed to keep that connection (scratch copy) both passed: the one did not count connections, the other sent the same request ID twice, for which a connection is never used again anyway. Nor did a test show the second form of what callers saw, a body that is not the server's: the raw servers kept their connections open, so that the old code waited for the end of such a body.

--- a/httpconn/malformed_test.go
+++ b/httpconn/malformed_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"almondstile/request"
+	"almondstile/standin/rawserver"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // statusOK is a status line.
@@ -148,35 +151,45 @@
 		for name, raw := range responses {
 			t.Run(string(violation)+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				testMalformedResponse(t, violation, raw)
+				testMalformedResponse(t, violation, raw, rawserver.Start)
+				testMalformedResponse(t, violation, raw, rawserver.StartClosing)
 			})
 		}
 	}
 }
 
-// testMalformedResponse sends one request to a server that responds with raw and keeps
-// the connection open, and a second one that gets a sound response.
-func testMalformedResponse(t *testing.T, violation Violation, raw string) {
-	address, _ := startScriptedServer(t, func(n int64) []byte {
-		if n == 1 {
+// testMalformedResponse sends one request to a server that responds with raw, and a
+// second one. The server keeps its connections open, or closes them, so that a body
+// without a length ends.
+func testMalformedResponse(t *testing.T, violation Violation, raw string, start func(rawserver.Respond) (*rawserver.Server, error)) {
+	var requests atomic.Int64
+	server, err := start(func(*fasthttp.Request) []byte {
+		if requests.Add(1) == 1 {
 			return []byte(raw)
 		}
 		return []byte(okResponse)
 	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
 	options := DefaultOptions()
 	options.AllowCloseDelimitedBodies = true
 	p := NewPool(options)
 	defer p.CloseIdle(true)
-	resp, progress, err := doRequest(t, p, address, "GET")
+	resp, progress, err := doRequest(t, p, server.Address(), "GET")
 	if !errors.Is(err, ErrMalformed) || errors.Is(err, ErrDeadline) || progress != request.Written {
 		t.Fatalf("got status %d, body %q, progress %d, error %v; want Written, ErrMalformed", resp.StatusCode(), resp.Body(), progress, err)
 	}
 	if got := ViolationOf(err); got != violation {
 		t.Errorf("got violation %q, want %q: %v", got, violation, err)
 	}
-	if resp, _, err := doRequest(t, p, address, "GET"); err != nil || string(resp.Body()) != "ok" {
+	if resp, _, err := doRequest(t, p, server.Address(), "GET"); err != nil || string(resp.Body()) != "ok" {
 		t.Errorf("the next request got body %q, error %v", resp.Body(), err)
 	}
+	if got := server.Connections(); got != 2 {
+		t.Errorf("two requests used %d connections, want 2", got)
+	}
 }
 
 // Guards against chunk lines that can be read in two ways.
