--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,7 @@
 
 	"almondstile/contract"
 	"almondstile/logging"
+	"almondstile/rollout"
 	"almondstile/zone"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 type Registration struct {
 	Server  contract.Server
 	Service contract.ServiceID
+	// Version is the version of the server's software, "" if it states none.
+	Version rollout.Version
 	// Draining is set if the server finishes its requests and accepts no new ones.
 	Draining bool
 	// StartedAt is the time at which the server started, in Unix milliseconds. It
@@ -39,6 +42,8 @@
 	Configuration *contract.Configuration
 	// ZoneOut names a zone that gets no new requests while the row exists.
 	ZoneOut zone.ID
+	// Rollout is an order to move a service's traffic to the servers of a version.
+	Rollout *rollout.Order
 }
 
 // Decoder decodes the values of rows. Its methods return an error that is
@@ -58,6 +63,8 @@
 	ByService map[contract.ServiceID][]*Registration
 	// ZonesOut holds the zones that operators have taken out of service.
 	ZonesOut map[zone.ID]bool
+	// Rollouts holds the orders of roll-outs.
+	Rollouts map[contract.ServiceID]*rollout.Order
 }
 
 // AcceptsNewRequests reports whether the server may get new requests: it is not
@@ -236,6 +243,7 @@
 		Servers:   make(map[contract.ServerID]*Registration),
 		ByService: make(map[contract.ServiceID][]*Registration),
 		ZonesOut:  make(map[zone.ID]bool),
+		Rollouts:  make(map[contract.ServiceID]*rollout.Order),
 	}
 	for _, row := range c.tables[OperatorTable].usableRows() {
 		c.addOperatorRow(next, row, source)
@@ -288,6 +296,9 @@
 	if decoded.ZoneOut != "" {
 		v.ZonesOut[decoded.ZoneOut] = true
 	}
+	if decoded.Rollout != nil {
+		v.Rollouts[decoded.Rollout.Service] = decoded.Rollout
+	}
 	if decoded.Configuration == nil {
 		return
 	}
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -35,6 +35,9 @@
 	// Weight is the team's share of a server's slots, relative to the other teams,
 	// when more requests are waiting than slots are free.
 	Weight int `json:"weight" toml:"weight"`
+	// Rank is the urgency of the team's requests on all routes. If it is nil, that of the
+	// route applies.
+	Rank *Rank `json:"rank,omitempty" toml:"-"`
 }
 
 // Key is an API key. It permits its bearer to send requests for one team. Only the
@@ -84,6 +87,8 @@
 	// TargetLatencyMillis is the time in ms within which callers expect the
 	// response. 0 means the timeout.
 	TargetLatencyMillis int `json:"target_latency_ms,omitempty" toml:"-"`
+	// Rank is the urgency of the route's requests.
+	Rank Rank `json:"rank,omitempty" toml:"-"`
 }
 
 // Idempotence states whether requests of a route may be executed more than once.
@@ -205,6 +210,8 @@
 	Teams    []Team                  `json:"teams"`
 	Keys     []Key                   `json:"keys"`
 	Routes   []Route                 `json:"routes"`
+	// CallerLimits bound what callers may send.
+	CallerLimits CallerLimits `json:"caller_limits,omitzero"`
 }
 
 // HashSecret returns the SHA-256 of the secret part of a credential in lower-case
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -167,9 +167,11 @@
 	req.Route, req.Service = route.ID, route.Service
 	req.Key, req.Team = key, team
 	req.Weight = 1
-	if t := index.Team(team); t != nil {
+	t := index.Team(team)
+	if t != nil {
 		req.Weight = max(1, t.Weight)
 	}
+	req.Rank = contract.RankOf(t, route)
 	req.Method, req.Target, req.Body = in.Method, in.Target, in.Body
 	req.Header = header.Sanitize(in.Header)
 	req.Idempotent = route.Idempotent(in.Method)
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstile/retry"
+	"almondstile/rollout"
 	"almondstile/vm"
 )
 
@@ -31,6 +32,12 @@
 	// MaxDescriptors is the number of descriptors that the process may have, or 0 if the
 	// settings name none.
 	MaxDescriptors int
+	// MaxMemoryBytes is the memory that the process may use, or 0 if the settings name
+	// none.
+	MaxMemoryBytes int64
+	// Rollout holds the bounds of roll-outs. If its ExposedShare is 0, the deployment has
+	// none.
+	Rollout rollout.Bounds
 }
 
 const (
--- a/request/request.go
+++ b/request/request.go
@@ -21,6 +21,7 @@
 	Team    contract.TeamID // empty on a route that is open to all
 	Key     contract.KeyID  // empty on a route that is open to all
 	Weight  int             // the team's weight, at least 1
+	Rank    contract.Rank   // urgency, 0 for the most urgent
 	Method  string
 	Target  string // path and query
 	Header  []HeaderField
