retry, evidence, inbound: a step of the time of day forgets nothing

Cause: the slots of the retry budget, the parts of the last second's sends (slow start) and the time of a failed accept were numbered by Unix time. On a step of 3 s or 2,400 s either way a VM forgot the retries of the last window (65 left instead of 35) or lost its slack (6.5), forgot the requests to a cold server (1 instead of 6), or would accept nothing for as long as the clock was set back.

Change: they are differences to a time with a monotonic reading. standin/wallclock makes times whose time of day was set; the tests failed before.

--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -84,7 +84,10 @@
 	lastStart         time.Time
 	localInFlight     int
 	remoteInFlight    float64
-	sends             [sendBuckets]struct {
+	// sendEpoch is the time from which the parts of sends are numbered: one second before
+	// the first send. A step of the time of day moves no part.
+	sendEpoch time.Time
+	sends     [sendBuckets]struct {
 		number int64
 		count  int
 	}
@@ -220,7 +223,10 @@
 
 // recordSends counts n requests that are sent now.
 func (r *serverRecord) recordSends(now time.Time, n int) {
-	number := now.UnixNano() / int64(sendBucketLength)
+	if r.sendEpoch.IsZero() {
+		r.sendEpoch = now.Add(-time.Second)
+	}
+	number := r.sendBucket(now)
 	slot := &r.sends[number%sendBuckets]
 	if slot.number != number {
 		slot.number, slot.count = number, 0
@@ -231,9 +237,14 @@
 	}
 }
 
+// sendBucket returns the number of the part of sends at the given time.
+func (r *serverRecord) sendBucket(now time.Time) int64 {
+	return int64(max(now.Sub(r.sendEpoch), 0) / sendBucketLength)
+}
+
 // sentLastSecond returns the number of requests that were sent in the last second.
 func (r *serverRecord) sentLastSecond(now time.Time) int {
-	number, sum := now.UnixNano()/int64(sendBucketLength), 0
+	number, sum := r.sendBucket(now), 0
 	for i := range r.sends {
 		if slot := &r.sends[i]; slot.number > number-sendBuckets && slot.number <= number {
 			sum += slot.count
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -25,8 +25,9 @@
 	lingering  conc.WaitGroup
 	// removed gets a value when a connection is closed.
 	removed chan struct{}
-	// failedAt is when a connection could last not be accepted, in nanoseconds of Unix time.
-	failedAt atomic.Int64
+	// failedAt is when a connection could last not be accepted, or nil. It keeps the
+	// monotonic reading, which a step of the time of day does not change.
+	failedAt atomic.Pointer[time.Time]
 	// closing ends with Close.
 	closing context.Context
 	cancel  context.CancelFunc
@@ -61,7 +62,8 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
-		l.failedAt.Store(time.Now().UnixNano())
+		now := time.Now()
+		l.failedAt.Store(&now)
 		l.log.WithError(err).WithField("connections", l.conns.Len()).Warn("A connection cannot be accepted; trying again.")
 		if !wait.For(l.closing, pause) {
 			return nil, net.ErrClosed
@@ -82,7 +84,8 @@
 // Accepting reports whether the listener accepts connections. It does not while it lacks
 // descriptors, and after Close.
 func (l *Listener) Accepting() bool {
-	return l.closing.Err() == nil && time.Since(time.Unix(0, l.failedAt.Load())) > acceptFailureTime
+	failedAt := l.failedAt.Load()
+	return l.closing.Err() == nil && (failedAt == nil || time.Since(*failedAt) > acceptFailureTime)
 }
 
 // Close stops accepting connections. Further calls do nothing.
--- a/inbound/listener_test.go
+++ b/inbound/listener_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondstile/logging"
+	"almondstile/standin/wallclock"
 
 	"github.com/cockroachdb/errors"
 )
@@ -71,7 +72,8 @@
 	}
 	// The listener counts as accepting again without another connection: a VM that is
 	// not ready gets none.
-	l.failedAt.Store(time.Now().Add(-2 * acceptFailureTime).UnixNano())
+	past := time.Now().Add(-2 * acceptFailureTime)
+	l.failedAt.Store(&past)
 	if !l.Accepting() {
 		t.Error("a listener that has recovered is not accepting")
 	}
@@ -81,3 +83,19 @@
 		t.Errorf("after the close: got %v, accepting %v", err, l.Accepting())
 	}
 }
+
+// Guards against a listener that says it accepts nothing for as long as the time of day was
+// set back.
+func TestAcceptingHoldsWhenTheTimeOfDayIsSet(t *testing.T) {
+	l := NewListener(&failingListener{}, logging.Discard().Part("test"))
+	for _, seconds := range []int64{-2400, -3, 3, 2400} {
+		failed := wallclock.Step(time.Now(), seconds)
+		if l.failedAt.Store(&failed); l.Accepting() {
+			t.Errorf("a step of %d s: the listener accepts right after a failure", seconds)
+		}
+		past := wallclock.Step(time.Now().Add(-2*acceptFailureTime), seconds)
+		if l.failedAt.Store(&past); !l.Accepting() {
+			t.Errorf("a step of %d s: the listener accepts nothing after the time of a failure", seconds)
+		}
+	}
+}
--- a/retry/replicated.go
+++ b/retry/replicated.go
@@ -42,8 +42,11 @@
 	limits   BudgetLimits
 	fleet    Fleet
 	services shard.Map[tally.Subject, *sendCounts]
-	// completeSince is the time in Unix nanoseconds since which the counts include the
-	// attempts of all VMs: the start of this process, or an earlier time after Adopt.
+	// epoch is the time from which slots are numbered. Differences to it are taken on the
+	// monotonic clock, so a step of the time of day moves no slot.
+	epoch time.Time
+	// completeSince is the time in nanoseconds from the epoch since which the counts include
+	// the attempts of all VMs: the start of this process, or an earlier time after Adopt.
 	completeSince atomic.Int64
 }
 
@@ -57,8 +60,9 @@
 // NewReplicatedBudgets returns the budgets of a process that starts at the given time
 // and does not know of earlier attempts.
 func NewReplicatedBudgets(started time.Time, fleet Fleet, limits BudgetLimits) *ReplicatedBudgets {
-	s := &ReplicatedBudgets{limits: limits, fleet: fleet}
-	s.completeSince.Store(started.UnixNano())
+	// Adopt counts attempts of one window before the start.
+	s := &ReplicatedBudgets{limits: limits, fleet: fleet, epoch: started.Add(-2 * limits.Window)}
+	s.completeSince.Store(int64(started.Sub(s.epoch)))
 	return s
 }
 
@@ -66,7 +70,7 @@
 // window.
 type sendCounts struct {
 	slots [keptSlots]struct {
-		number         int64 // the slot's number since the epoch
+		number         int64 // the slot's number from the epoch on
 		first, retries float64
 	}
 }
@@ -138,9 +142,9 @@
 	return sent / (2 * s.limits.Window.Seconds() / windowSlots)
 }
 
-// slotNumber returns the number of the slot at the given time, since the epoch.
+// slotNumber returns the number of the slot at the given time, from the epoch on.
 func (s *ReplicatedBudgets) slotNumber(now time.Time) int64 {
-	return now.UnixNano() / int64(max(s.limits.Window/windowSlots, time.Millisecond))
+	return int64(max(now.Sub(s.epoch), 0) / max(s.limits.Window/windowSlots, time.Millisecond))
 }
 
 // add counts first attempts and retries in the slot with the number. It clears the
--- a/retry/window.go
+++ b/retry/window.go
@@ -34,7 +34,7 @@
 
 // CompleteFor returns the time for which the counts include the attempts of all VMs.
 func (s *ReplicatedBudgets) CompleteFor(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - s.completeSince.Load())
+	return now.Sub(s.epoch) - time.Duration(s.completeSince.Load())
 }
 
 // NeedsWindowsOf reports whether a VM whose process has run for the uptime knows of
@@ -79,7 +79,7 @@
 			}
 		})
 	}
-	s.completeSince.Store(now.Add(-min(w.CompleteFor, s.limits.Window)).UnixNano())
+	s.completeSince.Store(int64(now.Sub(s.epoch) - min(w.CompleteFor, s.limits.Window)))
 }
 
 // raise sets the counts of the slot with the number to at least the given ones.
