configcheck, cli: check a configuration before it is sent

Cause: operators of a prepared platform write the whole configuration at once, without a plan. Nothing told them of a route that another one hides, a key of two teams, or what the new version takes away.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -162,6 +164,10 @@
 		{"key issue --help", nil, ExitOK, "Exit codes: 0 done"},
 		{"check --settings /nonexistent", nil, ExitUsage, "faults in /nonexistent: 1"},
 		{"check --settings /nonexistent --json", nil, ExitUsage, `"faults"`},
+		{"check", nil, ExitUsage, "required"},
+		{"check --settings a --configuration b", nil, ExitUsage, "required"},
+		{"check --settings a --in-force b", nil, ExitUsage, "goes with --configuration"},
+		{"check --configuration /nonexistent", nil, ExitUsage, "no such file"},
 	}
 	for _, c := range cases {
 		code, stdout, stderr := runWith(t, &fakeVM{writeConfirmReply: c.confirm}, strings.Fields(c.args)...)
@@ -317,3 +323,43 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a configuration with errors that a script sends because the check exits
+// with 0, and against changes to the version in force that are not shown.
+func TestCheckOfAConfiguration(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	const document = `{"version":%d,"services":[{"name":"s"}],"virtual-hosts":[{"host":"h","paths":[` +
+		`{"name":"r","prefix":"/a/","route-type":"safe","timeout-s":%d,"service":"%s"}]}]}`
+	inForce := write("old.json", fmt.Sprintf(document, 3, 2, "s"))
+	sound := write("new.json", fmt.Sprintf(document, 4, 1, "s"))
+	faulty := write("faulty.json", fmt.Sprintf(document, 5, 1, "gone"))
+	broken := write("broken.json", "{")
+	for args, want := range map[string]struct {
+		code   int
+		output string
+	}{
+		"--configuration " + sound:                                 {ExitOK, "Version 4: 0 errors, 0 warnings"},
+		"--configuration " + sound + " --in-force " + inForce:      {ExitOK, "timeout_ms"},
+		"--configuration " + inForce + " --in-force " + sound:      {ExitFailed, "not above 4"},
+		"--configuration " + faulty:                                {ExitFailed, `there is no service "gone"`},
+		"--configuration " + faulty + " --json":                    {ExitFailed, `"severity": "error"`},
+		"--configuration " + broken:                                {ExitUsage, "decoding the configuration"},
+		"--configuration " + sound + " --in-force " + broken:       {ExitUsage, "decoding the configuration"},
+		"--configuration " + sound + " --json --in-force " + sound: {ExitFailed, `"in_force": 4`},
+	} {
+		code, stdout, stderr := runWith(t, &fakeVM{}, append([]string{"check"}, strings.Fields(args)...)...)
+		if code != want.code || !strings.Contains(stdout+stderr, want.output) {
+			t.Errorf("%s: exit code %d, want %d and output with %q\n%s%s", args, code, want.code, want.output, stdout, stderr)
+		}
+		if strings.Contains(args, "--json") && !json.Valid([]byte(stdout)) {
+			t.Errorf("%s: the output is not one JSON value: %s", args, stdout)
+		}
+	}
+}
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -10,7 +10,6 @@
 	"almondstile/configstore"
 	"almondstile/contract"
 	"almondstile/operator"
-	"almondstile/settings"
 	"almondstile/zone"
 
 	"github.com/cockroachdb/errors"
@@ -51,8 +50,10 @@
 				Long: "The server gets new work again, starting cold."},
 		}},
 		vmCommands(g),
-		{Name: "check", Short: "Check a VM's settings", Runner: &checkCommand{global: g},
-			Long: "Reads a settings file and lists everything wrong with it. It needs no VM."},
+		{Name: "check", Short: "Check a VM's settings, or a configuration before it is sent", Runner: &checkCommand{global: g},
+			Long: "Reads a settings file, or a configuration document of a prepared platform, and lists everything wrong with it. " +
+				"With --in-force it also lists what differs from the configuration in that file. It needs no VM. " +
+				"A configuration with errors exits with 1, one with warnings only with 0."},
 	}
 }
 
@@ -232,16 +233,6 @@
 	return c.planChange(contract.SetServerLeaving{ID: contract.ServerID(c.Arguments.ID), Leaving: c.leaving})
 }
 
-type checkCommand struct {
-	Settings string `short:"s" long:"settings" required:"true" description:"the settings file"`
-	global   *globalOptions
-}
-
-// Execute checks the settings file and prints its faults.
-func (c *checkCommand) Execute([]string) error {
-	_, faults := settings.Load(c.Settings)
-	return c.global.printFaults(c.Settings, faults)
-}
 
 // planOutput is the output of a command that makes a plan.
 type planOutput struct {
--- a/cli/doc.go
+++ b/cli/doc.go
@@ -1,5 +1,5 @@
 // Package cli implements the operators' command line. Its own commands call the
-// HTTP API of package operator, except check, which only reads a file. The caller
+// HTTP API of package operator, except check, which only reads files. The caller
 // of Run passes further commands, such as the daemon's "serve".
 //
 // Exit codes: 0 done, 1 failed or refused, 2 wrong usage or settings, 3 outcome
--- a/cli/print.go
+++ b/cli/print.go
@@ -6,6 +6,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"almondstile/configcheck"
 	"almondstile/configstore"
 	"almondstile/contract"
 	"almondstile/operator"
@@ -34,6 +35,8 @@
 		printDiscard(w, v)
 	case operator.Status:
 		printStatus(w, v)
+	case *configcheck.Report:
+		printReport(w, v)
 	}
 	return w.Flush()
 }
