--- a/cli/commands.go
+++ b/cli/commands.go
@@ -233,7 +233,6 @@
 	return c.planChange(contract.SetServerLeaving{ID: contract.ServerID(c.Arguments.ID), Leaving: c.leaving})
 }
 
-
 // planOutput is the output of a command that makes a plan.
 type planOutput struct {
 	Plan configstore.StoredPlan `json:"plan"`
