--- /dev/null
+++ b/integration/crowd_test.go
@@ -0,0 +1,95 @@
+package integration
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// crowdMemoryMB is the memory in MB (10^6 bytes) that the VM may take.
+	crowdMemoryMB = 128
+	crowdCallers  = 80
+	// crowdBodyBytes is the largest body that the VM's settings allow.
+	crowdBodyBytes = 4 << 20
+	// crowdSendTime bounds how long a caller of the crowd sends.
+	crowdSendTime = 20 * time.Second
+)
+
+// crowdSettings is added to the VM's settings file.
+var crowdSettings = fmt.Sprintf("[limits]\nbody_bytes = %d\n", crowdBodyBytes)
+
+// peakMemory returns the largest memory that the VM's process has taken, in bytes.
+func (v *entryVM) peakMemory(t *testing.T) int {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.process.PID()))
+	if err != nil {
+		t.Fatalf("the process has ended: %v", err)
+	}
+	_, rest, _ := strings.Cut(string(data), "VmHWM:")
+	line, _, _ := strings.Cut(rest, "kB")
+	kilobytes, err := strconv.Atoi(strings.TrimSpace(line))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kilobytes << 10
+}
+
+// checkCrowd checks that the VM's process lives, stays within its memory and answers.
+func (v *entryVM) checkCrowd(t *testing.T) {
+	t.Helper()
+	if peak := v.peakMemory(t); v.process.Ended() || peak > crowdMemoryMB*1_000_000 {
+		t.Errorf("ended %v; the process has taken up to %d MB, want at most %d MB", v.process.Ended(), peak/1_000_000, crowdMemoryMB)
+	}
+	if g := get("http://"+v.callersAddress+"/stock", ""); g.status == 0 || g.outcome == "" {
+		t.Errorf("an ordinary request got %s", g)
+	}
+}
+
+// sendCrowd starts a VM and a crowd of callers that each send the head of a request with a
+// body of crowdBodyBytes and the first bytes of it, and then stay connected.
+func sendCrowd(t *testing.T, bodyBytes int) {
+	t.Helper()
+	f := newFleet(t)
+	v := f.newVM(t, 0)
+	writeFile(t, v.settingsPath, f.settingsText(v)+crowdSettings)
+	f.startVM(t, v)
+	await(t, "the VM is ready", func() (string, bool) {
+		g := get("http://"+v.operatorAddress+"/ready", "")
+		return g.String(), g.status == 200
+	})
+	body := bytes.Repeat([]byte("x"), bodyBytes)
+	conns := make([]net.Conn, crowdCallers)
+	var wg conc.WaitGroup
+	for i := range conns {
+		nc, err := net.DialTimeout("tcp4", v.callersAddress, crowdSendTime)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns[i] = nc
+		wg.Go(func() {
+			_ = nc.SetDeadline(time.Now().Add(crowdSendTime))
+			_, _ = fmt.Fprintf(nc, "POST /stock HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", crowdBodyBytes)
+			_, _ = nc.Write(body) // an error means that it was turned away
+		})
+	}
+	wg.Wait()
+	v.checkCrowd(t)
+	for _, nc := range conns {
+		_ = nc.Close()
+	}
+	v.checkCrowd(t)
+}
+
+// Guards against memory that is taken for bodies that are announced and never sent.
+func TestCrowdOfAnnouncedBodiesOnAVMThatOwnsServers(t *testing.T) { sendCrowd(t, 0) }
+
+// Guards against memory that grows with the number of bodies that stop short of their end.
+func TestCrowdOfBodiesOnAVMThatOwnsServers(t *testing.T) { sendCrowd(t, crowdBodyBytes-1) }
