--- /dev/null
+++ b/memory/budget.go
@@ -0,0 +1,199 @@
+package memory
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of Lease.Take. Both mean that no bytes were taken.
+var (
+	// ErrTurnedAway means that the lease was turned away, for others.
+	ErrTurnedAway = errors.New("memory: turned away, because the budget is short")
+	// ErrShort means that the budget is short and that nobody else can be turned away.
+	ErrShort = errors.New("memory: the budget is short")
+)
+
+const (
+	// reserveShare is the part of the budget that only small requests may use.
+	reserveShare = 1.0 / 8
+	// smallBytes is what a small request may take of the reserve: its body, and room for
+	// its answer.
+	smallBytes = 32 << 10
+	// reliefShare is the part of the budget that is made free at a time.
+	reliefShare = 1.0 / 32
+	// maxWait bounds how long Take waits for bytes that others give back. It is longer
+	// than stallTime, so that those who stall by then are turned away first.
+	maxWait = 2 * time.Second
+	// retryInterval is the time after which Take looks again for those who have stalled.
+	retryInterval = stallTime / 4
+)
+
+// Observer learns what a Budget decides. Its methods must not block.
+type Observer interface {
+	// Count counts a decision by its name.
+	Count(decision string)
+}
+
+// Budget is an amount of bytes that leases share. It is safe for concurrent use.
+type Budget struct {
+	total, reserve int64
+	clock          func() time.Time
+	observer       Observer // may be nil
+
+	mu   sync.Mutex
+	used int64
+	peak int64 // the largest value of used since the last reclaim
+	// leaving is what leases hold that were turned away.
+	leaving int64
+	// holding contains the leases that hold bytes.
+	holding map[*Lease]struct{}
+	// freed is closed when bytes are given back while somebody waits for them. It is nil
+	// while nobody waits.
+	freed chan struct{}
+}
+
+// NewBudget returns a budget of total bytes. The observer may be nil.
+func NewBudget(total int64, clock func() time.Time, observer Observer) *Budget {
+	return &Budget{
+		total: total, reserve: int64(reserveShare * float64(total)), clock: clock, observer: observer,
+		holding: make(map[*Lease]struct{}),
+	}
+}
+
+// Total returns the size of the budget in bytes.
+func (b *Budget) Total() int64 { return b.total }
+
+// Used returns the bytes that leases hold.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// Holders returns the number of leases that hold bytes.
+func (b *Budget) Holders() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.holding)
+}
+
+// Open returns a lease for a connection from the address. turnAway is called, at most once
+// and on any goroutine, when the lease is turned away; it must not block and must not call
+// the lease. The holder has to give all bytes back then.
+func (b *Budget) Open(address string, turnAway func()) *Lease {
+	return &Lease{budget: b, address: address, turnAway: turnAway}
+}
+
+// room reports whether n bytes are free for the lease. The caller holds b.mu.
+func (b *Budget) room(l *Lease, n int64) bool {
+	limit := b.total
+	if l.held+n > smallBytes {
+		limit -= b.reserve
+	}
+	return b.used+n <= limit
+}
+
+// add adds bytes to the lease. The caller holds b.mu.
+func (b *Budget) add(l *Lease, n int64) {
+	if l.held == 0 {
+		b.holding[l] = struct{}{}
+	}
+	l.held += n
+	b.used += n
+	if l.leaving {
+		b.leaving += n
+	}
+	b.peak = max(b.peak, b.used)
+}
+
+// giveBack takes bytes off the lease and wakes those that wait for them. The caller holds
+// b.mu.
+func (b *Budget) giveBack(l *Lease, n int64) {
+	l.held -= n
+	b.used -= n
+	if l.leaving {
+		b.leaving -= n
+	}
+	if l.held == 0 {
+		delete(b.holding, l)
+	}
+	if b.freed != nil {
+		close(b.freed)
+		b.freed = nil
+	}
+}
+
+// relieve selects leases to turn away so that n bytes become free for the lease, and marks
+// them. It returns them, and whether bytes will become free that are not yet. The caller
+// holds b.mu, and calls turnAway of the returned ones without it.
+func (b *Budget) relieve(l *Lease, n int64) (chosen []*Lease, coming bool) {
+	need := max(n, int64(reliefShare*float64(b.total))) - b.leaving
+	if need <= 0 {
+		return nil, true
+	}
+	now := b.clock()
+	var leases []*Lease
+	var holders []holder
+	addresses := make(map[string]bool)
+	for other := range b.holding {
+		addresses[other.address] = true
+		if !other.leaving {
+			leases = append(leases, other)
+			holders = append(holders, other.describe(now))
+		}
+	}
+	small := l.held+n <= smallBytes
+	for _, i := range victims(holders, need, b.total/int64(max(1, len(addresses)))) {
+		if leases[i] == l && small {
+			continue // makes room for itself from others
+		}
+		leases[i].leaving = true
+		b.leaving += leases[i].held
+		chosen = append(chosen, leases[i])
+		b.count(holders[i])
+	}
+	return chosen, b.leaving > 0
+}
+
+// count tells the observer why a lease is turned away.
+func (b *Budget) count(h holder) {
+	if b.observer == nil {
+		return
+	}
+	reason := "slow"
+	if h.stalled() {
+		reason = "stalled"
+	}
+	if h.stage == Answering {
+		reason = "unread"
+	}
+	b.observer.Count("memory.turned-away." + reason)
+}
+
+// waitForBytes returns a channel that is closed when bytes are given back. The caller holds
+// b.mu.
+func (b *Budget) waitForBytes() <-chan struct{} {
+	if b.freed == nil {
+		b.freed = make(chan struct{})
+	}
+	return b.freed
+}
+
+// reclaimShare is the part of the budget that has to have been given back before memory is
+// worth returning to the system.
+const reclaimShare = 0.25
+
+// reclaim reports whether so many bytes were given back since the last time that the
+// process should return memory to the system. The pools and the garbage collector would
+// keep it for minutes.
+func (b *Budget) reclaim() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if float64(b.peak-b.used) < reclaimShare*float64(b.total) || b.used > b.peak/2 {
+		return false
+	}
+	b.peak = b.used
+	return true
+}
