httpconn: hold large and chunked responses as they arrive

A body with an announced length was read into a buffer of that length before its first byte, and a chunked one into a buffer that doubles: one of 8 MiB in one chunk took 16 MiB. Bodies over 64 KiB and chunked ones are now collected in pooled pieces and end in a buffer of their size.

--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -178,7 +178,10 @@
 	if length == identityLength && !options.AllowCloseDelimitedBodies {
 		return errors.Wrap(ErrTruncated, "the body has neither a length nor chunks")
 	}
-	if err := resp.ReadBody(r, options.MaxResponseBytes); err != nil {
+	if length == identityLength {
+		return resp.ReadBody(r, options.MaxResponseBytes)
+	}
+	if err := readSizedBody(r, resp, length, options); err != nil {
 		return err
 	}
 	if length == chunkedLength {
