httpfront, inbound, hosted: bound the bytes and connections of callers

Cause: the HTTP library made a buffer of the announced size of a body before its first byte, copied it for the request, and nothing bounded the sum; memory-mb of the settings and the limits of the configuration were not read.

Bodies are read piece by piece from the library's stream, as bytes of the process's budget, and written to servers from the pieces; attempts retain them. Connections have a lease; when it is turned away they wake their server, whose caller gets 503 and of whose request nothing has run. Answers are charged until they are sent, and given up only if their reader takes nothing. max-header-bytes, max-body-bytes, header-timeout-s and idle-timeout-s apply as the configuration in force states them; the Go runtime's limit, the budget and the number of connections follow from memory-mb (native: limits.memory_bytes, header_timeout_ms). request.Request.Body and entry.IncomingRequest.Body are *memory.Body; tests elsewhere use memory.BodyOf. inbound.Listener no longer compares wall-clock times, which a jump backward turned into a VM that was not ready. forward copies messages once less.

--- a/claim/claims_test.go
+++ b/claim/claims_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"almondstile/memory"
 	"almondstile/request"
 	_ "almondstile/standin/seeded" // fixes the seed of rapid
 	"almondstile/store"
@@ -119,7 +120,7 @@
 // its deadline is in one second.
 func newRequest(id, key string) *request.Request {
 	return &request.Request{
-		ID: id, Team: "team", Method: "POST", Target: "/loans", Body: []byte(key),
+		ID: id, Team: "team", Method: "POST", Target: "/loans", Body: memory.BodyOf([]byte(key)),
 		IdempotencyKey: key, Deadline: time.Now().Add(time.Second),
 	}
 }
@@ -303,7 +304,7 @@
 			t.Fatalf("the replayed response is %+v", got)
 		}
 		other := newRequest("6", "key")
-		other.Body = []byte("other")
+		other.Body = memory.BodyOf([]byte("other"))
 		expect(other, request.NotRun, request.ReasonIdempotencyKeyReused)
 		done.Body = make([]byte, MaxReplayBytes+1)
 		if err := big.Finish(ctx, done); err != nil {
--- a/claim/row.go
+++ b/claim/row.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/memory"
 	"almondstile/request"
 
 	"github.com/cockroachdb/errors"
@@ -74,11 +75,11 @@
 // that an idempotency key is reused for a different request.
 func fingerprint(r *request.Request) string {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Target), r.Body} {
+	for _, part := range []*memory.Body{memory.BodyOf([]byte(r.Method)), memory.BodyOf([]byte(r.Target)), r.Body} {
 		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		binary.BigEndian.PutUint64(size[:], uint64(part.Len()))
 		h.Write(size[:])
-		h.Write(part)
+		_, _ = part.WriteTo(h) // a hash returns no error
 	}
 	return hex.EncodeToString(h.Sum(nil))
 }
--- a/contract/index.go
+++ b/contract/index.go
@@ -37,6 +37,9 @@
 	serviceOf map[ServerID]ServiceID
 }
 
+// CallerLimits returns what bounds callers' requests.
+func (x *Index) CallerLimits() CallerLimits { return x.config.CallerLimits }
+
 type hostPrefix struct {
 	host, prefix string
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"almondstile/backend"
 	"almondstile/claim"
 	"almondstile/configstore"
+	"almondstile/contract"
 	"almondstile/entry"
 	"almondstile/entry/httpfront"
 	"almondstile/forward"
@@ -15,6 +16,7 @@
 	"almondstile/link"
 	"almondstile/logging"
 	"almondstile/membership"
+	"almondstile/memory"
 	"almondstile/operator"
 	"almondstile/outlier"
 	"almondstile/owner"
@@ -66,6 +68,7 @@
 	forwardClient *forward.Client
 	forwardServer *forward.Server
 	dispatcher    *entry.Dispatcher
+	budget        *memory.Budget // of the bytes held for callers
 	front         *httpfront.Server
 	operators     *operator.Server
 }
@@ -172,7 +175,13 @@
 		Forwarder: d.forwardClient, Links: d.links, Observer: decisionCounter{d.metrics}, Clock: time.Now,
 		Limits: entry.Limits{MaxInFlight: limits.Requests, MaxInFlightPerTeam: limits.RequestsPerTeam},
 	})
+	memory.LimitRuntime(int64(limits.MemoryBytes))
+	d.budget = memory.NewBudget(memory.BudgetBytes(int64(limits.MemoryBytes)), time.Now, d.metrics)
 	d.front = httpfront.New(d.dispatcher, httpfront.Options{
+		Budget: d.budget,
+		Limits: func() contract.CallerLimits {
+			return contract.CallerLimits{HeaderTimeout: limits.HeaderTimeout()}
+		},
 		MaxHeaderBytes: limits.HeaderBytes, MaxBodyBytes: limits.BodyBytes, MaxConnections: limits.Connections,
 		ReadTimeout: limits.ReadTimeout(), WriteTimeout: limits.WriteTimeout(), IdleTimeout: limits.IdleTimeout(),
 	}, d.log.Part("callers"))
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -200,9 +200,16 @@
 			d.relays.CloseIdle(false)
 			d.forwardServer.DeleteExpired(now)
 			d.metrics.Sweep(now)
+			d.sweepMemory()
 			received, sent := d.traffic.Bytes()
 			d.metrics.Gauge("control.received_bytes", received)
 			d.metrics.Gauge("control.sent_bytes", sent)
 		}
 	}
 }
+
+// sweepMemory returns unused memory to the system and sets the gauges of the budget.
+func (d *Daemon) sweepMemory() {
+	d.budget.ReturnUnused()
+	d.budget.SetGauges(d.metrics)
+}
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"almondstile/evidence"
 	"almondstile/fleet"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/notice"
 	"almondstile/request"
 	"almondstile/retry"
@@ -118,7 +119,7 @@
 // incoming returns a request with the valid key.
 func incoming() entry.IncomingRequest {
 	return entry.IncomingRequest{Method: "POST", Host: "h", Path: "/x", Target: "/x",
-		Credential: contract.HashSecret(key) + "." + key, ReceivedAt: time.Now(), Body: []byte("b")}
+		Credential: contract.HashSecret(key) + "." + key, ReceivedAt: time.Now(), Body: memory.BodyOf([]byte("b"))}
 }
 
 // Exchanges that the fake servers respond with.
@@ -358,7 +359,7 @@
 		receivedAt := time.Now()
 		d := newDispatcher(newSource(contract.Idempotent), e)
 		_, result := d.Do(context.Background(), entry.IncomingRequest{Method: "POST", Host: "h", Path: "/x", Target: "/x",
-			Credential: contract.HashSecret(key) + "." + key, ReceivedAt: receivedAt, CallerTimeout: callerTimeout, Body: []byte("b")})
+			Credential: contract.HashSecret(key) + "." + key, ReceivedAt: receivedAt, CallerTimeout: callerTimeout, Body: memory.BodyOf([]byte("b"))})
 		if result.Status != 200 || len(e.deadlines) != 2 {
 			t.Fatalf("caller timeout %s: sent %d times, result %+v", callerTimeout, len(e.deadlines), result)
 		}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -7,6 +7,7 @@
 	"almondstile/contract"
 	"almondstile/header"
 	"almondstile/link"
+	"almondstile/memory"
 	"almondstile/quota"
 	"almondstile/request"
 	"almondstile/retry"
@@ -63,7 +64,7 @@
 	Path   string
 	Target string // path and query
 	Header []request.HeaderField
-	Body   []byte
+	Body   *memory.Body
 	// Credential is the key that the caller presented, "" if none.
 	Credential string
 	ReceivedAt time.Time
--- a/entry/httpfront/pipeline_test.go
+++ b/entry/httpfront/pipeline_test.go
@@ -99,7 +99,7 @@
 	release := make(chan struct{})
 	s := startStoppableServer(t, func(_ context.Context, in entry.IncomingRequest) (string, request.Result) {
 		<-release
-		return "id", request.Result{Outcome: request.Answered, Status: 200, Body: append([]byte(in.Path), in.Body...)}
+		return "id", request.Result{Outcome: request.Answered, Status: 200, Body: append([]byte(in.Path), in.Body.Bytes()...)}
 	})
 	nc := s.connect()
 	var wg conc.WaitGroup
--- a/entry/httpfront/response.go
+++ b/entry/httpfront/response.go
@@ -33,7 +33,7 @@
 		ctx.Response.Header.Add(f.Name, f.Value)
 	}
 	setOutcomeFields(ctx, id, result)
-	ctx.SetBody(result.Body)
+	ctx.Response.SetBodyRaw(result.Body)
 }
 
 // setOutcomeFields sets the header fields for the outcome, the reason and the
--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -8,11 +8,13 @@
 	"sync/atomic"
 	"time"
 
+	"almondstile/contract"
 	"almondstile/entry"
 	"almondstile/guard"
 	"almondstile/header"
 	"almondstile/inbound"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/request"
 
 	"github.com/cockroachdb/errors"
@@ -30,8 +32,8 @@
 // Protocol defines how callers' HTTP requests and the responses to them are
 // translated. The default is almondstile's own protocol.
 type Protocol interface {
-	// ReadRequest translates a parsed HTTP request. It copies all data, because
-	// fasthttp reuses its buffers.
+	// ReadRequest translates the head of a parsed HTTP request. It copies all data,
+	// because fasthttp reuses its buffers. The server adds the body.
 	ReadRequest(r *fasthttp.Request, receivedAt time.Time) entry.IncomingRequest
 	// WriteResponse writes the response for a result. id is the request's ID.
 	WriteResponse(ctx *fasthttp.RequestCtx, id string, result request.Result)
@@ -39,11 +41,19 @@
 
 // Options bounds the size and duration of requests and selects the protocol.
 type Options struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int
+	// MaxHeaderBytes, MaxBodyBytes and IdleTimeout apply where Limits states nothing. No
+	// head may be larger than ReadBufferBytes.
+	MaxHeaderBytes  int
+	MaxBodyBytes    int
+	ReadBufferBytes int
+	// Limits returns the operators' limits that are in force. It may be nil.
+	Limits func() contract.CallerLimits
+	// Budget bounds the bytes of all requests and answers. It may be nil. The server then
+	// has one of defaultBudgetBytes.
+	Budget         *memory.Budget
 	MaxConnections int
-	// ReadTimeout bounds the time to receive one request. It protects against
-	// callers that send slowly.
+	// ReadTimeout bounds the time to receive the body of a request, and its head where
+	// Limits states no time. It protects against callers that send slowly.
 	ReadTimeout time.Duration
 	// WriteTimeout bounds the time to send one response. It protects against
 	// callers that read slowly.
@@ -65,35 +75,40 @@
 	log           logging.Logger
 	server        *inbound.Server
 	hangupWatches conc.WaitGroup
-	writeTimeout  time.Duration
+	options       Options
+	refusals      refusals
 	draining      atomic.Bool
 }
 
 // New returns a server that passes requests to the dispatcher.
 func New(dispatcher Dispatcher, options Options, log logging.Logger) *Server {
-	s := &Server{dispatcher: dispatcher, protocol: options.Protocol, guard: options.Guard, writeTimeout: options.WriteTimeout, log: log}
+	s := &Server{dispatcher: dispatcher, protocol: options.Protocol, guard: options.Guard, options: options, log: log}
 	if s.protocol == nil {
 		s.protocol = nativeProtocol{}
 	}
 	if s.guard == nil {
 		s.guard = guard.New(log, nil)
 	}
+	if s.options.Budget == nil {
+		s.options.Budget = memory.NewBudget(defaultBudgetBytes, time.Now, nil)
+	}
 	s.server = inbound.NewServer(&fasthttp.Server{
 		Handler:                       s.handleGuarded,
 		ErrorHandler:                  s.handleParseError,
-		ReadBufferSize:                options.MaxHeaderBytes,
-		MaxRequestBodySize:            options.MaxBodyBytes,
-		Concurrency:                   options.MaxConnections,
-		ReadTimeout:                   options.ReadTimeout,
+		ExpectHandler:                 s.expectBody,
+		HeaderReceived:                s.bodyConfig,
+		ReadBufferSize:                max(options.MaxHeaderBytes, options.ReadBufferBytes),
+		StreamRequestBody:             true,
+		MaxRequestBodySize:            prefetchedBodyBytes,
+		Concurrency:                   concurrency(options.MaxConnections),
 		WriteTimeout:                  options.WriteTimeout,
-		IdleTimeout:                   options.IdleTimeout,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
 		DisablePreParseMultipartForm:  true,
 		CloseOnShutdown:               true,
 		DisableHeaderNamesNormalizing: false,
 		Logger:                        logging.DiscardPrintf{},
-	}, log)
+	}, inbound.Options{Budget: s.options.Budget, Times: s.times, MaxConnections: options.MaxConnections}, log)
 	return s
 }
 
@@ -139,8 +154,8 @@
 // request is served, unless the handler has set a write deadline.
 func (s *Server) sendAtOnce(ctx *fasthttp.RequestCtx) {
 	var deadline time.Time // none
-	if s.writeTimeout > 0 {
-		deadline = time.Now().Add(s.writeTimeout)
+	if s.options.WriteTimeout > 0 {
+		deadline = time.Now().Add(s.options.WriteTimeout)
 	}
 	if err := ctx.SetWriteDeadline(deadline); err != nil && !errors.Is(err, net.ErrClosed) {
 		s.log.WithError(err).Warn("A response may wait for the request behind it.")
@@ -148,18 +163,32 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	receivedAt := time.Now()
 	if framing := framingError(&ctx.Request); framing != "" {
 		ctx.SetConnectionClose()
 		writeError(ctx, "", request.Rejected(request.ReasonMalformed), framing)
 		return
 	}
-	in := s.protocol.ReadRequest(&ctx.Request, receivedAt)
 	conn, ok := ctx.Conn().(*inbound.Conn)
-	if !ok || conn.Closed() || conn.PeerGone() {
+	if !ok {
+		s.drop(ctx, s.protocol.ReadRequest(&ctx.Request, time.Now()))
+		return
+	}
+	body, err := s.receiveBody(ctx, conn)
+	defer body.Release()
+	if err != nil {
+		s.refuse(ctx, conn, err)
+		return
+	}
+	in := s.protocol.ReadRequest(&ctx.Request, time.Now())
+	in.Body = body
+	if conn.Closed() || conn.PeerGone() {
 		s.drop(ctx, in)
 		return
 	}
+	if err := conn.BeginServing(); err != nil {
+		s.refuse(ctx, conn, err)
+		return
+	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stop := conn.WatchHangup(s.hangupWatches.Go, cancel)
@@ -173,6 +202,7 @@
 	if result.Reason == request.ReasonCanceled && !conn.PeerGone() {
 		result.Reason = request.ReasonStopping // Shutdown has canceled it
 	}
+	conn.HoldAnswer(cap(result.Body))
 	s.protocol.WriteResponse(ctx, id, result)
 }
 
@@ -196,7 +226,6 @@
 		Method:     string(r.Header.Method()),
 		Path:       string(r.URI().Path()),
 		Target:     string(r.URI().RequestURI()),
-		Body:       append([]byte(nil), r.Body()...),
 		Credential: credential(&r.Header),
 		ReceivedAt: receivedAt,
 	}
@@ -256,11 +285,11 @@
 	ctx.SetConnectionClose()
 	switch {
 	case errors.As(err, &headerTooLarge):
+		s.refusals.record(s.log, ctx.RemoteAddr(), refusedHead)
 		writeError(ctx, "", request.Rejected(request.ReasonTooLarge), "the header is larger than the limit")
 		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		writeError(ctx, "", request.Rejected(request.ReasonTooLarge), "the body is larger than the limit")
 	case errors.As(err, &netErr) && netErr.Timeout():
+		s.refusals.record(s.log, ctx.RemoteAddr(), refusedLate)
 		writeError(ctx, "", request.Rejected(request.ReasonMalformed), "the request did not arrive in time")
 		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
 	default:
--- a/forward/client.go
+++ b/forward/client.go
@@ -48,9 +48,13 @@
 // send sends the request to the VM to and returns its reply. relayed marks a
 // request that this VM relays; the receiver does not relay it again.
 func (c *Client) send(ctx context.Context, owner vm.ID, to vm.VM, relayed bool, req *request.Request) request.Result {
+	if !req.Body.Retain() {
+		return request.Rejected(request.ReasonCanceled) // the request has ended
+	}
+	defer req.Body.Release()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	message, err := seal(c.secret, nil, newRequestEnvelope(c.self, owner, req, time.Now(), relayed), req.Body)
+	message, err := seal(c.secret, nil, newRequestEnvelope(c.self, owner, req, time.Now(), relayed), req.Body.Bytes())
 	if err != nil {
 		return request.Rejected(request.ReasonInternal)
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -7,6 +7,7 @@
 	"almondstile/contract"
 	"almondstile/httpconn"
 	"almondstile/link"
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/upstream"
 	"almondstile/vm"
@@ -83,7 +84,11 @@
 // arrive. The outcome is then not-run only if nothing was written to the relay
 // or the relay replied that the request was not executed.
 func (c *ExchangeClient) Exchange(ctx context.Context, relay vm.VM, req *request.Request) (e upstream.Exchange, ran bool) {
-	message, err := seal(c.secret, exchangeMACContext, newExchangeEnvelope(c.self, relay.ID, req, time.Now()), req.Body)
+	if !req.Body.Retain() {
+		return upstream.Exchange{Result: request.Rejected(request.ReasonCanceled)}, false // the request has ended
+	}
+	defer req.Body.Release()
+	message, err := seal(c.secret, exchangeMACContext, newExchangeEnvelope(c.self, relay.ID, req, time.Now()), req.Body.Bytes())
 	if err != nil {
 		return upstream.Exchange{Result: request.Rejected(request.ReasonInternal)}, false
 	}
@@ -115,7 +120,7 @@
 	}
 	return &request.Request{
 		ID: e.ID, Service: e.Service, Server: e.Server, Team: e.Team,
-		Method: e.Method, Target: e.Target, Header: e.Header, Body: body, Deadline: deadline,
+		Method: e.Method, Target: e.Target, Header: e.Header, Body: memory.BodyOf(body), Deadline: deadline,
 	}
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"almondstile/httpconn"
 	"almondstile/link"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/vm"
 
@@ -58,7 +59,7 @@
 func newTestRequest() *request.Request {
 	return &request.Request{
 		ID: "r1", Service: "shelfview", Server: "s1", Team: "counter", Weight: 2,
-		Method: "POST", Target: "/stock?hut=1", Body: []byte("body"),
+		Method: "POST", Target: "/stock?hut=1", Body: memory.BodyOf([]byte("body")),
 		Header:   []request.HeaderField{{Name: "X-Note", Value: "väl\u2028ue"}},
 		Deadline: time.Now().Add(10 * time.Second),
 	}
@@ -67,7 +68,7 @@
 // echoRequest responds with the request's header, target and body.
 func echoRequest(_ context.Context, req *request.Request) request.Result {
 	return request.Result{Outcome: request.Answered, Status: 201, Header: req.Header,
-		Body: append([]byte(req.Target+" "), req.Body...), ServiceState: []byte{1}}
+		Body: append([]byte(req.Target+" "), req.Body.Bytes()...), ServiceState: []byte{1}}
 }
 
 // newTestClient returns the client of vm1, which owns no backend server.
--- a/forward/hangup_test.go
+++ b/forward/hangup_test.go
@@ -22,7 +22,7 @@
 	}))
 	post := func() string {
 		req := newTestRequest()
-		message, err := seal(testSecret, nil, newRequestEnvelope("vm1", owner.ID, req, time.Now(), false), req.Body)
+		message, err := seal(testSecret, nil, newRequestEnvelope("vm1", owner.ID, req, time.Now(), false), req.Body.Bytes())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/forward/message.go
+++ b/forward/message.go
@@ -7,6 +7,7 @@
 
 	"almondstile/contract"
 	"almondstile/link"
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/vm"
 
@@ -116,7 +117,7 @@
 	return &request.Request{
 		ID: e.ID, Route: e.Route, Service: e.Service, Server: e.Server,
 		Team: e.Team, Key: e.Key, Weight: e.Weight,
-		Method: e.Method, Target: e.Target, Header: e.Header, Body: body,
+		Method: e.Method, Target: e.Target, Header: e.Header, Body: memory.BodyOf(body),
 		Idempotent: e.Idempotent, NoQueue: e.NoQueue,
 		Deadline: now.Add(time.Duration(e.RemainingMicros) * time.Microsecond),
 	}
--- a/forward/sender.go
+++ b/forward/sender.go
@@ -50,13 +50,12 @@
 	return body, progress, nil
 }
 
-// decode opens the sealed reply to the request with the given MAC. It copies the
-// body, because fasthttp reuses the response's buffers.
+// decode opens the sealed reply to the request with the given MAC. resp loses its body.
 func (s *sender) decode(requestMAC []byte, resp *fasthttp.Response, reply any) ([]byte, error) {
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, errors.Wrapf(ErrInvalidMessage, "HTTP status %d", resp.StatusCode())
 	}
-	return open(s.secret, requestMAC, append([]byte(nil), resp.Body()...), reply)
+	return open(s.secret, requestMAC, resp.SwapBody(nil), reply)
 }
 
 // recordFailure counts a failure of the link to the peer, unless the request was
--- a/forward/server.go
+++ b/forward/server.go
@@ -64,7 +64,7 @@
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
 		Logger:                logging.DiscardPrintf{},
-	}, log)
+	}, inbound.Options{}, log)
 	return s
 }
 
@@ -109,7 +109,7 @@
 // duplicate) and returns false.
 func (s *Server) accept(ctx *fasthttp.RequestCtx, macContext []byte, envelope interface{ sender() (vm.ID, int64) }) (message, body []byte, ok bool) {
 	now := time.Now()
-	message = append([]byte(nil), ctx.PostBody()...)
+	message = ctx.Request.SwapBody(nil)
 	body, err := open(s.secret, macContext, message, envelope)
 	from, sentMillis := envelope.sender()
 	if err != nil || !acceptableAge(sentMillis, now) {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -14,6 +14,7 @@
 	"almondstile/guard"
 	"almondstile/httpconn"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/tally"
 	"almondstile/telemetry"
@@ -42,7 +43,8 @@
 	ServerProtocol upstream.Protocol
 }
 
-// Limits of callers' connections.
+// Limits of callers' connections. The first two and callerIdleTimeout apply where the
+// configuration in force states no limit; no head may be larger than maxHeaderBytes.
 const (
 	maxHeaderBytes = 32 << 10
 	maxBodyBytes   = 64 << 20
@@ -96,6 +98,7 @@
 	node           *gossip.Node
 	upstream       *upstream.Client
 	dispatcher     *direct.Dispatcher
+	budget         *memory.Budget // of the bytes held for callers
 	front          *httpfront.Server
 	callerListener net.Listener
 	readyServer    *statusServer
@@ -122,8 +125,10 @@
 		Fleet: v.roster, Observer: v.metrics, Guard: v.guard, Limits: direct.Limits{MaxKeyDataAge: s.maxKeyAge()},
 		Log: log.Part("request"), Clock: time.Now, BootTime: boottime.Now,
 	})
+	v.budget = v.newBudget()
 	v.front = httpfront.New(v.dispatcher, httpfront.Options{
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxConnections: s.maxCallerConnections(),
+		Limits: v.callerLimits, Budget: v.budget,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
 		Protocol: p.CallerProtocol, Guard: v.guard,
 	}, log.Part("callers"))
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -211,6 +211,7 @@
 		case now := <-sweepTicker.C:
 			v.guard.Task("sweep", func() {
 				v.upstream.CloseIdle(false)
+				v.sweepMemory()
 				v.ledger.Sweep(now)
 				v.state.Sweep(now)
 			})
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"almondstile/memory"
 	"almondstile/retry"
 	"almondstile/rollout"
 	"almondstile/vm"
@@ -66,7 +67,8 @@
 )
 
 // maxCallerConnections returns how many connections of callers the VM serves at a time.
-// Further ones are rejected, so that the VM keeps descriptors for its own connections.
+// Further ones are rejected, so that the VM keeps descriptors for its own connections, and
+// memory.
 func (s *Settings) maxCallerConnections() int {
 	limit := defaultMaxDescriptors
 	var rlimit syscall.Rlimit
@@ -76,7 +78,8 @@
 	if s.MaxDescriptors > 0 {
 		limit = min(limit, s.MaxDescriptors)
 	}
-	return max(1, int(callerDescriptorShare*float64(limit)))
+	byMemory := memory.MaxConnections(s.memoryBytes(), maxHeaderBytes)
+	return max(1, min(int(callerDescriptorShare*float64(limit)), byMemory))
 }
 
 // Reload applies the settings that can change while the process runs: the seeds.
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -6,6 +6,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"almondstile/memory"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -18,6 +21,18 @@
 	listener *Listener
 	id       connID
 	phase    atomic.Int32
+	// lease is the connection's part of the budget of bytes, or nil if there is none.
+	lease *memory.Lease
+	// answerBytes is what the lease holds for the answer that is being sent. Only the
+	// server's goroutine uses it.
+	answerBytes int64
+	// headPending says that the time for the head of a request has yet to begin. Only the
+	// server's goroutine uses it.
+	headPending bool
+	// readAt is when a request that is not complete was last read, in nanoseconds since
+	// accepted.
+	readAt   atomic.Int64
+	accepted time.Time
 	// peerGone says that the peer has closed its sending side or reset the connection.
 	peerGone atomic.Bool
 
@@ -56,6 +71,9 @@
 	if n := c.readAhead(b); n > 0 {
 		return n, nil
 	}
+	if err := c.startTime(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(b)
 	if endsStream(err) {
 		c.peerGone.Store(true)
@@ -78,13 +96,23 @@
 func (c *Conn) Closed() bool { return c.phase.Load() == closed }
 
 // Write writes a part of a response. After an error the peer is taken for gone.
-func (c *Conn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (written int, err error) {
 	c.phase.CompareAndSwap(receiving, responding)
-	n, err := c.Conn.Write(b)
+	for len(b) > 0 && err == nil {
+		var n int
+		n, err = c.Conn.Write(b[:min(len(b), maxWriteBytes)])
+		b, written = b[n:], written+n
+		if c.answerBytes > answerRoomBytes {
+			c.lease.Move(time.Now(), n)
+			if c.lease.TurnedAway() {
+				err = errNotRead
+			}
+		}
+	}
 	if err != nil {
 		c.peerGone.Store(true)
 	}
-	return n, err
+	return written, err
 }
 
 // Close closes the connection. After a response the socket stays open, for a bounded
@@ -124,10 +152,14 @@
 	}
 	switch state {
 	case fasthttp.StateActive:
+		c.headPending = true
 		if !c.phase.CompareAndSwap(unused, receiving) {
 			c.phase.CompareAndSwap(idle, receiving)
 		}
 	case fasthttp.StateIdle:
+		c.releaseAnswer()
 		c.phase.CompareAndSwap(responding, idle)
+	case fasthttp.StateClosed:
+		c.releaseAnswer()
 	}
 }
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -19,14 +19,16 @@
 type Listener struct {
 	net.Listener
 	log        logging.Logger
+	options    Options
+	count      atomic.Int64 // of open connections
 	conns      shard.Map[connID, *Conn]
 	accepted   atomic.Int64
 	aheadBytes atomic.Int64 // buffers of all connections for bytes read ahead
 	lingering  conc.WaitGroup
 	// removed gets a value when a connection is closed.
 	removed chan struct{}
-	// failedAt is when a connection could last not be accepted, in nanoseconds of Unix time.
-	failedAt atomic.Int64
+	// failedAt is when a connection could last not be accepted, or nil.
+	failedAt atomic.Pointer[time.Time]
 	// closing ends with Close.
 	closing context.Context
 	cancel  context.CancelFunc
@@ -34,7 +36,12 @@
 
 // NewListener returns a listener that accepts from the given one.
 func NewListener(from net.Listener, log logging.Logger) *Listener {
-	l := &Listener{Listener: from, log: log, removed: make(chan struct{}, 1)}
+	return newListener(from, Options{}, log)
+}
+
+// newListener returns a listener with bounds on its connections.
+func newListener(from net.Listener, options Options, log logging.Logger) *Listener {
+	l := &Listener{Listener: from, log: log, options: options, removed: make(chan struct{}, 1)}
 	l.closing, l.cancel = context.WithCancel(context.Background())
 	return l
 }
@@ -61,7 +68,8 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
-		l.failedAt.Store(time.Now().UnixNano())
+		now := time.Now()
+		l.failedAt.Store(&now)
 		l.log.WithError(err).WithField("connections", l.conns.Len()).Warn("A connection cannot be accepted; trying again.")
 		if !wait.For(l.closing, pause) {
 			return nil, net.ErrClosed
@@ -71,8 +79,14 @@
 
 // add keeps track of an accepted connection.
 func (l *Listener) add(nc net.Conn) *Conn {
-	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36))}
+	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36)), accepted: time.Now()}
+	if l.options.Budget != nil {
+		address, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // "" stands for all others
+		c.lease = l.options.Budget.Open(address, c.turnAway)
+	}
 	l.conns.Store(c.id, c)
+	l.count.Add(1)
+	l.makeRoom(c)
 	if l.closing.Err() != nil {
 		c.closeIfUnused() // CloseUnused may have missed it
 	}
@@ -82,7 +96,8 @@
 // Accepting reports whether the listener accepts connections. It does not while it lacks
 // descriptors, and after Close.
 func (l *Listener) Accepting() bool {
-	return l.closing.Err() == nil && time.Since(time.Unix(0, l.failedAt.Load())) > acceptFailureTime
+	failedAt := l.failedAt.Load()
+	return l.closing.Err() == nil && (failedAt == nil || time.Since(*failedAt) > acceptFailureTime)
 }
 
 // Close stops accepting connections. Further calls do nothing.
@@ -161,6 +176,7 @@
 // remove forgets a connection that is closed.
 func (l *Listener) remove(id connID) {
 	l.conns.Delete(id)
+	l.count.Add(-1)
 	select {
 	case l.removed <- struct{}{}:
 	default: // WaitClosed has yet to receive an earlier value
--- a/inbound/listener_test.go
+++ b/inbound/listener_test.go
@@ -71,7 +71,8 @@
 	}
 	// The listener counts as accepting again without another connection: a VM that is
 	// not ready gets none.
-	l.failedAt.Store(time.Now().Add(-2 * acceptFailureTime).UnixNano())
+	past := time.Now().Add(-2 * acceptFailureTime)
+	l.failedAt.Store(&past)
 	if !l.Accepting() {
 		t.Error("a listener that has recovered is not accepting")
 	}
--- a/inbound/server.go
+++ b/inbound/server.go
@@ -20,18 +20,19 @@
 type Server struct {
 	http     *fasthttp.Server
 	log      logging.Logger
+	options  Options
 	listener atomic.Pointer[Listener] // nil before Serve
 }
 
 // NewServer returns a server that runs http. It sets the hook http.ConnState.
-func NewServer(http *fasthttp.Server, log logging.Logger) *Server {
+func NewServer(http *fasthttp.Server, options Options, log logging.Logger) *Server {
 	http.ConnState = followState
-	return &Server{http: http, log: log}
+	return &Server{http: http, options: options, log: log}
 }
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(from net.Listener) error {
-	listener := NewListener(from, s.log)
+	listener := newListener(from, s.options, s.log)
 	s.listener.Store(listener)
 	return s.http.Serve(listener)
 }
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -24,7 +24,7 @@
 )
 
 // crowdSettings is added to the VM's settings file.
-var crowdSettings = fmt.Sprintf("[limits]\nbody_bytes = %d\n", crowdBodyBytes)
+var crowdSettings = fmt.Sprintf("[limits]\nbody_bytes = %d\nmemory_bytes = %d\n", crowdBodyBytes, crowdMemoryMB*1_000_000)
 
 // peakMemory returns the largest memory that the VM's process has taken, in bytes.
 func (v *entryVM) peakMemory(t *testing.T) int {
--- a/outlier/detector_test.go
+++ b/outlier/detector_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondstile/backend"
+	"almondstile/memory"
 	"almondstile/request"
 	_ "almondstile/standin/seeded" // fixes the seed of rapid
 
@@ -280,8 +281,8 @@
 func TestCrashQuarantineReachesAllOwners(t *testing.T) {
 	t.Parallel()
 	f := newFleet(1, Ablation{})
-	poison := &request.Request{Team: "harbour", Method: "POST", Target: "/loans", Body: []byte("x")}
-	other := &request.Request{Team: "harbour", Method: "POST", Target: "/loans", Body: []byte("y")}
+	poison := &request.Request{Team: "harbour", Method: "POST", Target: "/loans", Body: memory.BodyOf([]byte("x"))}
+	other := &request.Request{Team: "harbour", Method: "POST", Target: "/loans", Body: memory.BodyOf([]byte("y"))}
 	crash := Crash{Service: simService, Server: serverID(0), Fingerprint: request.FingerprintOf(poison), RequestID: "r1"}
 	rejecting := func() (n int) {
 		for i := 0; i < simServers; i++ {
--- a/outlier/quarantine_test.go
+++ b/outlier/quarantine_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/memory"
 	"almondstile/request"
 )
 
@@ -53,7 +54,7 @@
 		start := time.Unix(1_000_000, 0)
 		now, n := start, 0
 		requestWithBody := func(body string) *request.Request {
-			return &request.Request{Service: "shelfview", Team: "harbour", Method: "GET", Target: "/stock", Body: []byte(body)}
+			return &request.Request{Service: "shelfview", Team: "harbour", Method: "GET", Target: "/stock", Body: memory.BodyOf([]byte(body))}
 		}
 		for _, e := range c.events {
 			now = start.Add(e.after * time.Millisecond)
--- a/request/fingerprint.go
+++ b/request/fingerprint.go
@@ -20,15 +20,19 @@
 func FingerprintOf(r *Request) Fingerprint {
 	h := sha256.New()
 	var lengthPrefix [8]byte
-	hashPart := func(b []byte) {
+	hashLength := func(n int) {
 		// The length prefix separates the parts: "ab"+"c" must differ from "a"+"bc".
-		binary.BigEndian.PutUint64(lengthPrefix[:], uint64(len(b)))
+		binary.BigEndian.PutUint64(lengthPrefix[:], uint64(n))
 		h.Write(lengthPrefix[:])
+	}
+	hashPart := func(b []byte) {
+		hashLength(len(b))
 		h.Write(b)
 	}
 	hashPart([]byte(r.Team))
 	hashPart([]byte(r.Method))
 	hashPart([]byte(r.Target))
-	hashPart(r.Body)
+	hashLength(r.Body.Len())
+	_, _ = r.Body.WriteTo(h) // a hash returns no error
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
--- a/request/request.go
+++ b/request/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/memory"
 )
 
 // HeaderField is one HTTP header field.
@@ -25,7 +26,7 @@
 	Method  string
 	Target  string // path and query
 	Header  []HeaderField
-	Body    []byte
+	Body    *memory.Body
 	// Idempotent means that the request may be executed more than once.
 	Idempotent bool
 	// IdempotencyKey is the value of the caller's Idempotency-Key field, "" if
--- a/settings/check.go
+++ b/settings/check.go
@@ -160,6 +160,8 @@
 	l.checkRange("limits.body_bytes", s.BodyBytes, 1, 64<<20)
 	l.checkRange("limits.response_bytes", s.ResponseBytes, 1<<10, 64<<20)
 	l.checkRange("limits.connections", s.Connections, 1, 1_000_000)
+	l.checkRange("limits.memory_bytes", s.MemoryBytes, 64_000_000, 1<<40)
+	l.checkRange("limits.header_timeout_ms", s.HeaderTimeoutMillis, 10, day)
 	l.checkRange("limits.read_timeout_ms", s.ReadTimeoutMillis, 10, day)
 	l.checkRange("limits.write_timeout_ms", s.WriteTimeoutMillis, 10, day)
 	l.checkRange("limits.idle_timeout_ms", s.IdleTimeoutMillis, 10, day)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"almondstile/memory"
 	"almondstile/vm"
 	"almondstile/zone"
 )
@@ -93,21 +94,29 @@
 // Limits bounds the resources that one caller or the whole process may use. Names
 // with Millis are in milliseconds. The comments give the defaults.
 type Limits struct {
-	HeaderBytes        int `toml:"header_bytes" json:"header_bytes"`         // 16384
-	BodyBytes          int `toml:"body_bytes" json:"body_bytes"`             // 1 MiB
-	ResponseBytes      int `toml:"response_bytes" json:"response_bytes"`     // 4 MiB
-	Connections        int `toml:"connections" json:"connections"`           // 4096
-	ReadTimeoutMillis  int `toml:"read_timeout_ms" json:"read_timeout_ms"`   // 10000
-	WriteTimeoutMillis int `toml:"write_timeout_ms" json:"write_timeout_ms"` // 10000
-	IdleTimeoutMillis  int `toml:"idle_timeout_ms" json:"idle_timeout_ms"`   // 60000
-	QueueLength        int `toml:"queue_length" json:"queue_length"`         // 64, per backend server
+	HeaderBytes   int `toml:"header_bytes" json:"header_bytes"`     // 16384
+	BodyBytes     int `toml:"body_bytes" json:"body_bytes"`         // 1 MiB
+	ResponseBytes int `toml:"response_bytes" json:"response_bytes"` // 4 MiB
+	Connections   int `toml:"connections" json:"connections"`       // 4096
+	// MemoryBytes is the memory that the process may use, 512 MB by default. The bytes of
+	// requests and answers are bounded by a part of it.
+	MemoryBytes int `toml:"memory_bytes" json:"memory_bytes"`
+	// HeaderTimeoutMillis bounds the arrival of a request's head, from its first byte on.
+	HeaderTimeoutMillis int `toml:"header_timeout_ms" json:"header_timeout_ms"` // 10000
+	ReadTimeoutMillis   int `toml:"read_timeout_ms" json:"read_timeout_ms"`     // 10000
+	WriteTimeoutMillis  int `toml:"write_timeout_ms" json:"write_timeout_ms"`   // 10000
+	IdleTimeoutMillis   int `toml:"idle_timeout_ms" json:"idle_timeout_ms"`     // 60000
+	QueueLength         int `toml:"queue_length" json:"queue_length"`           // 64, per backend server
 	// Requests bounds the requests in flight on this VM (2048 by default), and
 	// RequestsPerTeam those of one team (512 by default).
 	Requests        int `toml:"requests" json:"requests"`
 	RequestsPerTeam int `toml:"requests_per_team" json:"requests_per_team"`
 }
 
-// ReadTimeout returns the time limit for reading one request.
+// HeaderTimeout returns the time limit for reading the head of a request.
+func (l *Limits) HeaderTimeout() time.Duration { return milliseconds(l.HeaderTimeoutMillis) }
+
+// ReadTimeout returns the time limit for reading the body of a request.
 func (l *Limits) ReadTimeout() time.Duration { return milliseconds(l.ReadTimeoutMillis) }
 
 // WriteTimeout returns the time limit for writing one response.
@@ -138,16 +147,18 @@
 	return Settings{
 		Platform: Platform{TimeoutMillis: 2000},
 		Limits: Limits{
-			HeaderBytes:        16 << 10,
-			BodyBytes:          1 << 20,
-			ResponseBytes:      4 << 20,
-			Connections:        4096,
-			ReadTimeoutMillis:  10_000,
-			WriteTimeoutMillis: 10_000,
-			IdleTimeoutMillis:  60_000,
-			QueueLength:        64,
-			Requests:           2048,
-			RequestsPerTeam:    512,
+			HeaderBytes:         16 << 10,
+			BodyBytes:           1 << 20,
+			ResponseBytes:       4 << 20,
+			Connections:         4096,
+			MemoryBytes:         memory.DefaultProcessBytes,
+			HeaderTimeoutMillis: 10_000,
+			ReadTimeoutMillis:   10_000,
+			WriteTimeoutMillis:  10_000,
+			IdleTimeoutMillis:   60_000,
+			QueueLength:         64,
+			Requests:            2048,
+			RequestsPerTeam:     512,
 		},
 		Log:      Log{Level: "info"},
 		Shutdown: Shutdown{LimitMillis: 30_000},
--- a/upstream/native.go
+++ b/upstream/native.go
@@ -39,7 +39,11 @@
 	if len(dst.Header.Host()) == 0 {
 		dst.Header.SetHost(server.Address)
 	}
-	dst.SetBodyRaw(req.Body)
+	if whole, ok := req.Body.Whole(); ok {
+		dst.SetBodyRaw(whole)
+	} else {
+		dst.SetBodyStream(req.Body.NewReader(), req.Body.Len())
+	}
 }
 
 // ResponseID implements Protocol.
@@ -68,7 +72,7 @@
 // DecodeCommon returns the result of a complete response. reportedNotRun says
 // whether the server stated that it did not execute the request; the result is then
 // a rejection with the reason request.ReasonShed. The result holds copies of the
-// response's data.
+// response's fields, and its body, which resp loses.
 func DecodeCommon(resp *fasthttp.Response, reportedNotRun bool) request.Result {
 	outcome := request.Classify(request.ResponseComplete, reportedNotRun)
 	if outcome == request.NotRun {
@@ -78,8 +82,20 @@
 		Outcome: outcome,
 		Status:  resp.StatusCode(),
 		Header:  header.Sanitize(fields(&resp.Header)),
-		Body:    append([]byte(nil), resp.Body()...),
+		Body:    trim(resp.SwapBody(nil)),
+	}
+}
+
+// maxSpareBytes is how much larger than a body its buffer may be. The buffer of a chunked
+// body doubles as it grows, and is kept until a slow caller has read the body.
+const maxSpareBytes = 64 << 10
+
+// trim returns the body in a buffer that is not much larger.
+func trim(body []byte) []byte {
+	if cap(body)-len(body) <= maxSpareBytes {
+		return body
 	}
+	return append(make([]byte, 0, len(body)), body...)
 }
 
 // fields returns copies of all header fields of a response.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -113,6 +113,10 @@
 // cancels the request at the server. Latency and, for a failed attempt, the flags
 // of Exchange are set.
 func (c *Client) Do(ctx context.Context, server *contract.Server, req *request.Request) Exchange {
+	if !req.Body.Retain() {
+		return Exchange{Result: request.Rejected(request.ReasonCanceled)} // the request has ended
+	}
+	defer req.Body.Release()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	httpReq, httpResp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
