inbound: a new request does not count as stalled since the one before it

The time of the last read stayed from the request before, so that under a shortage of connections a request that had just arrived could be turned away.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -153,6 +153,7 @@
 	switch state {
 	case fasthttp.StateActive:
 		c.headPending = true
+		c.readAt.Store(0)
 		if !c.phase.CompareAndSwap(unused, receiving) {
 			c.phase.CompareAndSwap(idle, receiving)
 		}
