inbound: close the newest connection without a request first

TestVMRecoversFromTooManyConnections failed with -race: the oldest unused connection was closed to make room although its caller was about to send. Unless it has waited for 10 s, the newest one makes room now.

--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -32,6 +32,9 @@
 	// maxWriteBytes is the largest part of a response that is written at a time, so that
 	// it shows whether the peer reads.
 	maxWriteBytes = 64 << 10
+	// unusedTime is how long a connection may be without a request before it is the first to
+	// make room. Callers may connect some time before they send.
+	unusedTime = 10 * time.Second
 	// requestStallTime is the time without a byte after which an incomplete request may
 	// be turned away for another connection.
 	requestStallTime = 1 * time.Second
@@ -143,7 +146,12 @@
 	}
 	if len(unusedConns) > 0 {
 		slices.SortFunc(unusedConns, func(a, b *Conn) int { return a.accepted.Compare(b.accepted) })
-		unusedConns[0].closeIfUnused()
+		oldest, newest := unusedConns[0], unusedConns[len(unusedConns)-1]
+		if time.Since(oldest.accepted) >= unusedTime {
+			oldest.closeIfUnused()
+		} else {
+			newest.closeIfUnused()
+		}
 		return
 	}
 	if len(stalled) > 0 {
