--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -19,6 +19,8 @@
 type Listener struct {
 	net.Listener
 	log        logging.Logger
+	options    Options
+	count      atomic.Int64 // of open connections
 	conns      shard.Map[connID, *Conn]
 	accepted   atomic.Int64
 	aheadBytes atomic.Int64 // buffers of all connections for bytes read ahead
@@ -35,7 +37,12 @@
 
 // NewListener returns a listener that accepts from the given one.
 func NewListener(from net.Listener, log logging.Logger) *Listener {
-	l := &Listener{Listener: from, log: log, removed: make(chan struct{}, 1)}
+	return newListener(from, Options{}, log)
+}
+
+// newListener returns a listener with bounds on its connections.
+func newListener(from net.Listener, options Options, log logging.Logger) *Listener {
+	l := &Listener{Listener: from, log: log, options: options, removed: make(chan struct{}, 1)}
 	l.closing, l.cancel = context.WithCancel(context.Background())
 	return l
 }
@@ -73,8 +80,14 @@
 
 // add keeps track of an accepted connection.
 func (l *Listener) add(nc net.Conn) *Conn {
-	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36))}
+	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36)), accepted: time.Now()}
+	if l.options.Budget != nil {
+		address, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // "" stands for all others
+		c.lease = l.options.Budget.Open(address, c.turnAway)
+	}
 	l.conns.Store(c.id, c)
+	l.count.Add(1)
+	l.makeRoom(c)
 	if l.closing.Err() != nil {
 		c.closeIfUnused() // CloseUnused may have missed it
 	}
@@ -164,6 +177,7 @@
 // remove forgets a connection that is closed.
 func (l *Listener) remove(id connID) {
 	l.conns.Delete(id)
+	l.count.Add(-1)
 	select {
 	case l.removed <- struct{}{}:
 	default: // WaitClosed has yet to receive an earlier value
