work: choose servers by the likely cost of requests and the work left

Requests of a service may cost 75 ms or 470 ms and counted alike in the choice. Costs are learned by kind (route, service, method, order of magnitude of the body) from responses that did not wait for a slot, shared like the latencies of routes, and shrunk towards the mean of the service. The work of a server is the sum of the costs of its requests, in multiples of that mean; other VMs get it as one more count of the records that go out anyway, only while the requests of a service don't cost alike. The latency of a response counts by its logarithm, relative to the expected wait and cost, so that a single long request does not make its server count as slow. dispatcher option IgnoreCosts keeps the earlier choice.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -290,11 +290,11 @@
 func (r *attemptLoop) runAttempt(selected selection) upstream.Exchange {
 	d, server := r.d, &selected.server.Server
 	subject := evidence.ServerSubject(server.ID)
-	d.counters.recordStart(d.deps.Clock(), subject)
+	d.counters.recordStart(d.deps.Clock(), subject, selected.expected)
 	ended := false
 	defer func() {
 		if !ended { // the exchange panicked
-			d.counters.recordResult(d.deps.Clock(), subject, evidence.RouteSubject(r.route.ID), evidence.Neutral, 0)
+			d.counters.recordResult(d.deps.Clock(), subject, evidence.RouteSubject(r.route.ID), selected.expected, evidence.Neutral, 0)
 		}
 	}()
 	suspected := make(chan struct{})
@@ -319,7 +319,7 @@
 		}
 	}
 	ended = true
-	d.counters.recordResult(d.deps.Clock(), subject, evidence.RouteSubject(r.route.ID), result, e.Latency)
+	d.counters.recordResult(d.deps.Clock(), subject, evidence.RouteSubject(r.route.ID), selected.expected, result, e.Latency)
 	d.handleResult(selected, r.req, e, result)
 	return e
 }
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -24,8 +24,9 @@
 
 // selection is the server of one attempt and its state at the time of the choice.
 type selection struct {
-	server *catalog.Registration
-	state  evidence.State
+	server   *catalog.Registration
+	state    evidence.State
+	expected expectation
 }
 
 // selectServer selects a server for the next attempt of a request. tried holds the
@@ -44,16 +45,20 @@
 		}
 		available = append(available, s)
 	}
+	kind, estimate := d.estimateCost(now, req)
 	candidates := make([]placement.Candidate, len(available))
 	for i := range available {
 		candidates[i] = d.candidate(&available[i], tried)
+		d.weighWork(&candidates[i], &available[i], estimate)
 	}
 	d.markSubset(now, req.Service, available, candidates)
 	i := placement.Pick(candidates, req.Idempotent && len(tried) == 0, rand.Float64())
 	if i < 0 {
 		return selection{}, false
 	}
-	return available[i], true
+	selected := available[i]
+	selected.expected = d.expect(&selected, kind, estimate)
+	return selected, true
 }
 
 // markSubset marks the candidates that belong to this VM's subset of the servers of its
@@ -125,7 +130,7 @@
 	return placement.Candidate{
 		OwnZone:     s.server.Server.Zone == d.deps.Self.Zone,
 		Slots:       s.server.Server.Slots,
-		InFlight:    s.state.InFlight,
+		Work:        s.state.InFlight,
 		FailureRate: s.state.FailureRate, FaultProbability: s.state.FaultProbability,
 		RecentSuccesses: s.state.RecentSuccesses, RecentFailures: s.state.RecentFailures, RecentRefusals: s.state.RecentRefusals,
 		RelativeLatency: s.state.RelativeLatency,
--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -62,7 +62,8 @@
 	MaxKeyDataAge time.Duration
 }
 
-// Dependencies holds what a Dispatcher needs. All fields are required.
+// Dependencies holds what a Dispatcher needs. All fields but IgnoreCosts are
+// required.
 type Dependencies struct {
 	Self            vm.VM
 	Source          Source
@@ -73,9 +74,12 @@
 	Observer        Observer
 	Guard           *guard.Guard
 	Limits          Limits
-	Log             logging.Logger
-	Clock           func() time.Time
-	BootTime        func() time.Duration
+	// IgnoreCosts makes the choice of servers count requests instead of weighing what they
+	// are likely to cost.
+	IgnoreCosts bool
+	Log         logging.Logger
+	Clock       func() time.Time
+	BootTime    func() time.Duration
 }
 
 // Dispatcher authorizes callers' requests, applies the limits of teams and sends
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -12,6 +12,7 @@
 	"almondstile/request"
 	"almondstile/retry"
 	"almondstile/tally"
+	"almondstile/work"
 )
 
 // ReplicaFleet provides what the replicas of quotas and retry budgets need to know of the
@@ -26,6 +27,7 @@
 type ReplicatedState struct {
 	Servers      evidence.ServerStats
 	Routes       evidence.RouteLatencies
+	Costs        work.Costs
 	Quota        *quota.ReplicatedBuckets
 	RetryBudgets *retry.ReplicatedBudgets
 	Crashes      crashTracker
@@ -60,6 +62,8 @@
 		s.RetryBudgets.RecordSends(now, subject, counts[tally.FirstAttempts], counts[tally.Retries])
 	case tally.Route:
 		s.Routes.RecordResponses(now, subject, counts[tally.GoodResponses], counts[tally.LatencyMillis])
+	case tally.Cost:
+		s.Costs.Record(now, subject, counts)
 	case tally.Fingerprint:
 		s.Crashes.add(now, subject, int(counts[tally.Crashes]))
 	case tally.Incarnation:
@@ -75,15 +79,19 @@
 }
 
 // recordStart counts an attempt that is sent to the server.
-func (c counters) recordStart(now time.Time, server tally.Subject) {
-	c.state.Servers.RecordStart(now, server)
-	c.ledger.Add(now, server, tally.Started, 1)
+func (c counters) recordStart(now time.Time, server tally.Subject, x expectation) {
+	c.state.Servers.SetIncarnation(server, x.startedAt)
+	c.state.Servers.RecordStart(now, server, x.estimate.Relative)
+	c.ledger.AddCounts(now, server, tally.Counts{tally.Started: 1, tally.WorkTenths: x.workTenths()})
 }
 
 // recordResult records the result of an attempt and, if it succeeded, its latency.
-func (c counters) recordResult(now time.Time, server, route tally.Subject, result evidence.Result, latency time.Duration) {
+func (c counters) recordResult(now time.Time, server, route tally.Subject, x expectation, result evidence.Result, latency time.Duration) {
 	relativeLatency := evidence.RelativeLatencyPercent(latency, c.state.Routes.TypicalLatency(route))
-	c.state.Servers.RecordResult(now, server, result, relativeLatency)
+	if x.byCost {
+		relativeLatency = evidence.SlownessPercent(work.SlownessRatio(latency, x.estimate, x.wait))
+	}
+	c.state.Servers.RecordResult(now, server, result, x.estimate.Relative, relativeLatency)
 	switch result {
 	case evidence.Success:
 		c.ledger.AddCounts(now, server, tally.Counts{tally.Succeeded: 1, tally.RelativeLatencyPercent: relativeLatency})
@@ -92,6 +100,10 @@
 		if rand.Float64() < c.state.Routes.ReportProbability(route) {
 			c.ledger.AddCounts(now, route, tally.Counts{tally.GoodResponses: 1, tally.LatencyMillis: millis})
 		}
+		if x.showsCost {
+			c.recordCost(now, x.kind.Subject(), latency)
+			c.recordCost(now, work.ServiceSubject(x.kind.Service), latency)
+		}
 	case evidence.Failure:
 		c.ledger.Add(now, server, tally.Failed, 1)
 	case evidence.Refused:
@@ -99,6 +111,17 @@
 	}
 }
 
+// recordCost records the latency of a response that did not wait for a slot, for its kind
+// or its service.
+func (c counters) recordCost(now time.Time, subject tally.Subject, latency time.Duration) {
+	sample := work.Sample(latency)
+	report := rand.Float64() < c.state.Costs.ReportProbability(subject)
+	c.state.Costs.Record(now, subject, sample)
+	if report {
+		c.ledger.AddCounts(now, subject, sample)
+	}
+}
+
 // recordSuspectedFailure counts a failure of an attempt that is still in flight.
 func (c counters) recordSuspectedFailure(now time.Time, server tally.Subject) {
 	c.state.Servers.RecordSuspectedFailure(now, server)
@@ -165,6 +188,7 @@
 func (s *ReplicatedState) Sweep(now time.Time) {
 	s.Servers.Sweep(now)
 	s.Routes.Sweep(now)
+	s.Costs.Sweep(now)
 	s.Crashes.sweep(now)
 	s.Notices.Sweep(now)
 }
--- a/evidence/health_test.go
+++ b/evidence/health_test.go
@@ -102,12 +102,12 @@
 	var s ServerStats
 	now := time.Unix(1000, 0)
 	busy := ServerSubject("busy")
-	s.RecordStart(now, busy)
+	s.RecordStart(now, busy, 1)
 	for i := range 10000 {
 		now = now.Add(time.Second)
 		subject := ServerSubject(contract.ServerID(strconv.Itoa(i)))
-		s.RecordStart(now, subject)
-		s.RecordResult(now, subject, Success, 100)
+		s.RecordStart(now, subject, 1)
+		s.RecordResult(now, subject, Success, 1, 100)
 		s.Sweep(now)
 	}
 	if n := s.records.Len(); n > int(retention/time.Second)+2 {
--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -26,6 +26,9 @@
 	// retention is the time for which the record of a server is kept without results. It
 	// is a multiple of all time constants.
 	retention = 5 * time.Minute
+	// maxRelativeWork bounds the likely cost of one request of another VM, in multiples of
+	// the mean cost of a request of the service.
+	maxRelativeWork = 20.0
 	// unknownIdleTime is the idle time of a server without a record.
 	unknownIdleTime = time.Minute
 )
@@ -55,12 +58,19 @@
 	FaultProbability float64
 	// InFlight is the estimated number of requests in flight at the server.
 	InFlight float64
+	// Work is what the requests in flight are likely to cost, in multiples of the mean
+	// cost of a request of the service. It equals InFlight while all requests cost alike.
+	Work float64
 	// RecentSuccesses, RecentFailures and RecentRefusals count recent results. They
 	// decay with decayTime.
 	RecentSuccesses, RecentFailures, RecentRefusals float64
 	// RelativeLatency is the mean latency of recent responses, divided by the typical
 	// latency of their routes; 1 if there were none.
 	RelativeLatency float64
+	// Slowness is the typical latency of recent responses, divided by the one expected of
+	// them; 1 if there were none. It is meaningful if RecordResult gets values of
+	// SlownessPercent.
+	Slowness float64
 	// SentLastSecond is the number of requests sent in the last second.
 	SentLastSecond int
 	// IdleTime is the time since the last known request to the server.
@@ -84,7 +94,12 @@
 	lastStart         time.Time
 	localInFlight     int
 	remoteInFlight    float64
-	sends             [sendBuckets]struct {
+	// localWork and remoteWork are the likely costs of the requests in flight, in
+	// multiples of the mean cost of a request of the service.
+	localWork, remoteWork float64
+	// startedAt identifies the incarnation to which this VM sent last.
+	startedAt int64
+	sends     [sendBuckets]struct {
 		number int64
 		count  int
 	}
@@ -95,20 +110,34 @@
 	return tally.SubjectOf(tally.Server, string(id))
 }
 
-// RecordStart counts a request that this VM sends to the server.
-func (s *ServerStats) RecordStart(now time.Time, subject tally.Subject) {
+// RecordStart counts a request that this VM sends to the server. work is its likely
+// cost, in multiples of the mean cost of a request of the service.
+func (s *ServerStats) RecordStart(now time.Time, subject tally.Subject, work float64) {
 	s.records.Do(subject, newServerRecord, func(r *serverRecord) {
 		r.localInFlight++
+		r.localWork += work
 		r.recordSends(now, 1)
 	})
 }
 
-// RecordResult records the result of a request of this VM. latencyPercent is its
-// latency in percent of the typical latency of its route; only that of a Success
-// is recorded.
-func (s *ServerStats) RecordResult(now time.Time, subject tally.Subject, result Result, latencyPercent uint64) {
+// SetIncarnation tells which incarnation of the server is in use, by its start. The
+// speed of an earlier one says nothing about it.
+func (s *ServerStats) SetIncarnation(subject tally.Subject, startedAt int64) {
+	s.records.DoExisting(subject, func(r *serverRecord) {
+		if r.startedAt != 0 && r.startedAt != startedAt {
+			r.latencyPercentSum, r.latencyCount = 0, 0
+		}
+		r.startedAt = startedAt
+	})
+}
+
+// RecordResult records the result of a request of this VM. work is its likely cost as in
+// RecordStart. latencyPercent is its latency in percent of the typical latency of its
+// route; only that of a Success is recorded.
+func (s *ServerStats) RecordResult(now time.Time, subject tally.Subject, result Result, work float64, latencyPercent uint64) {
 	s.records.Do(subject, newServerRecord, func(r *serverRecord) {
 		r.localInFlight--
+		r.localWork = max(0, r.localWork-work)
 		r.decay(now)
 		switch result {
 		case Success:
@@ -139,14 +168,29 @@
 		r.recordResponses(float64(counts[tally.Succeeded]), float64(counts[tally.RelativeLatencyPercent]))
 		r.recordSends(now, int(counts[tally.Started]))
 		finished := counts[tally.Succeeded] + counts[tally.Failed] + counts[tally.Refused]
-		r.remoteInFlight = max(0, r.remoteInFlight+float64(counts[tally.Started])-float64(finished))
+		r.recordRemoteWork(float64(counts[tally.Started]), float64(counts[tally.WorkTenths])/10, float64(finished))
 	})
 }
 
+// recordRemoteWork records requests of other VMs that started, with their likely cost, 0
+// if they cost the mean of the service, and requests that finished. Other VMs don't tell
+// which ones finished, so each takes an even part of the work with it.
+func (r *serverRecord) recordRemoteWork(started, work, finished float64) {
+	if work == 0 {
+		work = started
+	}
+	running := r.remoteInFlight + started
+	if running == 0 {
+		return
+	}
+	r.remoteInFlight = max(0, running-finished)
+	r.remoteWork = (r.remoteWork + min(work, maxRelativeWork*started)) * r.remoteInFlight / running
+}
+
 // State returns the statistics of a server. A server without a record has the
 // statistics of a server without any results.
 func (s *ServerStats) State(now time.Time, subject tally.Subject) State {
-	state := State{FaultProbability: priorFaultProbability, FailureRate: faultModel{priorFaultProbability}.failureRate(), RelativeLatency: 1, IdleTime: unknownIdleTime}
+	state := State{FaultProbability: priorFaultProbability, FailureRate: faultModel{priorFaultProbability}.failureRate(), RelativeLatency: 1, Slowness: 1, IdleTime: unknownIdleTime}
 	s.records.DoExisting(subject, func(r *serverRecord) {
 		r.decay(now)
 		state = r.state(now)
@@ -176,11 +220,13 @@
 		FailureRate:      r.model.failureRate(),
 		FaultProbability: r.model.faultProbability,
 		InFlight:         float64(r.localInFlight) + r.remoteInFlight,
+		Work:             r.localWork + r.remoteWork,
 		RecentSuccesses:  r.latencyCount,
 		RecentFailures:   r.failures,
 		RecentRefusals:   r.refusals,
 		SentLastSecond:   r.sentLastSecond(now),
 		IdleTime:         now.Sub(r.lastStart),
+		Slowness:         slowness(r.latencyPercentSum, r.latencyCount),
 		RelativeLatency:  (r.latencyPercentSum + typicalLatencyPercent) / (r.latencyCount + 1) / 100,
 	}
 	return s
@@ -213,7 +259,9 @@
 		r.refusals *= factor
 		r.latencyPercentSum *= factor
 		r.latencyCount *= factor
-		r.remoteInFlight *= math.Exp(-elapsed.Seconds() / remoteDecayTime.Seconds())
+		remaining := math.Exp(-elapsed.Seconds() / remoteDecayTime.Seconds())
+		r.remoteInFlight *= remaining
+		r.remoteWork *= remaining
 	}
 	r.updatedAt = now
 }
--- a/placement/floor_test.go
+++ b/placement/floor_test.go
@@ -12,10 +12,10 @@
 	candidates := make([]Candidate, servers)
 	for i := range candidates {
 		c := &candidates[i]
-		*c = Candidate{OwnZone: true, InSubset: true, Slots: 4, InFlight: 1, RelativeLatency: 1, RecentSuccesses: 5, FailureRate: 0.03, FaultProbability: 0.02, IdleTime: 200 * time.Millisecond}
+		*c = Candidate{OwnZone: true, InSubset: true, Slots: 4, Work: 1, RelativeLatency: 1, RecentSuccesses: 5, FailureRate: 0.03, FaultProbability: 0.02, IdleTime: 200 * time.Millisecond}
 		if i < unused {
 			c.FaultProbability = 0.3 + 0.3*float64(i)/float64(unused)
-			c.FailureRate, c.InFlight, c.IdleTime = 0.6*c.FaultProbability, 0, time.Second
+			c.FailureRate, c.Work, c.IdleTime = 0.6*c.FaultProbability, 0, time.Second
 			c.RecentSuccesses, c.RecentFailures = 0, 2
 		}
 	}
--- a/placement/gray_test.go
+++ b/placement/gray_test.go
@@ -151,7 +151,7 @@
 	candidates := make([]placement.Candidate, p.servers)
 	for i := range candidates {
 		st := p.stats.State(epoch.Add(now), subject(i))
-		candidates[i] = placement.Candidate{OwnZone: i%max(p.zones, 1) == vmZone, InSubset: true, Slots: p.slots, InFlight: st.InFlight, RelativeLatency: 1, RecentRefusals: st.RecentRefusals}
+		candidates[i] = placement.Candidate{OwnZone: i%max(p.zones, 1) == vmZone, InSubset: true, Slots: p.slots, Work: st.InFlight, RelativeLatency: 1, RecentRefusals: st.RecentRefusals}
 		if p.useEvidence {
 			candidates[i].FailureRate, candidates[i].IdleTime = st.FailureRate, st.IdleTime
 			candidates[i].FaultProbability = st.FaultProbability
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,8 +14,9 @@
 	InSubset bool
 	// Slots is the number of requests that the server executes at the same time.
 	Slots int
-	// InFlight is the estimated number of requests in flight at the server.
-	InFlight float64
+	// Work is the estimated work that the server still has to do, in multiples of a typical
+	// request; without a better estimate, the number of requests in flight.
+	Work float64
 	// FailureRate is the estimated share of requests that fail, from 0 to 1.
 	FailureRate float64
 	// FaultProbability is the probability (0 to 1) that the server is in a faulty phase.
@@ -29,6 +30,8 @@
 	RecentSuccesses, RecentFailures, RecentRefusals float64
 	// IdleTime is the time since any VM sent a request to the server.
 	IdleTime time.Duration
+	// Urgency is the weight of a wait for a slot, 1 for a typical request. 0 counts as 1.
+	Urgency float64
 	// Tried is true if the server already got an attempt of this request.
 	Tried bool
 }
@@ -97,8 +100,11 @@
 
 // cost returns the cost of sending the request to the server, without that of its group.
 func (c *Candidate) cost(retryable bool) float64 {
-	utilization := c.InFlight / float64(max(c.Slots, 1))
+	utilization := c.Work / float64(max(c.Slots, 1))
 	cost := fullLoadCost*min(utilization, 1) + queueCost*max(utilization-1, 0)
+	if c.Urgency > 0 {
+		cost *= c.Urgency
+	}
 	if retryable {
 		cost += retryableFailureCost * c.FailureRate
 	} else {
--- a/placement/subset_test.go
+++ b/placement/subset_test.go
@@ -56,9 +56,9 @@
 	service := func(inFlight float64) []Candidate {
 		candidates := make([]Candidate, 480)
 		for i := range candidates {
-			candidates[i] = Candidate{OwnZone: i < 96, InSubset: i < 7, Slots: 3, InFlight: 1, RelativeLatency: 1}
+			candidates[i] = Candidate{OwnZone: i < 96, InSubset: i < 7, Slots: 3, Work: 1, RelativeLatency: 1}
 			if candidates[i].InSubset {
-				candidates[i].InFlight = inFlight
+				candidates[i].Work = inFlight
 			}
 		}
 		return candidates
--- a/tally/record.go
+++ b/tally/record.go
@@ -21,6 +21,8 @@
 	Fingerprint Kind = 'c'
 	// Incarnation is one process of a server, from one start to the next.
 	Incarnation Kind = 'i'
+	// Cost is a kind of requests, or all requests of a service, of which the cost is learned.
+	Cost Kind = 'k'
 )
 
 // Subject identifies what is counted by a kind, 1 byte, and the 8-byte hash of a
@@ -62,6 +64,9 @@
 	// RelativeLatencyPercent sums the latencies of requests that got a response,
 	// each in percent of the typical latency of its route.
 	RelativeLatencyPercent
+	// WorkTenths sums the likely costs of the requests that were sent to the server, each
+	// in tenths of the mean of its service. It stays 0 while all requests cost alike.
+	WorkTenths
 	fieldCount
 )
 
@@ -89,6 +94,12 @@
 	LimitStated         Field = 1
 	LimitCentiPerSecond Field = 2
 	LimitUnstated       Field = 3
+	// CostSamples counts the responses from which a cost was learned. CostMillis sums
+	// their latencies in milliseconds, and CostLogCentis the natural logarithms of these,
+	// in hundredths.
+	CostSamples   Field = 0
+	CostMillis    Field = 1
+	CostLogCentis Field = 2
 	// LimitedSends counts the requests that were sent to an incarnation with a limit.
 	LimitedSends Field = 4
 )
