--- a/work/costs.go
+++ b/work/costs.go
@@ -20,7 +20,7 @@
 	priorSamples = 5.0
 	// reportedSamples is the decayed number of samples from which on a VM reports only a
 	// part of them to the others.
-	reportedSamples = 200.0
+	reportedSamples = 60.0
 	// unevenFactor is the factor from which on the cost of a kind differs from the mean of
 	// its service so much that the requests of the service don't cost alike.
 	unevenFactor = 1.3
