--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -29,6 +29,9 @@
 	// on all VMs; 0 stands for the default of catalog.NewReadTimes.
 	MaxChangeDelay time.Duration
 	RetryBudget    retry.BudgetLimits
+	// IgnoreCosts makes the choice of backend servers count requests instead of weighing
+	// what they are likely to cost.
+	IgnoreCosts bool
 	// MaxDescriptors is the number of descriptors that the process may have, or 0 if the
 	// settings name none.
 	MaxDescriptors int
