--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// remoteSends returns how often a relay sends a change of the subject to other zones.
+// Costs stay in their zone: its VMs get samples enough, and bytes between zones are dear.
+func remoteSends(s Subject) int {
+	if s.Kind() == Cost {
+		return 0
+	}
+	return relayRemoteSends
+}
+
 // Add adds n to a field of this VM's own totals of the subject.
 func (l *Ledger) Add(now time.Time, s Subject, f Field, n uint64) {
 	var delta Counts
@@ -167,7 +176,7 @@
 		}
 		e.record.Uptime = now.Sub(l.started)
 		e.changedAt = e.record.Uptime
-		e.zoneSendsLeft, e.remoteSendsLeft = ownSends, relayRemoteSends
+		e.zoneSendsLeft, e.remoteSendsLeft = ownSends, remoteSends(s)
 		if urgent {
 			e.markUrgent()
 		}
@@ -239,7 +248,7 @@
 			e.zoneSendsLeft = relayZoneSends
 		}
 		if forwarding.OtherZones {
-			e.remoteSendsLeft = relayRemoteSends
+			e.remoteSendsLeft = remoteSends(r.Subject)
 		}
 		if isUrgent(r.Subject, delta) {
 			e.markUrgent()
--- a/tally/ledger_test.go
+++ b/tally/ledger_test.go
@@ -284,3 +284,28 @@
 		o.sum[i] += delta[i]
 	}
 }
+
+// Guards against samples of costs that are sent between zones, where bytes are dear.
+func TestCostsStayInTheirZone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cost, server := SubjectOf(Cost, "kind-1"), SubjectOf(Server, "server-1")
+	member := NewLedger(now, "origin-a", observedCounts{}, nil)
+	relay := NewLedger(now, "origin-r", observedCounts{}, nil)
+	member.Add(now, cost, CostSamples, 1)
+	member.Add(now, server, Started, 1)
+	relay.Add(now, cost, CostSamples, 1)
+	relay.Merge(now, member.DequeueOwn(AllChanged), Forwarding{Zone: true, OtherZones: true})
+	inZone := 0
+	for _, r := range relay.DequeueForZone(AllChanged) {
+		if r.Subject == cost {
+			inZone++
+		}
+	}
+	if inZone != 2 {
+		t.Errorf("%d of 2 records of costs are sent in the zone", inZone)
+	}
+	remote := relay.DequeueForOtherZones(AllChanged)
+	if len(remote) != 1 || remote[0].Subject != server {
+		t.Errorf("%d records are sent to other zones, want that of the server", len(remote))
+	}
+}
