--- a/evidence/clockstep_test.go
+++ b/evidence/clockstep_test.go
@@ -15,10 +15,10 @@
 		var s ServerStats
 		subject := ServerSubject("i-1")
 		for range 5 {
-			s.RecordStart(start, subject)
+			s.RecordStart(start, subject, 1)
 		}
 		stepped := wallclock.Step(start.Add(100*time.Millisecond), seconds)
-		s.RecordStart(stepped, subject)
+		s.RecordStart(stepped, subject, 1)
 		if got := s.State(stepped, subject).SentLastSecond; got != 6 {
 			t.Errorf("a step of %d s: %d requests in the last second, want 6", seconds, got)
 		}
