room: least urgent requests are turned away first while a service is short of room

A service of whose requests too few slots are free served them in order of arrival, and the most urgent ones as badly as the others. A burst is held back at the VM for up to half of the target latency, by rank and deadline. A service whose requests have one rank is served as before.

--- a/contract/index.go
+++ b/contract/index.go
@@ -35,6 +35,7 @@
 	routes             map[RouteID]*Route
 	// serviceOf maps each server to the service it belongs to.
 	serviceOf map[ServerID]ServiceID
+	terms     map[ServiceID]ServiceTerms
 }
 
 type hostPrefix struct {
@@ -56,6 +57,7 @@
 
 		routesByHostPrefix: make(map[hostPrefix]*Route),
 		serviceOf:          make(map[ServerID]ServiceID),
+		terms:              make(map[ServiceID]ServiceTerms),
 	}
 	for i := range c.Zones {
 		x.zones[c.Zones[i].ID] = &c.Zones[i]
@@ -69,8 +71,10 @@
 	for i := range c.Keys {
 		x.keys[c.Keys[i].ID] = &c.Keys[i]
 	}
+	teamRanks, anyUnranked := c.teamRanks()
 	for i := range c.Routes {
 		x.addRoute(&c.Routes[i])
+		x.addTerms(&c.Routes[i], teamRanks, anyUnranked)
 	}
 	return x
 }
--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -79,6 +79,7 @@
 	stoppedByDrain       stopReason = "vm-stopping"   // too late for an attempt before the VM stops
 	stoppedByKey         stopReason = "key-withdrawn" // during an attempt
 	stoppedWithoutServer stopReason = "no-candidate"  // no server may get the request
+	stoppedWithoutRoom   stopReason = "no-room"       // the service is short of room
 )
 
 // attemptSummary says how the attempts of a request went, for the log.
@@ -123,7 +124,7 @@
 func (r *attemptLoop) retryAfter() time.Duration {
 	left := r.d.pauseLeft(r.d.deps.Clock(), r.d.deps.Source.View(), r.req.Service)
 	if left == 0 {
-		return rejectedRetryAfter
+		return r.d.returnAfterRefusal(r.route, r.req)
 	}
 	return left + time.Duration(rand.Int64N(int64(pauseSpread)))
 }
--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return request.Rejected(entry.ReasonOf(err)), attemptSummary{}
 	}
-	if req.Key != "" && d.deps.Source.Age(catalog.OperatorTable) > d.deps.Limits.MaxKeyDataAge {
+	if d.keyDataTooOld(req) {
 		return request.Rejected(request.ReasonStoreUnavailable), attemptSummary{}
 	}
 	req.Service = route.PickService(rand.Float64())
@@ -161,9 +161,18 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	if rejected := d.waitForRoom(ctx, view, route, req); rejected != nil {
+		return *rejected, attemptSummary{stopped: stoppedWithoutRoom}
+	}
 	return d.runAttempts(ctx, route, req)
 }
 
+// keyDataTooOld reports whether the request's key may have been withdrawn since this VM
+// last read the operators' table.
+func (d *Dispatcher) keyDataTooOld(req *request.Request) bool {
+	return req.Key != "" && d.deps.Source.Age(catalog.OperatorTable) > d.deps.Limits.MaxKeyDataAge
+}
+
 // admit takes a token out of the team's bucket. It returns nil if the request is
 // admitted, and otherwise the rejection.
 func (d *Dispatcher) admit(now time.Time, team *contract.Team, req *request.Request) *request.Result {
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -11,6 +11,7 @@
 	"almondstile/quota"
 	"almondstile/request"
 	"almondstile/retry"
+	"almondstile/room"
 	"almondstile/tally"
 )
 
@@ -30,6 +31,7 @@
 	RetryBudgets *retry.ReplicatedBudgets
 	Crashes      crashTracker
 	Notices      notice.Board
+	Room         room.Gate
 	// configured is the configuration whose rate limits are in use.
 	configured atomic.Pointer[contract.Index]
 }
@@ -45,6 +47,7 @@
 func (s *ReplicatedState) Configure(now time.Time, index *contract.Index) {
 	if index != nil && s.configured.Swap(index) != index {
 		s.Quota.SetRateLimits(now, index.Configuration().Teams)
+		s.Room.Demand.SetEntitlements(now, index.Configuration().Teams)
 	}
 }
 
@@ -56,8 +59,14 @@
 		s.Servers.RecordRemoteCounts(now, subject, counts)
 	case tally.Team:
 		s.Quota.RecordRemoteAdmissions(now, subject, counts[tally.Admitted], resent)
+		if !resent { // those were made a while ago
+			s.Room.Demand.Record(now, subject, counts[tally.Admitted])
+		}
 	case tally.Service:
 		s.RetryBudgets.RecordSends(now, subject, counts[tally.FirstAttempts], counts[tally.Retries])
+		if !resent {
+			s.Room.RecordRemote(now, subject, counts)
+		}
 	case tally.Route:
 		s.Routes.RecordResponses(now, subject, counts[tally.GoodResponses], counts[tally.LatencyMillis])
 	case tally.Fingerprint:
@@ -128,6 +137,7 @@
 	if decision.Admitted {
 		subject := tally.SubjectOf(tally.Team, string(team.ID))
 		c.ledger.Add(now, subject, tally.Admitted, 1)
+		c.state.Room.Demand.Record(now, subject, 1)
 		if decision.NearLimit() {
 			c.ledger.Add(now, subject, tally.AdmittedNearLimit, 1)
 		}
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -213,6 +213,7 @@
 				v.upstream.CloseIdle(false)
 				v.ledger.Sweep(now)
 				v.state.Sweep(now)
+				v.dispatcher.ReportRoom(v.metrics.Gauge)
 			})
 		}
 	}
--- /dev/null
+++ b/room/room.go
@@ -0,0 +1,73 @@
+package room
+
+import "time"
+
+const (
+	// freeLoad is the load up to which a service has free slots. No request is turned away
+	// then, and a server that refuses one has other reasons.
+	freeLoad = 0.8
+	// targetLoad is the load at which a service is kept while it is short of room. Uneven
+	// queues leave no slot free, and a request waits for half of its service time.
+	targetLoad = 1.5
+	// queueCorrection and idleCorrection are the parts by which fewer or more requests may be
+	// sent than the slots execute, for each unit of load above or below targetLoad.
+	queueCorrection = 0.4
+	idleCorrection  = 2.0
+	// maxShortage bounds the share of requests that are turned away.
+	maxShortage = 0.95
+)
+
+// Room is what a service can take at one time, over all VMs, as one VM knows it.
+type Room struct {
+	// Slots and InFlight are the slots of its servers and the requests that run or wait
+	// there. Servers that are probably faulty count less.
+	Slots, InFlight float64
+}
+
+// Server is what one server contributes to the room of its service.
+type Server struct {
+	Slots            int
+	InFlight         float64
+	FaultProbability float64 // from 0 to 1
+}
+
+// Add adds a server.
+func (r *Room) Add(s Server) {
+	sound := 1 - s.FaultProbability
+	r.Slots += sound * float64(s.Slots)
+	r.InFlight += sound * s.InFlight
+}
+
+// Load returns the number of requests in flight for each slot. It is 0 without slots:
+// there is no room to divide then, and nothing to wait for.
+func (r Room) Load() float64 {
+	if r.Slots <= 0 {
+		return 0
+	}
+	return r.InFlight / r.Slots
+}
+
+// TimeToServe returns how long a request that is sent now is expected to take, including its
+// time in a server's queue. serviceTime is the time that it takes in a slot.
+func (r Room) TimeToServe(serviceTime time.Duration) time.Duration {
+	return time.Duration(max(r.Load(), 1) * float64(serviceTime))
+}
+
+// Shortage returns the share of the service's requests, from 0 to maxShortage, that must be
+// turned away. perSecond is the number of requests for the service a second, also of those
+// that are turned away.
+//
+// It follows the requests that the slots cannot execute, and the time in queues: while the
+// load is above targetLoad, more are turned away than arrive too many, and below it fewer.
+func (r Room) Shortage(serviceTime time.Duration, perSecond float64) float64 {
+	load := r.Load()
+	if load <= freeLoad || serviceTime <= 0 || perSecond <= 0 {
+		return 0
+	}
+	correction := queueCorrection * (targetLoad - load)
+	if load < targetLoad {
+		correction = idleCorrection * (targetLoad - load)
+	}
+	executable := r.Slots / serviceTime.Seconds() * max(1+correction, 0)
+	return min(max(1-executable/perSecond, 0), maxShortage)
+}
--- a/tally/record.go
+++ b/tally/record.go
@@ -75,6 +75,12 @@
 	// FirstAttempts and Retries count the attempts to send a service's requests.
 	FirstAttempts Field = 0
 	Retries       Field = 1
+	// OfferedUrgent, OfferedMiddle and OfferedLeast count the requests for a service, also
+	// those that were turned away: of its most urgent rank, its least urgent one, and those
+	// between.
+	OfferedUrgent Field = 2
+	OfferedMiddle Field = 3
+	OfferedLeast  Field = 4
 	// GoodResponses counts a route's good responses. LatencyMillis sums their
 	// latencies in milliseconds.
 	GoodResponses Field = 0
