--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -234,7 +234,7 @@
 	if r.attempts == r.unreached {
 		return true
 	}
-	if !r.d.counters.spendRetry(now, r.req.Service, r.d.deps.Fleet.ConnectedShare(now)) {
+	if !r.d.counters.spendRetry(now, r.req.Service, r.d.deps.Fleet.ConnectedShare(now), r.d.retryReserve(r.route, r.req)) {
 		r.d.deps.Observer.Count("budget_exhausted")
 		r.stopped = stoppedByBudget
 		return false
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -121,9 +121,10 @@
 }
 
 // spendRetry takes a retry out of the service's budget and reports whether the
-// budget allowed it. share is the connected share of this VM, from 0 to 1.
-func (c counters) spendRetry(now time.Time, service contract.ServiceID, share float64) bool {
-	if !c.state.RetryBudgets.Spend(now, service, share) {
+// budget allowed it. share is the connected share of this VM, and reserve the part of the
+// budget to leave to others, both from 0 to 1.
+func (c counters) spendRetry(now time.Time, service contract.ServiceID, share, reserve float64) bool {
+	if !c.state.RetryBudgets.Spend(now, service, share, reserve) {
 		return false
 	}
 	c.ledger.Add(now, tally.SubjectOf(tally.Service, string(service)), tally.Retries, 1)
--- a/direct/room.go
+++ b/direct/room.go
@@ -128,6 +128,12 @@
 	return d.deps.ReplicatedState.Room.ReturnAfterRefusal(now, d.ticket(route, req, terms), d.roomOf(now, view, req.Service), rand.Float64())
 }
 
+// retryReserve returns the part of the service's retry budget that a retry of the request
+// leaves to more urgent ones.
+func (d *Dispatcher) retryReserve(route *contract.Route, req *request.Request) float64 {
+	return d.ticket(route, req, d.deps.Source.View().Index.Terms(req.Service)).RetryReserve()
+}
+
 // ReportRoom sets the gauges of the services that have requests of several ranks.
 func (d *Dispatcher) ReportRoom(gauge func(name string, value int64)) {
 	view, now := d.deps.Source.View(), d.deps.Clock()
--- a/direct/room_test.go
+++ b/direct/room_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"almondstile/catalog"
 	"almondstile/contract"
 	"almondstile/entry"
 	"almondstile/evidence"
@@ -44,7 +45,7 @@
 // setLoad lets other VMs report requests at the servers.
 func setLoad(d *Dispatcher, load float64) {
 	for _, r := range d.deps.Source.View().ByService["service-1"] {
-		d.deps.ReplicatedState.Servers.RecordRemoteCounts(time.Now(), evidence.ServerSubject(r.Server.ID),
+		d.deps.ReplicatedState.Servers.RecordRemoteCounts(d.deps.Clock(), evidence.ServerSubject(r.Server.ID),
 			tally.Counts{tally.Started: uint64(load * float64(r.Server.Slots))})
 	}
 }
@@ -64,11 +65,22 @@
 // against rejected callers without a return time, or of requests that were sent.
 func TestServiceWithoutRoomTurnsAwayTheLeastUrgent(t *testing.T) {
 	servers := serving()
-	d := newLoadedDispatcher(newRankedSource(), servers, 3, 60)
+	d := newLoadedDispatcher(newRankedSource(), servers, 2, 40)
+	now := time.Now()
+	d.deps.Clock = func() time.Time { // the same arrivals on any machine
+		now = now.Add(10 * time.Millisecond)
+		return now
+	}
 	served := make(map[string]int)
-	const requests = 40
+	const requests = 200
 	for range requests {
+		if d.roomOf(now, d.deps.Source.View(), "service-1").Load() < 2 {
+			setLoad(d, 0.5) // what has ended is replaced by other requests
+		}
+		d.deps.ReplicatedState.Room.RecordRemote(now, tally.SubjectOf(tally.Service, "service-1"),
+			tally.Counts{tally.OfferedUrgent: 4, tally.OfferedLeast: 4})
 		for name, in := range map[string]entry.IncomingRequest{"urgent": incoming(), "later": laterRequest()} {
+			in.ReceivedAt = now
 			_, result := d.Do(context.Background(), in)
 			switch {
 			case result.Outcome == request.Answered:
@@ -145,3 +157,118 @@
 		}
 	}
 }
+
+// Guards against a retry budget that less urgent requests use up while urgent ones fail for
+// lack of it.
+func TestUrgentRequestsGetTheLastRetries(t *testing.T) {
+	servers := &fakeServers{respond: func(int, contract.ServerID) upstream.Exchange { return shed }}
+	d := newDispatcher(newRankedSource(), servers)
+	retries := func(in func() entry.IncomingRequest, requests int) int {
+		before := len(servers.sentTo)
+		for range requests {
+			d.Do(context.Background(), in())
+		}
+		return len(servers.sentTo) - before - requests
+	}
+	retries(laterRequest, 200)
+	for left := 20; retries(laterRequest, 1) > 0; left-- { // each request adds to the budget
+		if left == 0 {
+			t.Fatal("less urgent requests are retried although the budget is used")
+		}
+	}
+	if more := retries(incoming, 1); more == 0 {
+		t.Error("no retry of an urgent request: the less urgent ones have used the whole budget")
+	}
+}
+
+// newSplitSource returns a source whose two routes divide their requests among service-1, with
+// the servers a, b and c, and service-2, with the servers x, y and z.
+func newSplitSource(weight1, weight2 int) *source {
+	s := newRankedSource()
+	config := *s.view.Index.Configuration()
+	config.Services = append(config.Services[:1:1], contract.Service{ID: "service-2"})
+	config.Routes = append([]contract.Route(nil), config.Routes...)
+	for i := range config.Routes {
+		config.Routes[i].Split = []contract.WeightedService{{Service: "service-1", Weight: weight1}, {Service: "service-2", Weight: weight2}}
+	}
+	s.view.Index = contract.NewIndex(&config)
+	for _, id := range []contract.ServerID{"x", "y", "z"} {
+		r := &catalog.Registration{Service: "service-2", Server: contract.Server{ID: id, Zone: "zone-a", Slots: 2}}
+		s.view.ByService["service-2"] = append(s.view.ByService["service-2"], r)
+	}
+	return s
+}
+
+// Guards against requests that move to the other part of a split because theirs is short of
+// room, down, or slow, and against shares off the weights after they have changed twice. What
+// does not fit a part is rejected.
+func TestPartsOfASplitKeepTheirRequests(t *testing.T) {
+	const requests = 200
+	for name, c := range map[string]struct {
+		prepare func(*Dispatcher, *source)
+		respond func(server contract.ServerID) upstream.Exchange
+		share   float64 // of service-1, by the weights
+		rejects bool    // whether requests of service-1 are rejected
+	}{
+		"calm": {func(*Dispatcher, *source) {}, nil, 0.75, false},
+		"part short of room": {func(d *Dispatcher, _ *source) {
+			for _, route := range []contract.RouteID{"route-1", "later"} {
+				d.deps.ReplicatedState.Routes.RecordResponses(time.Now(), evidence.RouteSubject(route), 10, 4000)
+			}
+			setLoad(d, 5)
+		}, nil, 0.75, true},
+		// Requests that cost six times as much are in flight for six times as long.
+		"part with dear requests": {func(d *Dispatcher, _ *source) {
+			for _, route := range []contract.RouteID{"route-1", "later"} {
+				d.deps.ReplicatedState.Routes.RecordResponses(time.Now(), evidence.RouteSubject(route), 10, 1000)
+			}
+			setLoad(d, 6)
+		}, nil, 0.75, true},
+		"part down": {func(_ *Dispatcher, s *source) { s.view.ByService["service-1"] = nil }, nil, 0.75, true},
+		"part cut off": {func(*Dispatcher, *source) {}, func(id contract.ServerID) upstream.Exchange {
+			if id < "x" {
+				return connectFailed
+			}
+			return succeeded
+		}, 0.75, true},
+		"weights that changed twice": {func(_ *Dispatcher, s *source) {
+			s.view.Index = newSplitSource(1, 9).view.Index
+			s.view.Index = newSplitSource(1, 1).view.Index
+		}, nil, 0.5, false},
+	} {
+		s := newSplitSource(3, 1)
+		respond := c.respond
+		if respond == nil {
+			respond = func(contract.ServerID) upstream.Exchange { return succeeded }
+		}
+		servers := &fakeServers{respond: func(_ int, id contract.ServerID) upstream.Exchange { return respond(id) }}
+		d := newDispatcher(s, servers)
+		c.prepare(d, s)
+		picked, rejected := 0, 0
+		for i := range requests {
+			in, req := incoming(), &request.Request{ID: "id"}
+			if i%2 == 0 {
+				in = laterRequest()
+			}
+			before := len(servers.sentTo)
+			result, _ := d.serve(context.Background(), in, req)
+			if req.Service == "service-1" {
+				picked++
+				if result.Outcome == request.NotRun {
+					rejected++
+				}
+			}
+			for _, id := range servers.sentTo[before:] {
+				if (id < "x") != (req.Service == "service-1") {
+					t.Fatalf("%s: a request for %s was sent to server %s", name, req.Service, id)
+				}
+			}
+		}
+		if share := float64(picked) / requests; share < c.share-0.1 || share > c.share+0.1 {
+			t.Errorf("%s: a share of %.2f goes to the first part, want %.2f", name, share, c.share)
+		}
+		if (rejected > 0) != c.rejects {
+			t.Errorf("%s: %d requests of the first part are rejected", name, rejected)
+		}
+	}
+}
--- a/retry/burst_test.go
+++ b/retry/burst_test.go
@@ -51,7 +51,7 @@
 			next := map[int]int{}
 			for retries := range maxRetries {
 				for range waiting[retries] {
-					if vm := rng.IntN(len(budgets)); budgets[vm].Spend(now, service, 1) {
+					if vm := rng.IntN(len(budgets)); budgets[vm].Spend(now, service, 1, 0) {
 						sends = append(sends, send{at, vm, 0})
 						next[retries+1]++
 					}
--- a/retry/replicated.go
+++ b/retry/replicated.go
@@ -76,13 +76,14 @@
 	s.RecordSends(now, tally.SubjectOf(tally.Service, string(service)), 1, 0)
 }
 
-// Spend reports whether the budget allows a retry, and counts it if so. share is the
-// connected share of this VM (0 to 1); only this part of the slack is available.
-func (s *ReplicatedBudgets) Spend(now time.Time, service contract.ServiceID, share float64) (ok bool) {
+// Spend reports whether the budget allows a retry that leaves the part reserve (0 to 1) of
+// the budget to others, and counts it if so. share is the connected share of this VM (0 to
+// 1); only this part of the slack is available.
+func (s *ReplicatedBudgets) Spend(now time.Time, service contract.ServiceID, share, reserve float64) (ok bool) {
 	slot, slack := s.slotNumber(now), s.availableSlack(now)
 	s.services.Do(tally.SubjectOf(tally.Service, string(service)), newSendCounts, func(c *sendCounts) {
 		first, retries := c.sum(slot)
-		if ok = retries+1 <= s.limits.Ratio*first+slack*share; ok {
+		if ok = retries+1 <= (1-reserve)*(s.limits.Ratio*first+slack*share); ok {
 			c.add(slot, 0, 1)
 		}
 	})
--- a/retry/replicated_test.go
+++ b/retry/replicated_test.go
@@ -115,7 +115,7 @@
 			vm := rng.IntN(vms)
 			budgets[vm].RecordFirstAttempt(now, service)
 			sends = append(sends, send{at, vm, false})
-			if at >= failFrom && budgets[vm].Spend(now, service, 1) { // every first attempt fails from then on
+			if at >= failFrom && budgets[vm].Spend(now, service, 1, 0) { // every first attempt fails from then on
 				sends = append(sends, send{at, vm, true})
 			}
 		}
@@ -155,18 +155,18 @@
 		old.RecordFirstAttempt(now, service)
 	}
 	restarted := NewReplicatedBudgets(now, startTimes{[]time.Duration{0, time.Minute}, 1}, limits)
-	if restarted.Spend(now, service, 1) {
+	if restarted.Spend(now, service, 1, 0) {
 		t.Error("a VM that does not know of the others' retries has a part of the slack")
 	}
 	for range 3 { // adopting again must not count anything twice
 		restarted.Adopt(now, old.Windows(now))
 	}
 	retries := 0
-	for restarted.Spend(now, service, 1) {
+	for restarted.Spend(now, service, 1, 0) {
 		retries++
 	}
 	want := 0
-	for old.Spend(now, service, 1) {
+	for old.Spend(now, service, 1, 0) {
 		want++
 	}
 	if retries != want || want == 0 {
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -191,3 +191,20 @@
 		}
 	})
 }
+
+// Guards against a retry budget that is spent on less urgent requests first, and against one
+// that is divided although all requests of the service have one rank.
+func TestRetriesLeaveTheBudgetToMoreUrgentOnes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	if reserve := testTicket(now, 4, 4).RetryReserve(); reserve != 0 {
+		t.Errorf("with one rank, a part of %v is left", reserve)
+	}
+	last := -1.0
+	for _, rank := range []contract.Rank{0, 3, 7} {
+		reserve := testTicket(now, rank, 0, 3, 7).RetryReserve()
+		if reserve <= last || reserve > 0.25 {
+			t.Errorf("rank %d leaves a part of %v, the next more urgent one %v", rank, reserve, last)
+		}
+		last = reserve
+	}
+}
