room: keep as many requests in the queues as the target latency allows

The load that is kept now follows the target latency, and nothing is turned away while the slots execute all.

The service time of a VM that learns it under load is not divided by the load: typical latencies lag behind a burst, and the service then never looked short of room.

--- a/room/gate.go
+++ b/room/gate.go
@@ -13,12 +13,12 @@
 const (
 	// serviceTimeWeight is the weight of one request in the mean service time.
 	serviceTimeWeight = 0.1
-	// leastUrgentHoldLoad is the load from which on requests of the least urgent rank wait
-	// at the VM, and nextUrgentHoldLoad the one for the second most urgent rank. The ranks
-	// between wait from loads between. The most urgent rank never waits here. Both are above
-	// targetLoad, so that a request waits only until a burst is over.
-	leastUrgentHoldLoad = targetLoad + 0.75
-	nextUrgentHoldLoad  = targetLoad + 1.5
+	// leastUrgentHoldLoad is the load above TargetLoad from which on requests of the least
+	// urgent rank wait at the VM, and nextUrgentHoldLoad the one for the second most urgent
+	// rank. The ranks between wait from loads between. The most urgent rank never waits here.
+	// TargetLoad is kept with fewer requests, so they wait only until a burst is over.
+	leastUrgentHoldLoad = 0.75
+	nextUrgentHoldLoad  = 1.5
 	// maxHoldShare is the largest part of the target latency for which a request waits here.
 	maxHoldShare = 0.5
 	// recheckInterval is the time after which a waiting request asks again.
@@ -95,6 +95,7 @@
 type Ticket struct {
 	request Request
 	ranks   []contract.Rank
+	target  time.Duration
 	// holdUntil is when the request is sent even if the load is still high.
 	holdUntil time.Time
 	waiting   bool
@@ -102,7 +103,7 @@
 
 // NewTicket returns the ticket of a request to a service with the terms.
 func NewTicket(request Request, terms contract.ServiceTerms) *Ticket {
-	return &Ticket{request: request, ranks: terms.Ranks}
+	return &Ticket{request: request, ranks: terms.Ranks, target: terms.TargetLatency}
 }
 
 // position returns the number of more urgent ranks at the service.
@@ -120,7 +121,12 @@
 }
 
 // holdLoad returns the load from which on the request waits.
-func (t *Ticket) holdLoad() float64 {
+func (s *serviceState) holdLoad(t *Ticket) float64 {
+	return TargetLoad(s.serviceTime, t.target) + t.holdLoadAboveTarget()
+}
+
+// holdLoadAboveTarget returns the part of holdLoad that depends on the rank.
+func (t *Ticket) holdLoadAboveTarget() float64 {
 	position, last := t.position(), len(t.ranks)-1
 	switch {
 	case position == 0:
@@ -141,7 +147,7 @@
 	}
 	g.services.Do(t.request.Service, newServiceState, func(s *serviceState) {
 		s.recordArrival(now, t, room.Load())
-		shortage := s.shortage(now, room)
+		shortage := s.shortage(now, t, room)
 		decision = Decision{Shortage: shortage, Load: room.Load()}
 		if cause := g.drawRejection(now, s, t, shortage, random); cause != NoCause {
 			s.reject(&decision, now, t, room, cause, random())
@@ -155,7 +161,7 @@
 // Recheck decides on a request whose wait has ended.
 func (g *Gate) Recheck(now time.Time, t *Ticket, room Room, random func() float64) (decision Decision) {
 	g.services.Do(t.request.Service, newServiceState, func(s *serviceState) {
-		decision = Decision{Shortage: s.shortage(now, room), Load: room.Load()}
+		decision = Decision{Shortage: s.shortage(now, t, room), Load: room.Load()}
 		if !t.waiting { // another request took its place
 			s.reject(&decision, now, t, room, WaitersAhead, random())
 			return
@@ -228,7 +234,7 @@
 		s.reject(d, now, t, room, TooLate, random)
 		return
 	}
-	over := room.Load() - t.holdLoad()
+	over := room.Load() - s.holdLoad(t)
 	if over < 0 && (len(s.waiting) == 0 || t.before(s.waiting[0])) {
 		return
 	}
@@ -250,7 +256,7 @@
 	case s.serviceTime > t.request.Deadline.Sub(now):
 		s.remove(t)
 		s.reject(d, now, t, room, TooLate, random)
-	case !now.Before(t.holdUntil), s.waiting[0] == t && room.Load() < t.holdLoad():
+	case !now.Before(t.holdUntil), s.waiting[0] == t && room.Load() < s.holdLoad(t):
 		s.remove(t)
 	default:
 		s.wait(d, now, t)
@@ -275,7 +281,7 @@
 func (s *serviceState) returnOf(now time.Time, t *Ticket, room Room) Return {
 	return Return{
 		Position: t.position(), Ranks: len(t.ranks), ServiceTime: s.serviceTime,
-		TimeLeft: t.request.Deadline.Sub(now), Shortage: s.shortage(now, room),
+		TimeLeft: t.request.Deadline.Sub(now), Shortage: s.shortage(now, t, room),
 	}
 }
 
@@ -310,15 +316,15 @@
 	switch {
 	case typical <= 0:
 	case s.serviceTime == 0:
-		s.serviceTime = time.Duration(float64(typical) / max(load, 1))
+		s.serviceTime = typical
 	case load <= freeLoad:
 		s.serviceTime += time.Duration(serviceTimeWeight * float64(typical-s.serviceTime))
 	}
 }
 
 // shortage returns the share of the service's requests that must be turned away.
-func (s *serviceState) shortage(now time.Time, room Room) float64 {
-	return room.Shortage(s.serviceTime, s.offered.perSecond(now))
+func (s *serviceState) shortage(now time.Time, t *Ticket, room Room) float64 {
+	return room.Shortage(s.serviceTime, t.target, s.offered.perSecond(now))
 }
 
 func newServiceState() *serviceState { return &serviceState{} }
--- a/room/room.go
+++ b/room/room.go
@@ -6,9 +6,11 @@
 	// freeLoad is the load up to which a service has free slots. No request is turned away
 	// then, and a server that refuses one has other reasons.
 	freeLoad = 0.8
-	// targetLoad is the load at which a service is kept while it is short of room. Uneven
-	// queues leave no slot free, and a request waits for half of its service time.
-	targetLoad = 1.5
+	// minTargetLoad is the lowest load at which a service is kept while it is short of room.
+	// Uneven queues leave no slot free, and a request waits for part of its service time.
+	minTargetLoad = 1.4
+	// targetShare is the share of the target latency that requests may take then.
+	targetShare = 0.45
 	// queueCorrection and idleCorrection are the parts by which fewer or more requests may be
 	// sent than the slots execute, for each unit of load above or below targetLoad.
 	queueCorrection = 0.4
@@ -53,14 +55,24 @@
 	return time.Duration(max(r.Load(), 1) * float64(serviceTime))
 }
 
+// TargetLoad returns the load at which a service is kept while it is short of room: the one
+// at which its requests take a part of the target latency, so that they come in time.
+func TargetLoad(serviceTime, target time.Duration) float64 {
+	if serviceTime <= 0 {
+		return minTargetLoad
+	}
+	return max(targetShare*float64(target)/float64(serviceTime), minTargetLoad)
+}
+
 // Shortage returns the share of the service's requests, from 0 to maxShortage, that must be
 // turned away. perSecond is the number of requests for the service a second, also of those
 // that are turned away.
 //
 // It follows the requests that the slots cannot execute, and the time in queues: while the
-// load is above targetLoad, more are turned away than arrive too many, and below it fewer.
-func (r Room) Shortage(serviceTime time.Duration, perSecond float64) float64 {
-	load := r.Load()
+// load is above TargetLoad, more are turned away than arrive too many, and below it fewer.
+// While no more requests arrive than the slots execute, the queues empty by themselves.
+func (r Room) Shortage(serviceTime, target time.Duration, perSecond float64) float64 {
+	load, targetLoad := r.Load(), TargetLoad(serviceTime, target)
 	if load <= freeLoad || serviceTime <= 0 || perSecond <= 0 {
 		return 0
 	}
@@ -68,6 +80,9 @@
 	if load < targetLoad {
 		correction = idleCorrection * (targetLoad - load)
 	}
-	executable := r.Slots / serviceTime.Seconds() * max(1+correction, 0)
-	return min(max(1-executable/perSecond, 0), maxShortage)
+	executable := r.Slots / serviceTime.Seconds()
+	if perSecond <= executable {
+		return 0
+	}
+	return min(max(1-executable*max(1+correction, 0)/perSecond, 0), maxShortage)
 }
