--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -178,4 +178,5 @@
 	s.Routes.Sweep(now)
 	s.Crashes.sweep(now)
 	s.Notices.Sweep(now)
+	s.Room.Sweep(now)
 }
--- a/room/demand.go
+++ b/room/demand.go
@@ -82,6 +82,11 @@
 	if limited > 0 {
 		mean = rates / float64(limited)
 	}
+	// Teams that are gone have no entitlement.
+	d.teams.Range(func(_ tally.Subject, t *teamDemand) bool {
+		t.entitlement = 0
+		return true
+	})
 	for i := range teams {
 		rate := float64(teams[i].RatePerSecond)
 		if rate <= 0 {
--- a/room/gate.go
+++ b/room/gate.go
@@ -23,6 +23,8 @@
 	maxHoldShare = 0.5
 	// recheckInterval is the time after which a waiting request asks again.
 	recheckInterval = 25 * time.Millisecond
+	// retention is the time for which the state of a service is kept without requests.
+	retention = 5 * time.Minute
 	// maxWaiting is the number of requests of one service that wait at a VM.
 	maxWaiting = 64
 )
@@ -78,7 +80,7 @@
 }
 
 // Gate decides what becomes of each request. The zero value is ready to use. It is safe for
-// concurrent use.
+// concurrent use. The lock of a service's shard is taken before those of Demand.
 type Gate struct {
 	Demand   Demand
 	services shard.Map[tally.Subject, *serviceState]
@@ -204,6 +206,13 @@
 	return n
 }
 
+// Sweep deletes the state of services without requests for retention.
+func (g *Gate) Sweep(now time.Time) {
+	g.services.Range(func(_ tally.Subject, s *serviceState) bool {
+		return len(s.waiting) > 0 || now.Sub(s.offered.updatedAt) < retention
+	})
+}
+
 // drawRejection draws whether the request is one of those that are turned away: first those
 // of teams beyond their share, then the least urgent ones. Every kind of request keeps its
 // part of what all get.
