room: act only where a service's routes differ in rank

That service has one kind of request, but the teams of all deployments have ranks of their own. Services whose routes have one rank are served as before.

go test of contract, direct and room passes.

--- a/contract/rank.go
+++ b/contract/rank.go
@@ -19,14 +19,23 @@
 
 // ServiceTerms is what the configuration says about the urgency of a service's requests.
 type ServiceTerms struct {
-	// Ranks holds the ranks that requests to the service may have, the most urgent first.
+	// Ranks holds the ranks that requests to the service may have, the most urgent first. It is
+	// empty if the service's routes do not differ in rank.
 	Ranks []Rank
+	// routeRanks holds the ranks of the service's routes.
+	routeRanks []Rank
 	// TargetLatency is the shortest target latency of the routes to the service.
 	TargetLatency time.Duration
 }
 
 // Terms returns the terms of a service. They have no ranks if no route leads to it.
-func (x *Index) Terms(service ServiceID) ServiceTerms { return x.terms[service] }
+func (x *Index) Terms(service ServiceID) ServiceTerms {
+	terms := x.terms[service]
+	if len(terms.routeRanks) < 2 {
+		terms.Ranks = nil
+	}
+	return terms
+}
 
 // addTerms adds the route to the terms of its services. teamRanks are the ranks of the
 // teams that have one, and anyUnranked is true if a team has none.
@@ -39,6 +48,9 @@
 				terms.Ranks = slices.Insert(terms.Ranks, i, rank)
 			}
 		}
+		if !slices.Contains(terms.routeRanks, r.Rank) {
+			terms.routeRanks = append(terms.routeRanks, r.Rank)
+		}
 		if !known || target < terms.TargetLatency {
 			terms.TargetLatency = target
 		}
