--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -11,6 +11,7 @@
 	"almondstile/quota"
 	"almondstile/request"
 	"almondstile/retry"
+	"almondstile/room"
 	"almondstile/tally"
 	"almondstile/work"
 )
@@ -32,6 +33,7 @@
 	RetryBudgets *retry.ReplicatedBudgets
 	Crashes      crashTracker
 	Notices      notice.Board
+	Room         room.Gate
 	// configured is the configuration whose rate limits are in use.
 	configured atomic.Pointer[contract.Index]
 }
@@ -47,6 +49,7 @@
 func (s *ReplicatedState) Configure(now time.Time, index *contract.Index) {
 	if index != nil && s.configured.Swap(index) != index {
 		s.Quota.SetRateLimits(now, index.Configuration().Teams)
+		s.Room.Demand.SetEntitlements(now, index.Configuration().Teams)
 	}
 }
 
@@ -58,8 +61,14 @@
 		s.Servers.RecordRemoteCounts(now, subject, counts)
 	case tally.Team:
 		s.Quota.RecordRemoteAdmissions(now, subject, counts[tally.Admitted], resent)
+		if !resent { // those were made a while ago
+			s.Room.Demand.Record(now, subject, counts[tally.Admitted])
+		}
 	case tally.Service:
 		s.RetryBudgets.RecordSends(now, subject, counts[tally.FirstAttempts], counts[tally.Retries])
+		if !resent {
+			s.Room.RecordRemote(now, subject, counts)
+		}
 	case tally.Route:
 		s.Routes.RecordResponses(now, subject, counts[tally.GoodResponses], counts[tally.LatencyMillis])
 	case tally.Cost:
@@ -135,9 +144,10 @@
 }
 
 // spendRetry takes a retry out of the service's budget and reports whether the
-// budget allowed it. share is the connected share of this VM, from 0 to 1.
-func (c counters) spendRetry(now time.Time, service contract.ServiceID, share float64) bool {
-	if !c.state.RetryBudgets.Spend(now, service, share) {
+// budget allowed it. share is the connected share of this VM, and reserve the part of the
+// budget to leave to others, both from 0 to 1.
+func (c counters) spendRetry(now time.Time, service contract.ServiceID, share, reserve float64) bool {
+	if !c.state.RetryBudgets.Spend(now, service, share, reserve) {
 		return false
 	}
 	c.ledger.Add(now, tally.SubjectOf(tally.Service, string(service)), tally.Retries, 1)
@@ -151,6 +161,7 @@
 	if decision.Admitted {
 		subject := tally.SubjectOf(tally.Team, string(team.ID))
 		c.ledger.Add(now, subject, tally.Admitted, 1)
+		c.state.Room.Demand.Record(now, subject, 1)
 		if decision.NearLimit() {
 			c.ledger.Add(now, subject, tally.AdmittedNearLimit, 1)
 		}
@@ -191,4 +202,5 @@
 	s.Costs.Sweep(now)
 	s.Crashes.sweep(now)
 	s.Notices.Sweep(now)
+	s.Room.Sweep(now)
 }
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -214,6 +214,7 @@
 				v.sweepMemory()
 				v.ledger.Sweep(now)
 				v.state.Sweep(now)
+				v.dispatcher.ReportRoom(v.metrics.Gauge)
 			})
 		}
 	}
