retry, evidence: hedges leave half of the budget; canceled attempts end at other VMs

Attempts that a VM cancels were never counted as ended at the others, so hedged servers looked busy there for seconds.

Change: a hedge leaves half of the service's budget to retries (retry.HedgeReserve). A canceled attempt is counted (tally.Canceled). room takes the requests in flight as they are; it had bounded them by the sends of the last second for the canceled ones.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -10,6 +10,7 @@
 	"almondstile/evidence"
 	"almondstile/notice"
 	"almondstile/request"
+	"almondstile/retry"
 	"almondstile/upstream"
 
 	"github.com/sourcegraph/conc"
@@ -205,20 +206,21 @@
 		r.stopped = stoppedByAttempts
 		return false
 	}
-	return r.spendExtraAttempt()
+	return r.spendExtraAttempt(r.d.retryReserve(r.route, r.req))
 }
 
 // mayHedge decides whether the request is sent to a further server while an
 // attempt is in flight.
 func (r *attemptLoop) mayHedge() bool {
-	return r.req.Idempotent && r.attempts < max(r.route.Attempts, 1) && r.spendExtraAttempt()
+	return r.req.Idempotent && r.attempts < max(r.route.Attempts, 1) && r.spendExtraAttempt(retry.HedgeReserve)
 }
 
 // spendExtraAttempt reports whether the time left, a planned stop of this VM, maxAttempts
 // and the retry budget of the service allow another attempt. It takes the attempt out of the
 // budget if an earlier one reached its server, or may reach it yet. The budget limits
-// the load that retries put on servers, and a failed connection puts none on them.
-func (r *attemptLoop) spendExtraAttempt() bool {
+// the load that retries put on servers, and a failed connection puts none on them. reserve is
+// the part of the budget (0 to 1) that the attempt leaves to others.
+func (r *attemptLoop) spendExtraAttempt(reserve float64) bool {
 	now := r.d.deps.Clock()
 	switch {
 	case r.attempts >= maxAttempts:
@@ -234,7 +236,7 @@
 	if r.attempts == r.unreached {
 		return true
 	}
-	if !r.d.counters.spendRetry(now, r.req.Service, r.d.deps.Fleet.ConnectedShare(now), r.d.retryReserve(r.route, r.req)) {
+	if !r.d.counters.spendRetry(now, r.req.Service, r.d.deps.Fleet.ConnectedShare(now), reserve) {
 		r.d.deps.Observer.Count("budget_exhausted")
 		r.stopped = stoppedByBudget
 		return false
@@ -357,7 +359,7 @@
 	result := e.Result
 	switch {
 	case result.Reason == request.ReasonCanceled:
-		return evidence.Neutral
+		return evidence.Canceled
 	case result.Outcome == request.NotRun && result.Reason == request.ReasonShed:
 		return evidence.Refused
 	case result.Outcome != request.Answered || result.Status >= minServerErrorStatus:
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -117,6 +117,8 @@
 		c.ledger.Add(now, server, tally.Failed, 1)
 	case evidence.Refused:
 		c.ledger.Add(now, server, tally.Refused, 1)
+	case evidence.Canceled:
+		c.ledger.Add(now, server, tally.Canceled, 1)
 	}
 }
 
--- a/direct/room.go
+++ b/direct/room.go
@@ -111,11 +111,7 @@
 			continue
 		}
 		s := state.Servers.State(now, evidence.ServerSubject(r.Server.ID))
-		// Canceled attempts of other VMs stay in flight there until they decay, so hedges make
-		// a service look full. What was not sent in the last second does not count: a service
-		// with longer requests seems emptier than it is.
-		inFlight := min(s.InFlight, float64(s.SentLastSecond))
-		sum.Add(room.Server{Slots: r.Server.Slots, InFlight: inFlight, FaultProbability: s.FaultProbability})
+		sum.Add(room.Server{Slots: r.Server.Slots, InFlight: s.InFlight, FaultProbability: s.FaultProbability})
 	}
 	return sum
 }
--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -45,8 +45,12 @@
 	// Refused is a request that the server did not execute because all of its slots
 	// were in use.
 	Refused
-	// Neutral is a result that shows nothing about the server.
+	// Neutral is a result that shows nothing about the server, of an attempt whose end other
+	// VMs know of already.
 	Neutral
+	// Canceled is the end of an attempt that this VM canceled. It shows nothing about the
+	// server but that the request is not in flight there any more.
+	Canceled
 )
 
 // State holds the statistics of a server at one time, over all VMs.
@@ -170,7 +174,7 @@
 		r.refusals += float64(counts[tally.Refused])
 		r.recordResponses(float64(counts[tally.Succeeded]), float64(counts[tally.RelativeLatencyPercent]))
 		r.recordSends(now, int(counts[tally.Started]))
-		finished := counts[tally.Succeeded] + counts[tally.Failed] + counts[tally.Refused]
+		finished := counts[tally.Succeeded] + counts[tally.Failed] + counts[tally.Refused] + counts[tally.Canceled]
 		r.recordRemoteWork(float64(counts[tally.Started]), float64(counts[tally.WorkTenths])/10, float64(finished))
 	})
 }
--- a/retry/replicated.go
+++ b/retry/replicated.go
@@ -35,6 +35,11 @@
 	startupSlackShare = 0.1
 )
 
+// HedgeReserve is the part (0 to 1) of a service's budget that hedges leave to retries. A
+// hedge saves time, a retry the request. A service that is short of room answers late, so
+// that hedges would use up the budget before its servers fail anything.
+const HedgeReserve = 0.5
+
 // ReplicatedBudgets holds a replicated retry budget for each service. Every VM
 // updates its replica from its own attempts and from the counters that it receives
 // from the other VMs. The zero value allows no retry. It is safe for concurrent use.
--- a/tally/record.go
+++ b/tally/record.go
@@ -67,6 +67,8 @@
 	// WorkTenths sums the likely costs of the requests that were sent to the server, each
 	// in tenths of the mean of its service. It stays 0 while all requests cost alike.
 	WorkTenths
+	// Canceled counts the requests that their VM canceled at the server.
+	Canceled
 	fieldCount
 )
 
