room: no request is too late for free slots; order at high load; teams that are gone

A request whose time left is below the mean latency of its service was rejected as too late although servers had free slots: with requests of 75 and 470 ms at one service, all short ones with less time than the mean. Too late is now only what waits in a queue, and a request counts with the latency of its own route where that is shorter. The time in the queue is bounded, so absurd counts do not overflow a duration.

In a range of loads (5.6 to 6.2 in the test) requests of the least urgent rank were sent at once, because they would have waited in vain, while more urgent ones waited. One measure for all ranks decides that now.

Demand kept teams that are gone, or that only another VM knew, until a service was short of room.

--- a/room/demand.go
+++ b/room/demand.go
@@ -153,6 +153,14 @@
 	return found
 }
 
+// sweep deletes teams without an entitlement that make no requests any more.
+func (d *Demand) sweep(now time.Time) {
+	d.teams.Range(func(_ tally.Subject, t *teamDemand) bool {
+		t.decay(now)
+		return t.entitlement > 0 || t.requests >= 1
+	})
+}
+
 // decay lets the requests decay until now.
 func (t *teamDemand) decay(now time.Time) {
 	if elapsed := now.Sub(t.updatedAt); elapsed > 0 {
--- a/room/gate.go
+++ b/room/gate.go
@@ -206,8 +206,10 @@
 	return n
 }
 
-// Sweep deletes the state of services without requests for retention.
+// Sweep deletes the state of services without requests for retention, and that of teams that
+// are gone.
 func (g *Gate) Sweep(now time.Time) {
+	g.Demand.sweep(now)
 	g.services.Range(func(_ tally.Subject, s *serviceState) bool {
 		return len(s.waiting) > 0 || now.Sub(s.offered.updatedAt) < retention
 	})
@@ -239,7 +241,8 @@
 // hold decides whether an admitted request goes or waits.
 func (s *serviceState) hold(d *Decision, now time.Time, t *Ticket, room Room, random float64) {
 	timeLeft := t.request.Deadline.Sub(now)
-	if room.TimeToServe(s.serviceTime) > timeLeft {
+	queueTime := room.QueueTime(s.serviceTime)
+	if queueTime > 0 && queueTime+s.executionTime(t) > timeLeft {
 		s.reject(d, now, t, room, TooLate, random)
 		return
 	}
@@ -247,8 +250,10 @@
 	if over < 0 && (len(s.waiting) == 0 || t.before(s.waiting[0])) {
 		return
 	}
-	maxHold := min(time.Duration(maxHoldShare*float64(t.request.Target)), timeLeft-room.TimeToServe(s.serviceTime))
-	if expected := time.Duration(over * float64(s.serviceTime)); expected > maxHold {
+	maxHold := min(time.Duration(maxHoldShare*float64(t.request.Target)), timeLeft-queueTime-s.executionTime(t))
+	// The second most urgent rank is the measure for all: none goes at once where it waits.
+	excess := room.Load() - TargetLoad(s.serviceTime, t.target) - nextUrgentHoldLoad
+	if maxHold <= 0 || excess*float64(s.serviceTime) > float64(maxHold) {
 		return // it would wait here in vain
 	}
 	t.holdUntil = now.Add(maxHold)
@@ -262,7 +267,7 @@
 // recheck decides on a request that waits.
 func (s *serviceState) recheck(d *Decision, now time.Time, t *Ticket, room Room, random float64) {
 	switch {
-	case s.serviceTime > t.request.Deadline.Sub(now):
+	case s.executionTime(t) > t.request.Deadline.Sub(now):
 		s.remove(t)
 		s.reject(d, now, t, room, TooLate, random)
 	case !now.Before(t.holdUntil), s.waiting[0] == t && room.Load() < s.holdLoad(t):
@@ -272,6 +277,15 @@
 	}
 }
 
+// executionTime returns how long the request is expected to take in a slot. The mean of the
+// service does not count for a route with shorter requests.
+func (s *serviceState) executionTime(t *Ticket) time.Duration {
+	if typical := t.request.TypicalLatency; typical > 0 {
+		return min(typical, s.serviceTime)
+	}
+	return s.serviceTime
+}
+
 // wait fills in the decision of a request that waits.
 func (s *serviceState) wait(d *Decision, now time.Time, t *Ticket) {
 	d.Action, d.Cause, d.Until = Wait, LessUrgent, now.Add(recheckInterval)
--- a/room/room.go
+++ b/room/room.go
@@ -15,6 +15,8 @@
 	// sent than the slots execute, for each unit of load above or below targetLoad.
 	queueCorrection = 0.4
 	idleCorrection  = 2.0
+	// maxQueueTime bounds the expected time in queues. It exceeds all time limits of callers.
+	maxQueueTime = time.Hour
 	// maxShortage bounds the share of requests that are turned away.
 	maxShortage = 0.95
 )
@@ -49,10 +51,10 @@
 	return r.InFlight / r.Slots
 }
 
-// TimeToServe returns how long a request that is sent now is expected to take, including its
-// time in a server's queue. serviceTime is the time that it takes in a slot.
-func (r Room) TimeToServe(serviceTime time.Duration) time.Duration {
-	return time.Duration(max(r.Load(), 1) * float64(serviceTime))
+// QueueTime returns how long a request that is sent now is expected to wait in a server's
+// queue. serviceTime is the mean time that the service's requests take in a slot.
+func (r Room) QueueTime(serviceTime time.Duration) time.Duration {
+	return time.Duration(min(max(r.Load()-1, 0)*float64(serviceTime), float64(maxQueueTime)))
 }
 
 // TargetLoad returns the load at which a service is kept while it is short of room: the one
