room: suspect servers count in full where none is sounder

Slots counted by the probability that their server is sound. Where all servers of a service are suspect, they get the requests all the same, and the service seemed to have no slots: with a fault probability of 0.9, 900 requests a second at slots for 1000 were turned away in part (0.09), at twice the rate nearly all would be. Servers now count in relation to the soundest one. go test ./room ./direct passes; the new test fails without the change.

--- a/direct/room.go
+++ b/direct/room.go
@@ -117,7 +117,7 @@
 		inFlight := min(s.InFlight, float64(s.SentLastSecond))
 		sum.Add(room.Server{Slots: r.Server.Slots, InFlight: inFlight, FaultProbability: s.FaultProbability})
 	}
-	return sum
+	return sum.OfSoundest()
 }
 
 // returnAfterRefusal returns when the caller of a request that no server accepted should
--- a/room/gate_test.go
+++ b/room/gate_test.go
@@ -67,3 +67,20 @@
 		t.Error("the team that is left is not kept")
 	}
 }
+
+// Guards against a service that turns requests away although its slots execute them, because
+// all of its servers are suspect; and against suspect servers that count like a sound one.
+func TestSuspectServersTakeRequestsWhereNoneIsSound(t *testing.T) {
+	var suspect, mixed Room
+	for i := range 10 {
+		suspect.Add(Server{Slots: 10, InFlight: 9, FaultProbability: 0.9})
+		mixed.Add(Server{Slots: 10, InFlight: 9, FaultProbability: 0.9 * float64(min(i, 1))})
+	}
+	r := suspect.OfSoundest()
+	if shortage := r.Shortage(100*time.Millisecond, time.Second, 900); shortage != 0 {
+		t.Errorf("1000 requests a second can be executed, 900 arrive, and a share of %v is turned away", shortage)
+	}
+	if slots := mixed.OfSoundest().Slots; slots < 18.9 || slots > 19.1 {
+		t.Errorf("a sound server and nine suspect ones with 10 slots each count as %v slots", slots)
+	}
+}
--- a/room/room.go
+++ b/room/room.go
@@ -26,6 +26,8 @@
 	// Slots and InFlight are the slots of its servers and the requests that run or wait
 	// there. Servers that are probably faulty count less.
 	Slots, InFlight float64
+	// soundest is the highest probability that a server is sound.
+	soundest float64
 }
 
 // Server is what one server contributes to the room of its service.
@@ -38,10 +40,20 @@
 // Add adds a server.
 func (r *Room) Add(s Server) {
 	sound := 1 - s.FaultProbability
+	r.soundest = max(r.soundest, sound)
 	r.Slots += sound * float64(s.Slots)
 	r.InFlight += sound * s.InFlight
 }
 
+// OfSoundest returns the room with the soundest server counted in full. Where all servers are
+// suspect, they get the requests all the same, and their slots execute them.
+func (r Room) OfSoundest() Room {
+	if r.soundest <= 0 {
+		return r
+	}
+	return Room{Slots: r.Slots / r.soundest, InFlight: r.InFlight / r.soundest, soundest: 1}
+}
+
 // Load returns the number of requests in flight for each slot. It is 0 without slots:
 // there is no room to divide then, and nothing to wait for.
 func (r Room) Load() float64 {
