work, direct: bounds of learned costs; speed without costs and after a restart

Each method that a caller sends made a kind of its own, with a record in the costs and in the ledger of each VM of the zone, which keeps the totals of a live VM for good: a caller who invents methods grows both without bound.

While the costs of a service are not known, each response counted as of expected latency, so a service whose servers never had a free slot did not see its slow servers. The typical latency of the route is the measure then.

A record with samples and no latency made a mean of 0, and relative costs undefined in the minute in which the service is uneven. Samples have at least 1 ms, as those of this VM.

A restart of a server to which this VM had sent once did not reset its speed, as the first incarnation was noted before the server had a record. IgnoreCosts does not reset it at all.

--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -89,16 +89,19 @@
 
 // recordStart counts an attempt that is sent to the server.
 func (c counters) recordStart(now time.Time, server tally.Subject, x expectation) {
-	c.state.Servers.SetIncarnation(server, x.startedAt)
 	c.state.Servers.RecordStart(now, server, x.estimate.Relative)
+	if x.byCost {
+		c.state.Servers.SetIncarnation(server, x.startedAt)
+	}
 	c.ledger.AddCounts(now, server, tally.Counts{tally.Started: 1, tally.WorkTenths: x.workTenths()})
 }
 
 // recordResult records the result of an attempt and, if it succeeded, its latency.
 func (c counters) recordResult(now time.Time, server, route tally.Subject, x expectation, result evidence.Result, latency time.Duration) {
-	relativeLatency := evidence.RelativeLatencyPercent(latency, c.state.Routes.TypicalLatency(route))
+	ofRoute := c.state.Routes.TypicalLatency(route)
+	relativeLatency := evidence.RelativeLatencyPercent(latency, ofRoute)
 	if x.byCost {
-		relativeLatency = evidence.SlownessPercent(work.SlownessRatio(latency, x.estimate, x.wait))
+		relativeLatency = evidence.SlownessPercent(work.SlownessRatio(latency, x.estimate, x.wait, ofRoute))
 	}
 	c.state.Servers.RecordResult(now, server, result, x.estimate.Relative, relativeLatency)
 	switch result {
--- a/direct/work_test.go
+++ b/direct/work_test.go
@@ -117,3 +117,24 @@
 func serverState(d *Dispatcher, id contract.ServerID) evidence.State {
 	return d.deps.ReplicatedState.Servers.State(d.deps.Clock(), evidence.ServerSubject(id))
 }
+
+// Guards against a speed of a server that outlives its restart although this VM has sent it
+// one request only, and against one that is forgotten with IgnoreCosts, where the choice is
+// that without costs.
+func TestSpeedOfARestartedServer(t *testing.T) {
+	for _, ignoreCosts := range []bool{false, true} {
+		d := newDispatcher(newSource(contract.Idempotent), &fakeServers{})
+		d.deps.IgnoreCosts = ignoreCosts
+		now, s := d.deps.Clock(), selection{server: d.deps.Source.View().ByService["service-1"][0]}
+		subject := evidence.ServerSubject(s.server.Server.ID)
+		x := d.expect(&s, work.Kind{}, work.Estimate{Relative: 1})
+		x.startedAt = 1
+		d.counters.recordStart(now, subject, x)
+		d.counters.recordResult(now, subject, evidence.RouteSubject("route-1"), x, evidence.Success, time.Second)
+		x.startedAt = 2
+		d.counters.recordStart(now, subject, x)
+		if known := serverState(d, s.server.Server.ID).RecentSuccesses > 0; known != ignoreCosts {
+			t.Errorf("IgnoreCosts %v: whether the speed before the restart is known: %v", ignoreCosts, known)
+		}
+	}
+}
--- a/evidence/servers.go
+++ b/evidence/servers.go
@@ -120,8 +120,8 @@
 	})
 }
 
-// SetIncarnation tells which incarnation of the server is in use, by its start. The
-// speed of an earlier one says nothing about it.
+// SetIncarnation tells to which incarnation of the server this VM has just sent, by its
+// start. The speed of an earlier one says nothing about it.
 func (s *ServerStats) SetIncarnation(subject tally.Subject, startedAt int64) {
 	s.records.DoExisting(subject, func(r *serverRecord) {
 		if r.startedAt != 0 && r.startedAt != startedAt {
--- a/work/choice_test.go
+++ b/work/choice_test.go
@@ -199,7 +199,7 @@
 		percent := evidence.RelativeLatencyPercent(latency, p.routes.TypicalLatency(route))
 		p.routes.RecordResponses(now, route, 1, uint64(latency.Milliseconds()))
 		if p.byWork {
-			percent = evidence.SlownessPercent(work.SlownessRatio(latency, estimate, work.Wait(st.Work, p.slots, estimate.ServiceMean)))
+			percent = evidence.SlownessPercent(work.SlownessRatio(latency, estimate, work.Wait(st.Work, p.slots, estimate.ServiceMean), 0))
 			if work.StartsAtOnce(st.InFlight, p.slots) {
 				p.costs.Record(now, kind.Subject(), work.Sample(latency))
 				p.costs.Record(now, work.ServiceSubject(serviceID), work.Sample(latency))
--- a/work/costs.go
+++ b/work/costs.go
@@ -37,8 +37,10 @@
 	maxLatency = 10 * time.Minute
 )
 
-// maxMillis and maxLogMillis bound the samples of other VMs like maxLatency.
+// minMillis, maxMillis and maxLogMillis bound the samples of other VMs like minLatency and
+// maxLatency.
 var (
+	minMillis    = minLatency.Seconds() * 1000
 	maxMillis    = maxLatency.Seconds() * 1000
 	maxLogMillis = math.Log(maxMillis)
 )
@@ -105,7 +107,7 @@
 		remaining := math.Exp(-max(now.Sub(r.updatedAt), 0).Seconds() / decayTime.Seconds())
 		n := float64(counts[tally.CostSamples])
 		r.samples = r.samples*remaining + n
-		r.millis = r.millis*remaining + min(float64(counts[tally.CostMillis]), n*maxMillis)
+		r.millis = r.millis*remaining + max(n*minMillis, min(float64(counts[tally.CostMillis]), n*maxMillis))
 		r.logMillis = r.logMillis*remaining + min(float64(counts[tally.CostLogCentis])/100, n*maxLogMillis)
 		r.updatedAt = now
 	})
--- a/work/kind.go
+++ b/work/kind.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"net/http"
 	"strconv"
 
 	"almondstile/contract"
@@ -25,7 +26,18 @@
 // kind if their lengths have the same order of magnitude.
 func (k Kind) Subject() tally.Subject {
 	bodyClass := (bits.Len(uint(max(k.BodyBytes, 0))) + bodyClassBits - 1) / bodyClassBits
-	return tally.SubjectOf(tally.Cost, string(k.Route)+"\x00"+string(k.Service)+"\x00"+k.Method+"\x00"+strconv.Itoa(bodyClass))
+	return tally.SubjectOf(tally.Cost, string(k.Route)+"\x00"+string(k.Service)+"\x00"+methodClass(k.Method)+"\x00"+strconv.Itoa(bodyClass))
+}
+
+// methodClass returns the method, or "" for one that HTTP does not define. Callers may send
+// any token as a method, and each kind takes memory and messages of all VMs.
+func methodClass(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions:
+		return method
+	default:
+		return ""
+	}
 }
 
 // ServiceSubject returns the subject of the counters of all requests of a service.
