direct: test of requests that wait while their key is withdrawn

The test of waiting requests named the case and did not have it. A request whose key is withdrawn, or whose operators' table is old, after it began to wait is not sent, and the queue is empty afterwards. go test -race -run Waiting -count=3 ./direct passes.

--- a/direct/room_test.go
+++ b/direct/room_test.go
@@ -272,3 +272,38 @@
 		}
 	}
 }
+
+// Guards against a request that is sent after it waited although its key was withdrawn, or may
+// have been because the operators' table is old.
+func TestWaitingRequestsWhoseKeyIsWithdrawn(t *testing.T) {
+	service := tally.SubjectOf(tally.Service, "service-1")
+	for name, withdraw := range map[string]func(*source){
+		"withdrawn": func(s *source) {
+			config := *s.view.Index.Configuration()
+			config.Keys = nil
+			s.view.Index = contract.NewIndex(&config)
+		},
+		"old table": func(s *source) { s.tableAge = time.Minute },
+	} {
+		s, servers := newRankedSource(), serving()
+		d := newLoadedDispatcher(s, servers, 3, 1)
+		waited := false
+		d.deps.Clock = func() time.Time { // the request's own goroutine, after it began to wait
+			if !waited && d.deps.ReplicatedState.Room.Waiting(service) > 0 {
+				waited = true
+				withdraw(s)
+				for _, r := range s.view.ByService["service-1"] { // room again
+					d.deps.ReplicatedState.Servers.RecordRemoteCounts(time.Now(), evidence.ServerSubject(r.Server.ID), tally.Counts{tally.Succeeded: 100})
+				}
+			}
+			return time.Now()
+		}
+		_, result := d.Do(context.Background(), laterRequest())
+		if !waited || result.Outcome != request.NotRun || len(servers.sentTo) != 0 {
+			t.Errorf("%s: waited %v, sent %d times, result %+v", name, waited, len(servers.sentTo), result)
+		}
+		if n := d.deps.ReplicatedState.Room.Waiting(service); n != 0 {
+			t.Errorf("%s: %d requests still wait", name, n)
+		}
+	}
+}
