docs, work: how many samples of costs VMs share

Each VM divides 60 by its own samples and those it heard of, so V VMs with a responses each share R with R (a + R) = 60 a V. At the target size, with 60 VMs a zone, that is 7,300 samples/s and 183 KB/s instead of 3,300 and 83 KB/s (calculated).

--- a/work/costs.go
+++ b/work/costs.go
@@ -114,8 +114,8 @@
 }
 
 // ReportProbability returns the probability (0 to 1) with which a VM reports a sample to
-// the others. The estimates need a bounded number of samples only, however many requests
-// the fleet handles.
+// the others. The estimates need few samples: those of all VMs grow with the square root of
+// the requests that the fleet handles.
 func (c *Costs) ReportProbability(subject tally.Subject) float64 {
 	probability := 1.0
 	c.records.DoExisting(subject, func(r *record) { probability = min(1, reportedSamples/max(r.samples, 1)) })
