--- a/direct/room.go
+++ b/direct/room.go
@@ -113,7 +113,7 @@
 		s := state.Servers.State(now, evidence.ServerSubject(r.Server.ID))
 		sum.Add(room.Server{Slots: r.Server.Slots, InFlight: s.InFlight, FaultProbability: s.FaultProbability})
 	}
-	return sum
+	return sum.OfSoundest()
 }
 
 // returnAfterRefusal returns when the caller of a request that no server accepted should
--- a/room/room.go
+++ b/room/room.go
@@ -15,6 +15,8 @@
 	// sent than the slots execute, for each unit of load above or below targetLoad.
 	queueCorrection = 0.4
 	idleCorrection  = 2.0
+	// maxQueueTime bounds the expected time in queues. It exceeds all time limits of callers.
+	maxQueueTime = time.Hour
 	// maxShortage bounds the share of requests that are turned away.
 	maxShortage = 0.95
 )
@@ -24,6 +26,8 @@
 	// Slots and InFlight are the slots of its servers and the requests that run or wait
 	// there. Servers that are probably faulty count less.
 	Slots, InFlight float64
+	// soundest is the highest probability that a server is sound.
+	soundest float64
 }
 
 // Server is what one server contributes to the room of its service.
@@ -36,10 +40,20 @@
 // Add adds a server.
 func (r *Room) Add(s Server) {
 	sound := 1 - s.FaultProbability
+	r.soundest = max(r.soundest, sound)
 	r.Slots += sound * float64(s.Slots)
 	r.InFlight += sound * s.InFlight
 }
 
+// OfSoundest returns the room with the soundest server counted in full. Where all servers are
+// suspect, they get the requests all the same, and their slots execute them.
+func (r Room) OfSoundest() Room {
+	if r.soundest <= 0 {
+		return r
+	}
+	return Room{Slots: r.Slots / r.soundest, InFlight: r.InFlight / r.soundest, soundest: 1}
+}
+
 // Load returns the number of requests in flight for each slot. It is 0 without slots:
 // there is no room to divide then, and nothing to wait for.
 func (r Room) Load() float64 {
@@ -49,10 +63,10 @@
 	return r.InFlight / r.Slots
 }
 
-// TimeToServe returns how long a request that is sent now is expected to take, including its
-// time in a server's queue. serviceTime is the time that it takes in a slot.
-func (r Room) TimeToServe(serviceTime time.Duration) time.Duration {
-	return time.Duration(max(r.Load(), 1) * float64(serviceTime))
+// QueueTime returns how long a request that is sent now is expected to wait in a server's
+// queue. serviceTime is the mean time that the service's requests take in a slot.
+func (r Room) QueueTime(serviceTime time.Duration) time.Duration {
+	return time.Duration(min(max(r.Load()-1, 0)*float64(serviceTime), float64(maxQueueTime)))
 }
 
 // TargetLoad returns the load at which a service is kept while it is short of room: the one
--- a/work/costs.go
+++ b/work/costs.go
@@ -37,8 +37,10 @@
 	maxLatency = 10 * time.Minute
 )
 
-// maxMillis and maxLogMillis bound the samples of other VMs like maxLatency.
+// minMillis, maxMillis and maxLogMillis bound the samples of other VMs like minLatency and
+// maxLatency.
 var (
+	minMillis    = minLatency.Seconds() * 1000
 	maxMillis    = maxLatency.Seconds() * 1000
 	maxLogMillis = math.Log(maxMillis)
 )
@@ -105,15 +107,15 @@
 		remaining := math.Exp(-max(now.Sub(r.updatedAt), 0).Seconds() / decayTime.Seconds())
 		n := float64(counts[tally.CostSamples])
 		r.samples = r.samples*remaining + n
-		r.millis = r.millis*remaining + min(float64(counts[tally.CostMillis]), n*maxMillis)
+		r.millis = r.millis*remaining + max(n*minMillis, min(float64(counts[tally.CostMillis]), n*maxMillis))
 		r.logMillis = r.logMillis*remaining + min(float64(counts[tally.CostLogCentis])/100, n*maxLogMillis)
 		r.updatedAt = now
 	})
 }
 
 // ReportProbability returns the probability (0 to 1) with which a VM reports a sample to
-// the others. The estimates need a bounded number of samples only, however many requests
-// the fleet handles.
+// the others. The estimates need few samples: those of all VMs grow with the square root of
+// the requests that the fleet handles.
 func (c *Costs) ReportProbability(subject tally.Subject) float64 {
 	probability := 1.0
 	c.records.DoExisting(subject, func(r *record) { probability = min(1, reportedSamples/max(r.samples, 1)) })
