catalog, gossip, platform: the table with the states of roll-outs

The table is read only while an order is open, and only where the settings have roll-outs; other deployments make the same calls and send the same messages.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -53,6 +53,8 @@
 	DecodeOperator(Row) (OperatorRow, error)
 	// DecodeServer decodes a row of ServerTable.
 	DecodeServer(Row) (Registration, error)
+	// DecodeRollout decodes a row of RolloutTable.
+	DecodeRollout(Row) (rollout.State, error)
 }
 
 // View is an immutable, decoded state of all tables.
@@ -63,8 +65,13 @@
 	ByService map[contract.ServiceID][]*Registration
 	// ZonesOut holds the zones that operators have taken out of service.
 	ZonesOut map[zone.ID]bool
-	// Rollouts holds the orders of roll-outs.
-	Rollouts map[contract.ServiceID]*rollout.Order
+	// Rollouts holds the orders of roll-outs, and RolloutStates what the store keeps of
+	// them and of earlier ones.
+	Rollouts      map[contract.ServiceID]*rollout.Order
+	RolloutStates map[contract.ServiceID]*rollout.State
+	// OrderedAt holds for each order the time of the store's clock at which it was
+	// written, as far as this VM knows.
+	OrderedAt map[contract.ServiceID]time.Duration
 }
 
 // AcceptsNewRequests reports whether the server may get new requests: it is not
@@ -103,8 +110,11 @@
 	// StoreClock estimates the store's clock from the messages of the store and
 	// of other VMs.
 	StoreClock StoreClock
-	tables     [tableCount]tableCopy
-	view       atomic.Pointer[View]
+	// Rollouts says that the deployment has roll-outs. It must be set before the first
+	// update.
+	Rollouts bool
+	tables   [tableCount]tableCopy
+	view     atomic.Pointer[View]
 	// rebuildMu serializes rebuildView and guards the fields below.
 	rebuildMu sync.Mutex
 	// registrations holds decoded rows by row key; nil stands for an invalid row.
@@ -116,6 +126,9 @@
 	// configurationRowVersion is the version of the row that held the
 	// configuration decoded last.
 	configurationRowVersion uint64
+	// orders holds the orders of roll-outs by row version, with the time of the store's
+	// clock at which each was written.
+	orders map[uint64]time.Duration
 }
 
 // New returns an empty catalog. The clock returns the local time: boottime.Now,
@@ -125,12 +138,21 @@
 		decoder: decoder, log: log, clock: clock, fromStore: make(chan struct{}, 1),
 		registrations: make(map[string]*Registration),
 		seenVersions:  make(map[string]uint64),
+		orders:        make(map[uint64]time.Duration),
 	}
 	c.tables[ServerTable].rowsExpire = true
 	c.view.Store(&View{})
 	return c
 }
 
+// Tables lists the tables that the VMs of the deployment copy.
+func (c *Catalog) Tables() []Table {
+	if c.Rollouts {
+		return allTables[:]
+	}
+	return allTables[:RolloutTable]
+}
+
 // StoreChanges returns a channel that receives a value after the store returned
 // rows that changed a copy. Other VMs wait for these rows.
 func (c *Catalog) StoreChanges() <-chan struct{} { return c.fromStore }
@@ -243,7 +265,11 @@
 		Servers:   make(map[contract.ServerID]*Registration),
 		ByService: make(map[contract.ServiceID][]*Registration),
 		ZonesOut:  make(map[zone.ID]bool),
-		Rollouts:  make(map[contract.ServiceID]*rollout.Order),
+	}
+	if c.Rollouts {
+		next.Rollouts = make(map[contract.ServiceID]*rollout.Order)
+		next.RolloutStates = make(map[contract.ServiceID]*rollout.State)
+		next.OrderedAt = make(map[contract.ServiceID]time.Duration)
 	}
 	for _, row := range c.tables[OperatorTable].usableRows() {
 		c.addOperatorRow(next, row, source)
@@ -256,6 +282,9 @@
 		}
 	}
 	c.forgetRegistrations(rows)
+	if c.Rollouts {
+		c.addRollouts(next)
+	}
 	c.view.Store(next)
 	if len(old.Servers) == 0 && len(next.Servers) > 0 {
 		c.log.WithField("servers", len(next.Servers)).WithField("services", len(next.ByService)).
@@ -296,7 +325,7 @@
 	if decoded.ZoneOut != "" {
 		v.ZonesOut[decoded.ZoneOut] = true
 	}
-	if decoded.Rollout != nil {
+	if decoded.Rollout != nil && c.Rollouts {
 		v.Rollouts[decoded.Rollout.Service] = decoded.Rollout
 	}
 	if decoded.Configuration == nil {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 
 	"almondstile/contract"
 	"almondstile/logging"
+	"almondstile/rollout"
 	"almondstile/zone"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,11 @@
 	return OperatorRow{Configuration: &c}, nil
 }
 
+// DecodeRollout decodes a state whose order has the version of the row.
+func (testDecoder) DecodeRollout(r Row) (rollout.State, error) {
+	return rollout.State{Service: contract.ServiceID(r.Key), OrderVersion: r.Version, Status: rollout.Status(r.Value)}, nil
+}
+
 func (testDecoder) DecodeServer(r Row) (Registration, error) {
 	if string(r.Value) != "ok" {
 		return Registration{}, ErrInvalidRow
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -65,6 +65,9 @@
 	Store   Store
 	Role    ReaderRole
 	Times   ReadTimes
+	// Wanted reports whether a table is needed now; nil stands for always. A table that
+	// is not needed is not read.
+	Wanted func(Table) bool
 	// Guard recovers from panics while a table is read. It may be nil.
 	Guard *guard.Guard
 	Log   logging.Logger
@@ -77,8 +80,14 @@
 	started := time.Now()
 	schedule := newReadSchedule(r.Times)
 	for ctx.Err() == nil {
-		// Without a copy, Age is 24 h. The time since the start is used instead, so
-		// that a VM that does not read for its zone first waits for another VM's copy.
+		if r.Wanted != nil && !r.Wanted(t) {
+			wait.For(ctx, maxCheckInterval)
+			started = time.Now()
+			continue
+		}
+		// Without a copy, Age is 24 h, and that of a copy that was not wanted is high as
+		// well. The time since the start is used instead, so that a VM that does not read
+		// for its zone first waits for another VM's copy.
 		age, rank := min(r.Catalog.Age(t), time.Since(started)), r.Role.ReaderRank()
 		if limit := schedule.readAfterAge(boottime.Now(), rank); age < limit {
 			wait.For(ctx, min(max(limit-age, minCheckInterval), maxCheckInterval))
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -14,16 +14,19 @@
 	OperatorTable Table = iota
 	// ServerTable holds the registrations of backend servers.
 	ServerTable
+	// RolloutTable holds the states of roll-outs, which VMs write. Only deployments with
+	// roll-outs have it.
+	RolloutTable
 	tableCount
 )
 
-// Tables lists all tables.
-var Tables = [tableCount]Table{OperatorTable, ServerTable}
+// allTables lists all tables.
+var allTables = [tableCount]Table{OperatorTable, ServerTable, RolloutTable}
 
 // String returns the table's name, as used in log lines and in requests between
 // VMs.
 func (t Table) String() string {
-	return [...]string{"operator", "servers"}[t]
+	return [...]string{"operator", "servers", "rollouts"}[t]
 }
 
 // Row is a row of a table, or the removal of a row.
@@ -80,8 +83,10 @@
 	rows       map[string]Row
 	version    uint64
 	// asOf is the time of the store's clock as of which the copy is current.
-	asOf   time.Duration
-	loaded bool
+	asOf time.Duration
+	// asOfBefore is asOf before its last advance.
+	asOfBefore time.Duration
+	loaded     bool
 	// outageEndedAt is the time of the store's clock at which the last outage that
 	// this VM detected had ended. It is valid if hadOutage is set.
 	outageEndedAt time.Duration
@@ -153,7 +158,19 @@
 	if c.loaded && asOf-c.asOf > outageThreshold {
 		c.outageEndedAt, c.hadOutage = asOf, true
 	}
-	c.asOf = asOf
+	c.asOfBefore, c.asOf = c.asOf, asOf
+}
+
+// changedAt returns the time of the store's clock at which the rows of the last update
+// changed at the earliest. A waiting call returns at once, so that is when the update was
+// current, unless the update ended an outage.
+func (c *tableCopy) changedAt() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hadOutage && c.outageEndedAt == c.asOf {
+		return c.asOfBefore
+	}
+	return c.asOf
 }
 
 // put stores or removes a row and reports whether that changed the copy.
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -9,6 +9,7 @@
 	"almondstile/catalog"
 	"almondstile/fleet"
 	"almondstile/logging"
+	"almondstile/rollout"
 	"almondstile/tally"
 	"almondstile/vm"
 
@@ -56,9 +57,10 @@
 		}
 		response.Attempts.windows()
 		c := catalog.New(failingDecoder{}, boottime.Now, logging.Discard().Part("catalog"))
+		c.Rollouts = true
 		for i, d := range response.Tables {
-			if i < len(catalog.Tables) {
-				c.Merge(catalog.Tables[i], d)
+			if i < len(c.Tables()) {
+				c.Merge(c.Tables()[i], d)
 			}
 		}
 	})
@@ -74,3 +76,7 @@
 func (failingDecoder) DecodeServer(catalog.Row) (catalog.Registration, error) {
 	return catalog.Registration{}, catalog.ErrInvalidRow
 }
+
+func (failingDecoder) DecodeRollout(catalog.Row) (rollout.State, error) {
+	return rollout.State{}, catalog.ErrInvalidRow
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -60,7 +60,7 @@
 	// unknown. StoreHops is the number of VMs through which it hears of the clock.
 	StoreMillis int64
 	StoreHops   int
-	Tables      []tableVersion // in the order of catalog.Tables
+	Tables      []tableVersion // in the order of Catalog.Tables
 	// Zones are the zones from which the sender receives messages. Only relays set
 	// them.
 	Zones   []zoneStatus
@@ -76,7 +76,7 @@
 }
 
 // pullResponse is the response to a pull: the newer rows of each table, in the order
-// of catalog.Tables, and the VMs that the responder knows.
+// of Catalog.Tables, and the VMs that the responder knows.
 type pullResponse struct {
 	_           struct{} `cbor:",toarray"`
 	StoreMillis int64
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -36,7 +36,10 @@
 		response.StoreMillis = toMillis(storeTime)
 		response.StoreHops = n.deps.Catalog.StoreClock.Hops(boottime.Now())
 	}
-	for _, t := range catalog.Tables {
+	for _, t := range n.deps.Catalog.Tables() {
+		if t == catalog.RolloutTable && !ctx.QueryArgs().Has(t.String()) {
+			continue // the other VM's settings have no roll-outs, or not yet
+		}
 		after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek(t.String())), 10, 64)
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusBadRequest)
@@ -69,7 +72,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	uri := copiesPath + "?"
-	for _, t := range catalog.Tables {
+	for _, t := range n.deps.Catalog.Tables() {
 		version, _ := n.deps.Catalog.VersionAsOf(t)
 		uri += t.String() + "=" + strconv.FormatUint(version, 10) + "&"
 	}
@@ -97,10 +100,10 @@
 	if withAttempts {
 		n.deps.Attempts.Adopt(time.Now(), response.Attempts.windows())
 	}
-	changed := false
+	changed, tables := false, n.deps.Catalog.Tables()
 	for i, d := range response.Tables {
-		if i < len(catalog.Tables) && d.Version > 0 {
-			changed = n.deps.Catalog.Merge(catalog.Tables[i], d) || changed
+		if i < len(tables) && d.Version > 0 {
+			changed = n.deps.Catalog.Merge(tables[i], d) || changed
 		}
 	}
 	if changed {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"almondstile/boottime"
-	"almondstile/catalog"
 	"almondstile/fleet"
 	"almondstile/tally"
 	"almondstile/vm"
@@ -119,9 +118,9 @@
 	if m.StoreMillis > 0 {
 		n.deps.Catalog.StoreClock.ObservePeer(bootTime, fromMillis(m.StoreMillis), m.StoreHops)
 	}
-	behind := false
+	behind, tables := false, n.deps.Catalog.Tables()
 	for i, peer := range m.Tables {
-		if i < len(catalog.Tables) && n.deps.Catalog.RecordPeerVersion(catalog.Tables[i], peer.Version, fromMillis(peer.AsOfMillis)) {
+		if i < len(tables) && n.deps.Catalog.RecordPeerVersion(tables[i], peer.Version, fromMillis(peer.AsOfMillis)) {
 			behind = true
 		}
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"almondstile/boottime"
-	"almondstile/catalog"
 	"almondstile/tally"
 	"almondstile/vm"
 )
@@ -164,7 +163,7 @@
 	if storeTime, known := n.deps.Catalog.StoreClock.At(boottime.Now()); known {
 		m.StoreMillis, m.StoreHops = toMillis(storeTime), n.deps.Catalog.StoreClock.Hops(boottime.Now())
 	}
-	for _, t := range catalog.Tables {
+	for _, t := range n.deps.Catalog.Tables() {
 		version, asOf := n.deps.Catalog.VersionAsOf(t)
 		m.Tables = append(m.Tables, tableVersion{Version: version, AsOfMillis: toMillis(asOf)})
 	}
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -66,9 +66,12 @@
 	wg.Go(func() { v.node.Run(background) })
 	vmsKnown := make(chan struct{})
 	wg.Go(func() { v.announce(background, vmsKnown) })
-	for _, t := range catalog.Tables {
+	for _, t := range v.catalog.Tables() {
 		reader := catalog.Reader{Catalog: v.catalog, Store: v.store, Role: v, Times: catalog.NewReadTimes(v.settings.MaxChangeDelay),
 			Guard: v.guard, Log: v.log.Part("store")}
+		if t == catalog.RolloutTable {
+			reader.Wanted = func(catalog.Table) bool { return v.catalog.View().RolloutOpen() }
+		}
 		wg.Go(func() {
 			// A VM that does not know the others takes itself for the first relay of
 			// its zone. Without the wait, every VM of a starting fleet would read the
