rollout/replica, direct, hosted: roll-outs over all VMs

Each VM keeps a replica of them: samples of responses, requests sent to the new version and what is under way at the old one come as counts of all VMs, a verdict as an urgent count that all obey before it is written. Any VM writes the status, under the condition that the stored one has not changed; the first relays of the zones go first. Servers of a version that nobody knows get no ordinary requests while an order for it may be on its way.

--- a/catalog/schedule.go
+++ b/catalog/schedule.go
@@ -19,8 +19,8 @@
 	secondReaderAge, otherReaderAge, otherReaderSpread time.Duration
 }
 
-// defaultMaxChangeDelay replaces a maximum delay of 0 in NewReadTimes.
-const defaultMaxChangeDelay = 2500 * time.Millisecond
+// DefaultMaxChangeDelay replaces a maximum delay of 0 in NewReadTimes.
+const DefaultMaxChangeDelay = 2500 * time.Millisecond
 
 // Shares of the maximum delay. The wait, the transfer to another VM and its messages
 // must fit in before secondReaderShare, or VMs read although nothing is wrong. What
@@ -36,7 +36,7 @@
 // all VMs within maxChangeDelay; 0 stands for 2.5 s.
 func NewReadTimes(maxChangeDelay time.Duration) ReadTimes {
 	if maxChangeDelay <= 0 {
-		maxChangeDelay = defaultMaxChangeDelay
+		maxChangeDelay = DefaultMaxChangeDelay
 	}
 	share := func(s float64) time.Duration { return time.Duration(s * float64(maxChangeDelay)) }
 	return ReadTimes{
--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -272,6 +272,7 @@
 		r.d.counters.recordFirstAttempt(now, r.req.Service)
 	}
 	r.d.counters.recordLimitedSend(now, incarnationOf(selected.server))
+	r.d.counters.recordRolloutSend(now, sendOf(r.req, selected.server))
 	r.tried[selected.server.Server.ID] = true
 	r.attempts++
 	r.inFlight++
@@ -279,6 +280,7 @@
 		// The result if the attempt panics: the server may have got the request.
 		e := upstream.Exchange{Result: request.UnknownResult(request.ReasonInternal)}
 		r.d.deps.Guard.Handle("attempt", r.req.ID, func() { e = r.runAttempt(selected) })
+		r.d.counters.recordRolloutResult(r.d.deps.Clock(), sendOf(r.req, selected.server), r.route.ID, selected.server, e)
 		r.results <- finishedAttempt{selected.server, e}
 	})
 	return true
--- a/direct/choose.go
+++ b/direct/choose.go
@@ -33,9 +33,10 @@
 // now.
 func (d *Dispatcher) selectServer(now time.Time, view *catalog.View, req *request.Request, tried map[contract.ServerID]bool) (selection, bool) {
 	service := view.Index.Service(req.Service)
+	rule := d.rolloutRule(view, req.Service, tried)
 	var available []selection
 	for _, r := range view.ByService[req.Service] {
-		if !view.AcceptsNewRequests(r) || !d.allowedByNotices(now, r) {
+		if !view.AcceptsNewRequests(r) || !rule.Allows(versionedServer(r)) || !d.allowedByNotices(now, r) {
 			continue
 		}
 		s := selection{server: r, state: d.deps.ReplicatedState.Servers.State(now, evidence.ServerSubject(r.Server.ID))}
@@ -44,6 +45,7 @@
 		}
 		available = append(available, s)
 	}
+	available = preferredByRollout(&rule, available)
 	candidates := make([]placement.Candidate, len(available))
 	for i := range available {
 		candidates[i] = d.candidate(&available[i], tried)
--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -11,6 +11,7 @@
 	"almondstile/quota"
 	"almondstile/request"
 	"almondstile/retry"
+	"almondstile/rollout/replica"
 	"almondstile/tally"
 )
 
@@ -30,6 +31,9 @@
 	RetryBudgets *retry.ReplicatedBudgets
 	Crashes      crashTracker
 	Notices      notice.Board
+	// Rollouts is nil in a deployment without roll-outs. It must be set before the first
+	// request and the first counts of other VMs.
+	Rollouts *replica.Rollouts
 	// configured is the configuration whose rate limits are in use.
 	configured atomic.Pointer[contract.Index]
 }
@@ -58,12 +62,15 @@
 		s.Quota.RecordRemoteAdmissions(now, subject, counts[tally.Admitted], resent)
 	case tally.Service:
 		s.RetryBudgets.RecordSends(now, subject, counts[tally.FirstAttempts], counts[tally.Retries])
+		s.Rollouts.ObserveSends(now, subject, counts[tally.FirstAttempts]+counts[tally.Retries])
 	case tally.Route:
 		s.Routes.RecordResponses(now, subject, counts[tally.GoodResponses], counts[tally.LatencyMillis])
 	case tally.Fingerprint:
 		s.Crashes.add(now, subject, int(counts[tally.Crashes]))
 	case tally.Incarnation:
 		s.Notices.RecordRemote(now, subject, counts, resent)
+	case tally.Rollout, tally.Sample, tally.FailedSample, tally.RolloutLoad:
+		s.Rollouts.Observe(now, subject, counts)
 	}
 }
 
--- /dev/null
+++ b/direct/rollout.go
@@ -0,0 +1,126 @@
+package direct
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"almondstile/catalog"
+	"almondstile/contract"
+	"almondstile/evidence"
+	"almondstile/request"
+	"almondstile/rollout"
+	"almondstile/rollout/replica"
+	"almondstile/tally"
+	"almondstile/upstream"
+)
+
+// rolloutRule returns the rule of the service's roll-out for the next attempt of a request.
+// tried holds the servers of its earlier attempts.
+func (d *Dispatcher) rolloutRule(view *catalog.View, service contract.ServiceID, tried map[contract.ServerID]bool) replica.Rule {
+	rollouts := d.deps.ReplicatedState.Rollouts
+	if rollouts == nil {
+		return replica.Rule{}
+	}
+	triedVersion := func(v rollout.Version) bool {
+		for _, r := range view.ByService[service] {
+			if r.Version == v && tried[r.Server.ID] {
+				return true
+			}
+		}
+		return false
+	}
+	return rollouts.Rule(service, view.Rollouts[service], triedVersion, rand.Float64())
+}
+
+// preferredByRollout returns the servers that the rule prefers, or all if it prefers none
+// of them.
+func preferredByRollout(rule *replica.Rule, available []selection) []selection {
+	if rule.PrefersAll() {
+		return available
+	}
+	var preferred []selection
+	for _, s := range available {
+		if rule.Prefers(versionedServer(s.server)) {
+			preferred = append(preferred, s)
+		}
+	}
+	if len(preferred) == 0 {
+		return available
+	}
+	return preferred
+}
+
+// versionedServer returns what a roll-out needs to know of a registered server.
+func versionedServer(r *catalog.Registration) replica.Server {
+	return replica.Server{ID: r.Server.ID, StartedAt: r.StartedAt, Version: r.Version}
+}
+
+// sendOf returns the record of an attempt for the service's roll-out.
+func sendOf(req *request.Request, r *catalog.Registration) replica.Send {
+	return replica.Send{Service: req.Service, Version: r.Version, Repeatable: req.Idempotent}
+}
+
+// recordRolloutSend counts an attempt that is about to be sent.
+func (c counters) recordRolloutSend(now time.Time, send replica.Send) {
+	if subject, counts := c.state.Rollouts.RecordStart(now, send); counts {
+		c.ledger.Add(now, subject, tally.TargetSends, 1)
+	}
+}
+
+// recordRolloutResult records the end of an attempt, and its response as evidence about
+// the server's version.
+func (c counters) recordRolloutResult(now time.Time, send replica.Send, route contract.RouteID, server *catalog.Registration, e upstream.Exchange) {
+	c.state.Rollouts.RecordEnd(send)
+	class, ok := responseClass(e)
+	if !ok {
+		return
+	}
+	subject, sampled := c.state.Rollouts.RecordResponse(now, send, route, versionedServer(server), class, rand.Float64())
+	if sampled {
+		c.ledger.Add(now, subject, tally.Sampled, 1)
+	}
+}
+
+// responseClass returns the class of an attempt's response. It returns false if the attempt
+// says nothing about the server's version: the server was not reached or did not run the
+// request, or the caller left or another attempt was faster.
+func responseClass(e upstream.Exchange) (rollout.Class, bool) {
+	if e.ConnectFailed {
+		return rollout.Failed, false
+	}
+	switch classify(e) {
+	case evidence.Success:
+		return rollout.LatencyClass(e.Latency), true
+	case evidence.Failure:
+		return rollout.Failed, true
+	default:
+		return rollout.Failed, false
+	}
+}
+
+// RolloutServers returns the servers between which an order moves the requests, as far as
+// they may get any.
+func (d *Dispatcher) RolloutServers(now time.Time, order rollout.Order) replica.Servers {
+	view, state := d.deps.Source.View(), d.deps.ReplicatedState
+	servers := replica.Servers{ArrivalsPerSecond: state.RetryBudgets.SendRate(now, order.Service)}
+	ramp := 0.0
+	if view.Index != nil {
+		if service := view.Index.Service(order.Service); service != nil {
+			ramp = service.ColdRatePerSecond
+		}
+	}
+	for _, r := range view.ByService[order.Service] {
+		if !view.AcceptsNewRequests(r) || state.Notices.Leaving(incarnationOf(r)) {
+			continue
+		}
+		if r.Version != order.Target {
+			servers.OldServers++
+			servers.OldSlots += r.Server.Slots
+			continue
+		}
+		servers.Targets = append(servers.Targets, rollout.TargetServer{
+			Key: replica.ServerKey(r.Server.ID, r.StartedAt), Slots: r.Server.Slots, Cold: d.inSlowStart(r), RampPerSecond: ramp,
+		})
+	}
+	return servers
+}
--- a/fleet/connectedshare.go
+++ b/fleet/connectedshare.go
@@ -204,13 +204,25 @@
 // are cut off from each other add up to at most 1, also if each group has VMs of
 // all zones.
 func (r *Roster) ConnectedShare(now time.Time) float64 {
-	total, connected := 0.0, 0.0
+	total, connected := r.connectedMembers(now)
+	return connected / total
+}
+
+// ConnectedVMs returns the number of VMs that ConnectedShare counts as connected.
+func (r *Roster) ConnectedVMs(now time.Time) int {
+	_, connected := r.connectedMembers(now)
+	return int(connected)
+}
+
+// connectedMembers returns the number of VMs of the fleet and how many of them, this VM
+// included, are connected with this VM.
+func (r *Roster) connectedMembers(now time.Time) (total, connected float64) {
 	for z, order := range r.relayOrders.load() {
 		members, reachable := r.zoneMembers(now, z, len(order.relays))
 		total += members
 		connected += reachable
 	}
-	return connected / total
+	return total, connected
 }
 
 // zoneMembers returns the number of members of a zone and how many of them, this VM
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -7,6 +7,7 @@
 
 	"almondstile/boottime"
 	"almondstile/catalog"
+	"almondstile/contract"
 	"almondstile/direct"
 	"almondstile/entry/httpfront"
 	"almondstile/fleet"
@@ -15,6 +16,7 @@
 	"almondstile/httpconn"
 	"almondstile/logging"
 	"almondstile/request"
+	"almondstile/rollout/replica"
 	"almondstile/tally"
 	"almondstile/telemetry"
 	"almondstile/upstream"
@@ -26,6 +28,7 @@
 // Store is the part of the platform's store that a VM uses.
 type Store interface {
 	catalog.Store
+	RolloutStore
 	// VMs returns the VMs that are announced in the store.
 	VMs(ctx context.Context) ([]vm.VM, error)
 	// Announce adds a VM to those that VMs returns. Announcing a VM again has no
@@ -101,6 +104,8 @@
 	readyServer    *statusServer
 	metricsServer  *statusServer
 	store          Store
+	// rollouts is nil in a deployment without roll-outs.
+	rollouts *rolloutKeeper
 }
 
 // New assembles the process and opens its listeners. Run starts it.
@@ -115,13 +120,22 @@
 	}
 	v.guard = guard.New(log.Part("guard"), v.metrics)
 	v.catalog.Observer = copyAges{v.metrics}
+	v.catalog.Rollouts = s.Rollout.Enabled()
 	v.state = direct.NewReplicatedState(now, v.roster, s.RetryBudget)
+	v.state.Rollouts = replica.New(s.Self, s.Rollout, s.changeDelay())
 	v.ledger = tally.NewLedger(now, tally.OriginOf(s.Self.ID, s.Self.Incarnation), v.state, v.notifyUrgent)
 	v.dispatcher = direct.NewDispatcher(direct.Dependencies{
 		Self: s.Self, Source: v.catalog, ReplicatedState: v.state, Ledger: v.ledger, Exchanger: v.upstream,
 		Fleet: v.roster, Observer: v.metrics, Guard: v.guard, Limits: direct.Limits{MaxKeyDataAge: s.maxKeyAge()},
 		Log: log.Part("request"), Clock: time.Now, BootTime: boottime.Now,
 	})
+	if v.state.Rollouts != nil {
+		v.rollouts = &rolloutKeeper{
+			rollouts: v.state.Rollouts, servers: v.dispatcher.RolloutServers, catalog: v.catalog, roster: v.roster, ledger: v.ledger,
+			store: p.Store, startedAt: now, guard: v.guard, metrics: v.metrics, log: log.Part("rollout"),
+			logged: make(map[contract.ServiceID]loggedDecision),
+		}
+	}
 	v.front = httpfront.New(v.dispatcher, httpfront.Options{
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxConnections: s.maxCallerConnections(),
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -81,6 +81,9 @@
 		})
 	}
 	wg.Go(func() { v.sweep(background) })
+	if v.rollouts != nil {
+		wg.Go(func() { v.rollouts.run(background) })
+	}
 	v.serve(&wg, stop, "readiness", func() error { return v.readyServer.http.Serve(v.readyServer.listener) })
 	v.serve(&wg, stop, "metrics", func() error { return v.metricsServer.http.Serve(v.metricsServer.listener) })
 	v.serve(&wg, stop, "callers", func() error { return v.front.Serve(v.callerListener) })
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"almondstile/catalog"
 	"almondstile/retry"
 	"almondstile/rollout"
 	"almondstile/vm"
@@ -57,6 +58,14 @@
 	return max(s.MaxKeyWithdrawalTime-keyWithdrawalMargin, s.MaxKeyWithdrawalTime/2)
 }
 
+// changeDelay returns MaxChangeDelay or its default.
+func (s *Settings) changeDelay() time.Duration {
+	if s.MaxChangeDelay > 0 {
+		return s.MaxChangeDelay
+	}
+	return catalog.DefaultMaxChangeDelay
+}
+
 const (
 	// callerDescriptorShare is the share of the descriptors that callers' connections may
 	// use. The others are for servers, other VMs, the store and files.
--- /dev/null
+++ b/rollout/replica/migration.go
@@ -0,0 +1,255 @@
+package replica
+
+import (
+	"time"
+
+	"almondstile/rollout"
+	"almondstile/tally"
+)
+
+const (
+	// settleTime is the time after which the VMs in touch have heard of a verdict and
+	// follow it.
+	settleTime = 500 * time.Millisecond
+	// withdrawalTime is the time after which all VMs in touch know that an order is
+	// withdrawn and send nothing more to the target version.
+	withdrawalTime = 3 * time.Second
+	// announceInterval is the time between two announcements of a verdict that the store
+	// does not have yet, for VMs that have started since the last one.
+	announceInterval = time.Second
+	// catchUpTime is the time that a new replica takes to hear the counts of all VMs that
+	// send requests.
+	catchUpTime = 2 * time.Second
+	// usedExposure and usedSlack are the parts of the bounds that a roll-out uses at most,
+	// see package rollout. They stand for counts that nobody knows any more.
+	usedExposure, usedSlack = 0.8, 0.7
+	// missingReportsPart is the part of an order's duration after which VMs whose reports
+	// are missing are not waited for any more: they are more likely dead than cut off.
+	missingReportsPart = 0.85
+)
+
+// migration is the roll-out of one service, the last one if there is none under way, and
+// what a roll-out would need to know of the service's servers.
+type migration struct {
+	bounds rollout.Bounds
+	// order is the order in force, nil if there is none.
+	order *rollout.Order
+	// orderedAt is the time of the store's clock at which the order was written.
+	orderedAt time.Duration
+	// withdrawnSince is the time since which the order of a running state is known to be
+	// withdrawn, zero if it is not.
+	withdrawnSince time.Time
+	// stored is the newest known state in the store, and statesKnown whether this VM has a
+	// copy of the states at all.
+	stored      rollout.State
+	statesKnown bool
+	arrivals    arrivals
+	ready       map[rollout.Version]bool // of arrivals, at the last refresh
+	// underWay holds what this VM has under way at the servers of each version.
+	underWay map[rollout.Version]*load
+
+	// The fields from here on belong to the order in force.
+
+	judge *rollout.Judge
+	// judgeSince is the time from which on the judge has counted.
+	judgeSince time.Time
+	// startedBefore is how long before judgeSince the order was written.
+	startedBefore time.Duration
+	// countsKnown is set once the judge knows, or has been told a high estimate of, what
+	// was sent before judgeSince.
+	countsKnown bool
+	decision    rollout.Decision
+	group       map[string]bool // of decision.TargetServers
+	// verdict is the verdict of this VM or another one, known since verdictAt. A roll-back
+	// goes before a completion.
+	verdict    rollout.Verdict
+	verdictAt  time.Time
+	othersMove bool // another VM moves all its requests
+	// announcedAt is when this VM announced the verdict last, and announcedShift whether
+	// it announced that it moves its requests.
+	announcedAt    time.Time
+	announcedShift bool
+	report         ownReport
+	remote         map[tally.Subject]*remoteLoad
+	// write holds the attempts to write the wanted state.
+	write writeSchedule
+}
+
+// ordered reports whether there is an order in force. There is none if the store has a
+// state of a newer order, which this VM does not know yet.
+func (m *migration) ordered() bool {
+	return m.order != nil && m.stored.OrderVersion <= m.order.RowVersion
+}
+
+// open reports whether the order in force has no final state yet.
+func (m *migration) open() bool {
+	return m.ordered() && !(m.stored.OrderVersion == m.order.RowVersion && m.stored.Status.Final())
+}
+
+// setOrder takes over an order, or that there is none any more.
+func (m *migration) setOrder(now time.Time, order *rollout.Order, orderedAt time.Duration) (changed bool) {
+	switch {
+	case order == nil && m.order == nil:
+		return false
+	case order != nil && m.order != nil && m.order.RowVersion == order.RowVersion:
+		return false
+	}
+	m.order, m.orderedAt = order, orderedAt
+	m.judge, m.judgeSince, m.startedBefore, m.countsKnown = nil, time.Time{}, 0, false
+	m.decision, m.group = rollout.Decision{}, nil
+	m.verdict, m.verdictAt, m.othersMove = rollout.NoVerdict, time.Time{}, false
+	m.announcedAt, m.announcedShift = time.Time{}, false
+	m.report, m.remote, m.write = ownReport{}, make(map[tally.Subject]*remoteLoad), writeSchedule{}
+	return true
+}
+
+// setWithdrawn records whether the order of the stored state is withdrawn. ordersVersion is
+// the version of this VM's copy of the orders. An older copy than the order says nothing.
+func (m *migration) setWithdrawn(now time.Time, ordersVersion uint64) {
+	switch {
+	case m.order != nil || m.stored.Status != rollout.Running || ordersVersion < m.stored.OrderVersion:
+		m.withdrawnSince = time.Time{}
+	case m.withdrawnSince.IsZero():
+		m.withdrawnSince = now
+	}
+}
+
+// setStored takes over a state of the store unless a newer one is known.
+func (m *migration) setStored(s rollout.State) {
+	if s.RowVersion > m.stored.RowVersion {
+		m.stored = s
+	}
+}
+
+// startJudge starts the judge of an open order.
+func (m *migration) startJudge(now time.Time, storeNow time.Duration) {
+	if m.judge != nil || !m.open() {
+		return
+	}
+	m.judgeSince, m.startedBefore = now, max(storeNow-m.startedAt(), 0)
+	m.judge = rollout.NewJudge(now, m.startedBefore, *m.order, m.bounds)
+}
+
+// startedAt returns the time of the store's clock from which the order's duration counts.
+func (m *migration) startedAt() time.Duration {
+	if m.stored.OrderVersion == m.order.RowVersion {
+		return m.stored.StartedAt
+	}
+	return m.orderedAt
+}
+
+// setVerdict records a verdict of this VM or another one.
+func (m *migration) setVerdict(now time.Time, v rollout.Verdict) {
+	if v == rollout.NoVerdict || m.verdict == rollout.RollBack || m.verdict == v {
+		return
+	}
+	m.verdict, m.verdictAt = v, now
+}
+
+// rule returns the rule for an attempt. failedAtTarget is true if a server of the target
+// version has failed an earlier attempt of the request. random is uniformly distributed in
+// [0, 1).
+func (m *migration) rule(failedAtTarget bool, random float64) Rule {
+	rule := Rule{ready: m.ready}
+	switch {
+	case !m.ordered():
+		m.withdrawnRule(&rule)
+	case !m.open() && m.stored.Status == rollout.Completed:
+		rule.replaced = m.stored.Replaced
+	case !m.open():
+		rule.target, rule.scope = m.stored.Target, onlyOld
+	default:
+		m.openRule(&rule, failedAtTarget, random)
+	}
+	return rule
+}
+
+// withdrawnRule fills in the rule while there is no order. A version whose order was
+// withdrawn, or that was rolled back, gets what the others cannot take, so that nobody is
+// left without a server because of an old state.
+func (m *migration) withdrawnRule(rule *Rule) {
+	switch m.stored.Status {
+	case rollout.Completed:
+		rule.replaced = m.stored.Replaced
+	case rollout.Running, rollout.RolledBack:
+		rule.target, rule.scope = m.stored.Target, preferOld
+	}
+}
+
+// openRule fills in the rule of an order without a final state.
+func (m *migration) openRule(rule *Rule, failedAtTarget bool, random float64) {
+	rule.target, rule.scope = m.order.Target, onlyOld
+	share := m.decision.TargetShare
+	switch {
+	case !m.statesKnown:
+		// The order may have been completed long ago.
+		rule.scope = preferOld
+	case m.verdict == rollout.RollBack:
+	case m.verdict == rollout.Complete:
+		rule.scope = onlyTarget
+	case m.judge == nil || random >= share || failedAtTarget && share < 1:
+	default:
+		rule.scope, rule.group = preferTarget, m.group
+	}
+}
+
+// ownLoad returns what this VM has under way at the servers that are replaced. A VM that
+// may still send them requests has at least one.
+func (m *migration) ownLoad() (own load) {
+	for version, l := range m.underWay {
+		if version != m.order.Target {
+			own.all += l.all
+			own.unrepeatable += l.unrepeatable
+		}
+	}
+	if m.verdict != rollout.Complete && m.decision.TargetShare < 1 {
+		own.add(1, false)
+	}
+	return own
+}
+
+// oldLoad returns what all VMs have under way at the servers that are replaced.
+// connectedVMs is the number of VMs, this one included, whose reports are expected.
+func (m *migration) oldLoad(now time.Time, connectedVMs int) load {
+	total := m.ownLoad()
+	reports := 1
+	for subject, r := range m.remote {
+		if now.Sub(r.reportedAt) > reportTimeout {
+			delete(m.remote, subject)
+			continue
+		}
+		reports++
+		l := r.load()
+		total.all += l.all
+		total.unrepeatable += l.unrepeatable
+	}
+	elapsed := m.startedBefore + now.Sub(m.judgeSince)
+	if elapsed.Seconds() < missingReportsPart*m.order.Duration.Seconds() {
+		total.add(max(0, connectedVMs-reports), false)
+	}
+	return total
+}
+
+// reconstructCounts tells the judge what was sent before it began to count. A process that
+// ran when the order was written knows it. Another one hears it from older VMs. If all
+// have started since, nobody knows, and as much as a roll-out may use counts as sent. It
+// reports whether the judge knows the counts.
+func (m *migration) reconstructCounts(now time.Time, f Fleet, arrivalsPerSecond float64) bool {
+	if m.countsKnown {
+		return true
+	}
+	orderWritten := m.judgeSince.Add(-m.startedBefore)
+	switch {
+	case !orderWritten.Before(f.StartedAt):
+		m.countsKnown = true
+	case now.Sub(m.judgeSince) < catchUpTime:
+	case f.OlderVMsLive:
+		m.countsKnown = true
+	default:
+		total := arrivalsPerSecond * m.startedBefore.Seconds()
+		target := usedExposure*m.bounds.ExposedShare*total + usedSlack*m.bounds.ExposedSlack
+		m.judge.RecordSends(now, uint64(total), uint64(target))
+		m.countsKnown = true
+	}
+	return m.countsKnown
+}
--- /dev/null
+++ b/rollout/replica/write.go
@@ -0,0 +1,127 @@
+package replica
+
+import (
+	"time"
+
+	"almondstile/contract"
+	"almondstile/rollout"
+)
+
+const (
+	// initialWriteDelay is the pause after the first failed attempt to write a state. It
+	// doubles with each further one, up to maxWriteDelay.
+	initialWriteDelay = 250 * time.Millisecond
+	maxWriteDelay     = 2 * time.Second
+	// copyTimeout is the time after a write within which this VM's copy of the states has
+	// it. Later it is written again, which does nothing if it is there.
+	copyTimeout = 3 * time.Second
+)
+
+// writeSchedule holds what a VM has done to write one status of an order.
+type writeSchedule struct {
+	status rollout.Status
+	// dueSince is when the status was to be written first, by any VM.
+	dueSince time.Time
+	// busy is true while an attempt is under way, and notBefore the time of the next one.
+	busy      bool
+	notBefore time.Time
+	failures  int
+}
+
+// Due returns the states that this VM has to write now, and marks the attempts as under
+// way: RecordWrite must follow for each. delay is how long this VM leaves the write to
+// others. A state's RowVersion is the one that the store has to have.
+func (r *Rollouts) Due(now time.Time, delay time.Duration) (due []rollout.State) {
+	if r == nil {
+		return nil
+	}
+	r.services.Range(func(_ contract.ServiceID, m *migration) bool {
+		if state, ok := m.due(now, delay); ok {
+			due = append(due, state)
+		}
+		return true
+	})
+	return due
+}
+
+// due returns the state that is to be written now, if there is one.
+func (m *migration) due(now time.Time, delay time.Duration) (rollout.State, bool) {
+	wanted, ok := m.wanted(now)
+	w := &m.write
+	if !ok {
+		*w = writeSchedule{busy: w.busy}
+		return rollout.State{}, false
+	}
+	if w.status != wanted.Status {
+		*w = writeSchedule{status: wanted.Status, dueSince: now, busy: w.busy}
+	}
+	if w.busy || now.Before(w.notBefore) || now.Sub(w.dueSince) < delay {
+		return rollout.State{}, false
+	}
+	w.busy = true
+	return wanted, true
+}
+
+// wanted returns the state that the store should have, if it is another one than it has.
+func (m *migration) wanted(now time.Time) (rollout.State, bool) {
+	if !m.statesKnown {
+		return rollout.State{}, false
+	}
+	next := m.stored
+	switch {
+	case m.order == nil:
+		if m.withdrawnSince.IsZero() || now.Sub(m.withdrawnSince) < withdrawalTime {
+			return rollout.State{}, false
+		}
+		next.Status = rollout.RolledBack // the target version has got nothing since
+		return next, true
+	case !m.open() || m.judge == nil:
+		return rollout.State{}, false
+	case m.stored.OrderVersion != m.order.RowVersion:
+		next = rollout.State{
+			Service: m.order.Service, OrderVersion: m.order.RowVersion, Target: m.order.Target,
+			StartedAt: m.orderedAt, Status: rollout.Running, RowVersion: m.stored.RowVersion,
+		}
+	}
+	settled := now.Sub(m.verdictAt) >= settleTime && m.decision.WriteStatus
+	switch {
+	case m.verdict == rollout.RollBack && settled:
+		next.Status = rollout.RolledBack
+	case m.verdict == rollout.Complete && settled && m.ownLoad().unrepeatable == 0:
+		next.Status, next.Replaced = rollout.Completed, m.otherVersions()
+	}
+	return next, next.Status != m.stored.Status || next.OrderVersion != m.stored.OrderVersion
+}
+
+// otherVersions returns the versions of the service's servers other than the target.
+func (m *migration) otherVersions() (other []rollout.Version) {
+	for version := range m.arrivals.heldUntil {
+		if version != m.order.Target {
+			other = append(other, version)
+		}
+	}
+	return other
+}
+
+// RecordWrite records the result of an attempt to write a state: whether it was written,
+// and otherwise the state that the store has, if that is known. random is uniformly
+// distributed in [0, 1).
+func (r *Rollouts) RecordWrite(now time.Time, written rollout.State, succeeded bool, stored *rollout.State, random float64) {
+	r.services.DoExisting(written.Service, func(m *migration) {
+		w := &m.write
+		w.busy = false
+		if stored != nil {
+			m.setStored(*stored)
+		}
+		switch {
+		case succeeded:
+			w.failures, w.notBefore = 0, now.Add(copyTimeout)
+		case stored != nil:
+			w.failures, w.notBefore = 0, now
+		default:
+			nominal := min(initialWriteDelay<<min(w.failures, 4), maxWriteDelay)
+			w.failures++
+			w.notBefore = now.Add(nominal/2 + time.Duration(random*float64(nominal)))
+		}
+	})
+}
--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"almondstile/shard"
@@ -33,6 +34,9 @@
 	// silentOriginRetention is the time for which it is remembered that the totals of
 	// a silent origin were deleted. It exceeds the longest expected partition by far.
 	silentOriginRetention = 24 * time.Hour
+	// rolloutRetention is the time for which the totals of a roll-out are kept at least
+	// after their last change. It exceeds the longest pause of the requests to one version.
+	rolloutRetention = 10 * time.Minute
 )
 
 // entry holds the last totals of one origin and subject, and the sends that are
@@ -68,6 +72,10 @@
 	// before the locks of entries, and those of origins after them.
 	pending shard.Map[entryKey, struct{}]
 	origins shard.Map[Origin, *originState]
+	// hasRollouts is set while there may be totals of roll-outs, and rolloutsSweptAt is
+	// the uptime in nanoseconds at which old ones were last deleted.
+	hasRollouts     atomic.Bool
+	rolloutsSweptAt atomic.Int64
 }
 
 // entryKey is the subject and then the origin of an entry.
@@ -86,6 +94,9 @@
 	l.entries.Do(s, func() map[Origin]*entry { return make(map[Origin]*entry) }, func(byOrigin map[Origin]*entry) {
 		e, ok := byOrigin[o]
 		if !ok {
+			if isOfRollout(s) {
+				l.hasRollouts.Store(true)
+			}
 			e = create()
 			byOrigin[e.record.Origin] = e
 		}
@@ -136,7 +147,8 @@
 // isUrgent reports whether a change must be sent before the next regular message:
 // a server's failure, which other VMs should learn of before they send to the same
 // server, a team that is near its limit, a server that leaves, a request to a server
-// with a limit, or a request that crashed a server.
+// with a limit, a request that crashed a server, a failure of the new version of a
+// roll-out, or a verdict on it.
 func isUrgent(s Subject, delta Counts) bool {
 	switch s.Kind() {
 	case Server:
@@ -145,8 +157,10 @@
 		return delta[AdmittedNearLimit] > 0
 	case Incarnation:
 		return delta[Leaving] > 0 || delta[LimitedSends] > 0
+	case Rollout:
+		return delta[RollBacks] > 0 || delta[Completions] > 0 || delta[Shifts] > 0
 	default:
-		return s.Kind() == Fingerprint
+		return s.Kind() == Fingerprint || s.Kind() == FailedSample
 	}
 }
 
@@ -256,6 +270,11 @@
 	}
 }
 
+// isState reports whether a receiver needs the whole totals of the subject, also what was
+// counted before its start: what was sent and decided since an order of a roll-out, and
+// the requests under way.
+func isState(s Subject) bool { return s.Kind() == Rollout || s.Kind() == RolloutLoad }
+
 // countsBeforeStart returns, for totals that are received for the first time, the
 // part from before this process could receive them. It is zero if the record's
 // uptime is at most this process's uptime plus uptimeTolerance, because its origin
@@ -265,6 +284,9 @@
 // happened, and leaving it out would allow the team one extra request per origin.
 func (l *Ledger) countsBeforeStart(now time.Time, r Record) Counts {
 	uptime := now.Sub(l.started)
+	if isState(r.Subject) {
+		return Counts{}
+	}
 	if r.Uptime <= uptime+uptimeTolerance && !l.totalsDeleted(r.Origin) {
 		return Counts{}
 	}
@@ -358,7 +380,8 @@
 	return deleted
 }
 
-// Sweep deletes the totals of origins that were silent for originRetention.
+// Sweep deletes the totals of origins that were silent for originRetention, and those of
+// roll-outs that have not changed for rolloutRetention.
 func (l *Ledger) Sweep(now time.Time) {
 	expired := make(map[Origin]bool)
 	l.origins.Range(func(o Origin, s *originState) bool {
@@ -372,6 +395,33 @@
 	if len(expired) > 0 {
 		l.retainEntries(func(e *entry) bool { return !expired[e.record.Origin] })
 	}
+	l.sweepRollouts(now)
+}
+
+// sweepRollouts deletes the totals of roll-outs that have not changed for
+// rolloutRetention. It looks for them once in that time, if there were any.
+func (l *Ledger) sweepRollouts(now time.Time) {
+	uptime := now.Sub(l.started)
+	if !l.hasRollouts.Load() || uptime-time.Duration(l.rolloutsSweptAt.Load()) < rolloutRetention {
+		return
+	}
+	l.rolloutsSweptAt.Store(int64(uptime))
+	left := false
+	l.retainEntries(func(e *entry) bool {
+		if !isOfRollout(e.record.Subject) {
+			return true
+		}
+		keep := uptime-e.changedAt < rolloutRetention
+		left = left || keep
+		return keep
+	})
+	l.hasRollouts.Store(left)
+}
+
+// isOfRollout reports whether the subject belongs to one order of a roll-out, so that it is
+// of no use some time after that has ended.
+func isOfRollout(s Subject) bool {
+	return isState(s) || s.Kind() == Sample || s.Kind() == FailedSample
 }
 
 // newEntry returns the entry of an origin and a subject without counts.
--- a/tally/record.go
+++ b/tally/record.go
@@ -21,6 +21,15 @@
 	Fingerprint Kind = 'c'
 	// Incarnation is one process of a server, from one start to the next.
 	Incarnation Kind = 'i'
+	// Rollout is one order of a roll-out.
+	Rollout Kind = 'o'
+	// Sample is the responses of one class during a roll-out, and FailedSample those of
+	// servers of the new version that failed. RolloutLoad is what one VM has under way at
+	// the servers that are replaced. Package rollout/replica packs what they are about
+	// into the other bytes of the subject.
+	Sample       Kind = 'm'
+	FailedSample Kind = 'f'
+	RolloutLoad  Kind = 'l'
 )
 
 // Subject identifies what is counted by a kind, 1 byte, and the 8-byte hash of a
@@ -91,6 +100,23 @@
 	LimitUnstated       Field = 3
 	// LimitedSends counts the requests that were sent to an incarnation with a limit.
 	LimitedSends Field = 4
+	// TargetSends counts the requests that were sent to servers of the new version of a
+	// roll-out. RollBacks and Completions count the announcements of its verdicts, and
+	// Shifts the VMs that have begun to move all requests.
+	TargetSends Field = 0
+	RollBacks   Field = 1
+	Completions Field = 2
+	Shifts      Field = 3
+	// Sampled counts the responses of a sample.
+	Sampled Field = 0
+	// The requests that a VM has under way at the servers that are replaced are LoadUp
+	// minus LoadDown, and those of them that may not be repeated UnrepeatableUp minus
+	// UnrepeatableDown. LoadReports counts the reports.
+	LoadUp           Field = 0
+	LoadDown         Field = 1
+	UnrepeatableUp   Field = 2
+	UnrepeatableDown Field = 3
+	LoadReports      Field = 4
 )
 
 // Counts holds running totals, or the difference of two, indexed by Field.
--- a/tally/resend.go
+++ b/tally/resend.go
@@ -39,7 +39,7 @@
 }
 
 // hasSharedLimit reports whether the counts of a subject are checked against a limit
-// that all VMs share.
+// that all VMs share, such as the exposure of a roll-out.
 func hasSharedLimit(s Subject) bool {
-	return s.Kind() == Team || s.Kind() == Service || s.Kind() == Fingerprint
+	return s.Kind() == Team || s.Kind() == Service || s.Kind() == Fingerprint || isOfRollout(s)
 }
