--- /dev/null
+++ b/catalog/rollouts_test.go
@@ -0,0 +1,122 @@
+package catalog
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"almondstile/contract"
+	"almondstile/logging"
+	"almondstile/rollout"
+)
+
+// orderDecoder is testDecoder for a table of orders: each row of OperatorTable is the order
+// of the service that its key names.
+type orderDecoder struct{ testDecoder }
+
+func (orderDecoder) DecodeOperator(r Row) (OperatorRow, error) {
+	return OperatorRow{Rollout: &rollout.Order{Service: contract.ServiceID(r.Key), Target: "v2", RowVersion: r.Version}}, nil
+}
+
+// newRolloutCatalog returns a catalog of a deployment with roll-outs.
+func newRolloutCatalog() *testCatalog {
+	c := &testCatalog{now: 200 * time.Second}
+	c.Catalog = New(orderDecoder{}, func() time.Duration { return c.now }, logging.Discard().Part("catalog"))
+	c.Rollouts = true
+	return c
+}
+
+// Guards against deployments without roll-outs that copy one more table, or follow orders.
+func TestRolloutsAreOffByDefault(t *testing.T) {
+	c := newRolloutCatalog()
+	c.Rollouts = false
+	c.Apply(OperatorTable, Changes{Rows: []Row{{Key: "s", Version: 5}}, Version: 5, AsOf: c.storeNow()})
+	if len(c.Tables()) != 2 || c.View().Rollouts != nil || c.View().RolloutOpen() {
+		t.Errorf("tables %v, orders %v", c.Tables(), c.View().Rollouts)
+	}
+}
+
+// Guards against states that are read while none can change, and not read while one can:
+// before the first one, while it runs, and after a new order.
+func TestRolloutIsOpenUntilItsFinalState(t *testing.T) {
+	c := newRolloutCatalog()
+	for _, step := range []struct {
+		what  string
+		table Table
+		row   Row
+		open  bool
+	}{
+		{"order", OperatorTable, Row{Key: "s", Version: 5}, true},
+		{"state of an earlier order", RolloutTable, Row{Key: "s", Version: 4, Value: []byte("completed")}, true},
+		{"running", RolloutTable, Row{Key: "s", Version: 5, Value: []byte("running")}, true},
+		{"new order", OperatorTable, Row{Key: "s", Version: 6}, true},
+		{"completed", RolloutTable, Row{Key: "s", Version: 6, Value: []byte("completed")}, false},
+		{"withdrawn", OperatorTable, Row{Key: "s", Version: 7, Removed: true}, false},
+	} {
+		c.Apply(step.table, Changes{Rows: []Row{step.row}, Version: step.row.Version, AsOf: c.storeNow()})
+		if got := c.View().RolloutOpen(); got != step.open {
+			t.Errorf("%s: open %v, want %v", step.what, got, step.open)
+		}
+	}
+}
+
+// Guards against the start of an order that a VM counts from the moment at which it heard
+// of it, and against one that was written in an outage and counts from its end.
+func TestOrderedAtIsTheStoreTime(t *testing.T) {
+	c := newRolloutCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Version: 1, AsOf: c.storeNow()})
+	c.now += time.Second
+	read := c.storeNow()
+	c.now += 5 * time.Second // the response waited in the buffer of a suspended VM
+	c.Apply(OperatorTable, Changes{Rows: []Row{{Key: "s", Version: 5}}, Version: 5, AsOf: read})
+	if got := c.View().OrderedAt["s"]; got != read {
+		t.Errorf("ordered at %s, want %s", got, read)
+	}
+	c.now += outageThreshold + time.Second
+	c.Apply(OperatorTable, Changes{Rows: []Row{{Key: "s", Version: 6}}, Version: 6, AsOf: c.storeNow()})
+	if got := c.View().OrderedAt["s"]; got != read {
+		t.Errorf("after an outage the order was written at %s, want %s at the earliest", got, read)
+	}
+	c.now += time.Second
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 7, AsOf: c.storeNow()})
+	if got := c.View().OrderedAt["s"]; got != read {
+		t.Errorf("after a change of another table the order was written at %s, want %s", got, read)
+	}
+}
+
+// countingStore counts the reads of each table.
+type countingStore struct{ reads [tableCount]int }
+
+func (s *countingStore) Read(_ context.Context, t Table) (Changes, error) {
+	s.reads[t]++
+	return Changes{FullTable: true, Version: 1}, nil
+}
+
+func (s *countingStore) WaitForChanges(_ context.Context, t Table, _ uint64, _ time.Duration) (Changes, error) {
+	s.reads[t]++
+	return Changes{Version: 1}, nil
+}
+
+// firstReader is the role of the VM that reads the store for its zone.
+type firstReader struct{}
+
+func (firstReader) ReaderRank() int { return 0 }
+func (firstReader) ZoneSize() int   { return 1 }
+
+// Guards against calls for a table that nobody needs.
+func TestUnwantedTableIsNotRead(t *testing.T) {
+	c, store := newRolloutCatalog(), &countingStore{}
+	ctx, cancel := context.WithCancel(context.Background())
+	asked := 0
+	reader := Reader{Catalog: c.Catalog, Store: store, Role: firstReader{}, Times: NewReadTimes(0), Log: logging.Discard().Part("store"),
+		Wanted: func(Table) bool {
+			if asked++; asked == 3 {
+				cancel()
+			}
+			return false
+		}}
+	reader.Run(ctx, RolloutTable)
+	if store.reads[RolloutTable] > 0 {
+		t.Errorf("the table was read %d times", store.reads[RolloutTable])
+	}
+}
