rollout/replica, hosted: old decisions and lost reports

A process that was suspended followed its last decision until the next one, and the reports of a VM that was silent for 2 s were forgotten, so the next one, which tells a difference, was read as a whole. A decision older than 1 s sends nothing to the new version, and reports are kept. The end of a roll-out is logged.

--- a/direct/choose.go
+++ b/direct/choose.go
@@ -33,7 +33,7 @@
 // now.
 func (d *Dispatcher) selectServer(now time.Time, view *catalog.View, req *request.Request, tried map[contract.ServerID]bool) (selection, bool) {
 	service := view.Index.Service(req.Service)
-	rule := d.rolloutRule(view, req.Service, tried)
+	rule := d.rolloutRule(now, view, req.Service, tried)
 	var available []selection
 	for _, r := range view.ByService[req.Service] {
 		if !view.AcceptsNewRequests(r) || !rule.Allows(versionedServer(r)) || !d.allowedByNotices(now, r) {
--- a/direct/rollout.go
+++ b/direct/rollout.go
@@ -16,7 +16,7 @@
 
 // rolloutRule returns the rule of the service's roll-out for the next attempt of a request.
 // tried holds the servers of its earlier attempts.
-func (d *Dispatcher) rolloutRule(view *catalog.View, service contract.ServiceID, tried map[contract.ServerID]bool) replica.Rule {
+func (d *Dispatcher) rolloutRule(now time.Time, view *catalog.View, service contract.ServiceID, tried map[contract.ServerID]bool) replica.Rule {
 	rollouts := d.deps.ReplicatedState.Rollouts
 	if rollouts == nil {
 		return replica.Rule{}
@@ -29,7 +29,7 @@
 		}
 		return false
 	}
-	return rollouts.Rule(service, view.Rollouts[service], triedVersion, rand.Float64())
+	return rollouts.Rule(now, service, view.Rollouts[service], triedVersion, rand.Float64())
 }
 
 // preferredByRollout returns the servers that the rule prefers, or all if it prefers none
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -133,7 +133,7 @@
 		v.rollouts = &rolloutKeeper{
 			rollouts: v.state.Rollouts, servers: v.dispatcher.RolloutServers, catalog: v.catalog, roster: v.roster, ledger: v.ledger,
 			store: p.Store, startedAt: now, guard: v.guard, metrics: v.metrics, log: log.Part("rollout"),
-			logged: make(map[contract.ServiceID]loggedDecision),
+			logged: make(map[contract.ServiceID]loggedDecision), open: make(map[contract.ServiceID]bool),
 		}
 	}
 	v.front = httpfront.New(v.dispatcher, httpfront.Options{
--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -75,7 +75,9 @@
 	synced   *catalog.View // the view that the replica has
 	syncedAt time.Time
 	logged   map[contract.ServiceID]loggedDecision
-	writes   conc.WaitGroup
+	// open holds the services with an open roll-out.
+	open   map[contract.ServiceID]bool
+	writes conc.WaitGroup
 }
 
 // loggedDecision is what was last logged of a roll-out.
@@ -105,7 +107,9 @@
 func (k *rolloutKeeper) step(ctx context.Context, now time.Time) {
 	k.sync(now)
 	k.rollouts.Refresh(now)
+	clear(k.open)
 	for _, order := range k.rollouts.Orders() {
+		k.open[order.Service] = true
 		step, ok := k.rollouts.Decide(now, order, k.fleet(now), k.servers(now, order))
 		if !ok {
 			continue
@@ -115,6 +119,7 @@
 		}
 		k.report(now, step)
 	}
+	k.reportEnded()
 	for _, state := range k.rollouts.Due(now, k.writeDelay(now)) {
 		k.writes.Go(func() { k.write(ctx, state) })
 	}
@@ -273,3 +278,18 @@
 		WithField("evidence", f.Evidence).WithField("evidence_all", f.EvidenceAll).WithField("suspects", f.Suspects).
 		WithField("old_under_way", step.UnderWay).Info("The decision about a roll-out.")
 }
+
+// reportEnded logs the end of roll-outs that were open before.
+func (k *rolloutKeeper) reportEnded() {
+	for service, last := range k.logged {
+		if k.open[service] {
+			continue
+		}
+		delete(k.logged, service)
+		stored := k.rollouts.Stored(service)
+		k.metrics.Gauge("rollout."+string(service)+".share_permille", 0)
+		k.log.WithField("service", service).WithField("stored_status", stored.Status).WithField("target", stored.Target).
+			WithField("order", stored.OrderVersion).WithField("verdict", last.verdict.String()).
+			WithField("reason", last.decision.Reason).Info("A roll-out has ended.")
+	}
+}
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -96,7 +96,8 @@
 	old := v.settings
 	if next.CallersAddress != old.CallersAddress || next.ReadyAddress != old.ReadyAddress ||
 		next.StoreAddress != old.StoreAddress || next.Self.ControlAddress != old.Self.ControlAddress ||
-		next.Self.Zone != old.Self.Zone || next.RetryBudget != old.RetryBudget || next.MaxKeyWithdrawalTime != old.MaxKeyWithdrawalTime {
+		next.Self.Zone != old.Self.Zone || next.RetryBudget != old.RetryBudget || next.MaxKeyWithdrawalTime != old.MaxKeyWithdrawalTime ||
+		next.Rollout != old.Rollout {
 		log.Warn("Settings that need a restart have changed; the old ones stay in force.")
 	}
 	v.node.SetSeeds(next.Seeds)
--- a/rollout/replica/decide.go
+++ b/rollout/replica/decide.go
@@ -61,6 +61,13 @@
 	return open
 }
 
+// Stored returns the state of a service's last roll-out in the store, as far as this VM
+// knows it.
+func (r *Rollouts) Stored(service contract.ServiceID) (state rollout.State) {
+	r.services.DoExisting(service, func(m *migration) { state = m.stored })
+	return state
+}
+
 // Decide decides about the order, which the VM follows until the next call. It returns
 // false if the order is not in force any more.
 func (r *Rollouts) Decide(now time.Time, order rollout.Order, f Fleet, servers Servers) (step Step, ok bool) {
@@ -82,6 +89,7 @@
 func (m *migration) decide(now time.Time, f Fleet, servers Servers) Step {
 	old := m.oldLoad(now, f.ConnectedVMs)
 	before, beforeVerdict := m.decision, m.verdict
+	m.decidedAt = now
 	m.decision = m.judge.Decide(now, rollout.Situation{
 		Targets: servers.Targets, OldServers: servers.OldServers, OldSlots: servers.OldSlots,
 		OldInFlight: old.all, OldUnrepeatable: old.unrepeatable,
--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -17,6 +17,9 @@
 	// announceInterval is the time between two announcements of a verdict that the store
 	// does not have yet, for VMs that have started since the last one.
 	announceInterval = time.Second
+	// maxDecisionAge is the age from which on a decision is not followed: a process that
+	// was suspended may have missed a verdict. It is ten times the time between two.
+	maxDecisionAge = time.Second
 	// catchUpTime is the time that a new replica takes to hear the counts of all VMs that
 	// send requests.
 	catchUpTime = 2 * time.Second
@@ -59,6 +62,7 @@
 	// was sent before judgeSince.
 	countsKnown bool
 	decision    rollout.Decision
+	decidedAt   time.Time
 	group       map[string]bool // of decision.TargetServers
 	// verdict is the verdict of this VM or another one, known since verdictAt. A roll-back
 	// goes before a completion.
@@ -96,7 +100,7 @@
 	}
 	m.order, m.orderedAt = order, orderedAt
 	m.judge, m.judgeSince, m.startedBefore, m.countsKnown = nil, time.Time{}, 0, false
-	m.decision, m.group = rollout.Decision{}, nil
+	m.decision, m.decidedAt, m.group = rollout.Decision{}, time.Time{}, nil
 	m.verdict, m.verdictAt, m.othersMove = rollout.NoVerdict, time.Time{}, false
 	m.announcedAt, m.announcedShift = time.Time{}, false
 	m.report, m.remote, m.write = ownReport{}, make(map[tally.Subject]*remoteLoad), writeSchedule{}
@@ -149,7 +153,7 @@
 // rule returns the rule for an attempt. failedAtTarget is true if a server of the target
 // version has failed an earlier attempt of the request. random is uniformly distributed in
 // [0, 1).
-func (m *migration) rule(failedAtTarget bool, random float64) Rule {
+func (m *migration) rule(now time.Time, failedAtTarget bool, random float64) Rule {
 	rule := Rule{ready: m.ready}
 	switch {
 	case !m.ordered():
@@ -159,7 +163,7 @@
 	case !m.open():
 		rule.target, rule.scope = m.stored.Target, onlyOld
 	default:
-		m.openRule(&rule, failedAtTarget, random)
+		m.openRule(now, &rule, failedAtTarget, random)
 	}
 	return rule
 }
@@ -177,7 +181,7 @@
 }
 
 // openRule fills in the rule of an order without a final state.
-func (m *migration) openRule(rule *Rule, failedAtTarget bool, random float64) {
+func (m *migration) openRule(now time.Time, rule *Rule, failedAtTarget bool, random float64) {
 	rule.target, rule.scope = m.order.Target, onlyOld
 	share := m.decision.TargetShare
 	switch {
@@ -187,7 +191,8 @@
 	case m.verdict == rollout.RollBack:
 	case m.verdict == rollout.Complete:
 		rule.scope = onlyTarget
-	case m.judge == nil || random >= share || failedAtTarget && share < 1:
+	case now.Sub(m.decidedAt) > maxDecisionAge:
+	case random >= share || failedAtTarget && share < 1:
 	default:
 		rule.scope, rule.group = preferTarget, m.group
 	}
@@ -213,10 +218,9 @@
 func (m *migration) oldLoad(now time.Time, connectedVMs int) load {
 	total := m.ownLoad()
 	reports := 1
-	for subject, r := range m.remote {
+	for _, r := range m.remote {
 		if now.Sub(r.reportedAt) > reportTimeout {
-			delete(m.remote, subject)
-			continue
+			continue // kept, because a later report tells only the difference
 		}
 		reports++
 		l := r.load()
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -47,7 +47,7 @@
 // choices returns the versions among the given ones that a request may get: the preferred
 // ones, or the allowed ones if none is preferred.
 func choices(r *Rollouts, order *rollout.Order, tried rollout.Version, random float64, versions ...rollout.Version) (out []rollout.Version) {
-	rule := r.Rule("s", order, func(v rollout.Version) bool { return v == tried }, random)
+	rule := r.Rule(start, "s", order, func(v rollout.Version) bool { return v == tried }, random)
 	var allowed []rollout.Version
 	for _, v := range versions {
 		if server := (Server{ID: "server", Version: v}); rule.Allows(server) {
@@ -73,7 +73,9 @@
 
 // setShare lets the replica follow a decision with the share.
 func setShare(r *Rollouts, share float64) {
-	r.services.DoExisting("s", func(m *migration) { m.decision = rollout.Decision{TargetShare: share, SampleShares: [2]float64{1, 1}} })
+	r.services.DoExisting("s", func(m *migration) {
+		m.decision, m.decidedAt = rollout.Decision{TargetShare: share, SampleShares: [2]float64{1, 1}}, start
+	})
 }
 
 // announce applies the announcement of another VM.
@@ -146,6 +148,9 @@
 	expectChoices(t, "a repeat", r, order, target, 0.05, oldVersion, later)
 	setShare(r, 1)
 	expectChoices(t, "a repeat while the old servers are emptied", r, order, target, 0.05, target)
+	if rule := r.Rule(start.Add(maxDecisionAge+1), "s", order, func(rollout.Version) bool { return false }, 0); rule.Allows(Server{Version: target}) {
+		t.Error("a VM that was suspended follows an old decision")
+	}
 	announce(r, start, order, tally.Completions)
 	expectChoices(t, "another VM completes", r, order, target, 0.99, target)
 	announce(r, start, order, tally.RollBacks)
@@ -266,7 +271,7 @@
 	r.RecordEnd(Send{})
 	r.Observe(start, "", tally.Counts{})
 	r.ObserveSends(start, "", 1)
-	if rule := r.Rule("s", nil, nil, 0); !rule.Allows(Server{}) || !rule.PrefersAll() || len(r.Orders()) > 0 || len(r.Due(start, 0)) > 0 {
+	if rule := r.Rule(start, "s", nil, nil, 0); !rule.Allows(Server{}) || !rule.PrefersAll() || len(r.Orders()) > 0 || len(r.Due(start, 0)) > 0 {
 		t.Error("a nil replica restricts requests")
 	}
 }
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -173,14 +173,14 @@
 // service that the VM knows, nil if there is none. triedTarget reports whether an earlier
 // attempt of the request went to a server of a version; it is called at most once. random
 // is uniformly distributed in [0, 1).
-func (r *Rollouts) Rule(service contract.ServiceID, order *rollout.Order, triedTarget func(rollout.Version) bool, random float64) (rule Rule) {
+func (r *Rollouts) Rule(now time.Time, service contract.ServiceID, order *rollout.Order, triedTarget func(rollout.Version) bool, random float64) (rule Rule) {
 	if r == nil {
 		return Rule{}
 	}
 	known := false
 	r.services.DoExisting(service, func(m *migration) {
 		known = order == nil || m.order != nil && m.order.RowVersion >= order.RowVersion
-		rule = m.rule(m.open() && triedTarget(m.order.Target), random)
+		rule = m.rule(now, m.open() && triedTarget(m.order.Target), random)
 	})
 	if !known && order != nil {
 		return Rule{target: order.Target, scope: preferOld} // until the next Sync
@@ -231,7 +231,7 @@
 			return // it began before this service was known
 		}
 		l.add(-1, s.Repeatable)
-		if l.all == 0 {
+		if l.all <= 0 {
 			delete(m.underWay, s.Version)
 		}
 	})
