--- a/rollout/replica/decide.go
+++ b/rollout/replica/decide.go
@@ -108,7 +108,7 @@
 	step := Step{Order: *m.order, Decision: m.decision, Verdict: m.verdict, UnderWay: old.all,
 		Changed: before.Reason != m.decision.Reason || beforeVerdict != m.verdict}
 	if c := m.announcement(now, beforeVerdict); c != (tally.Counts{}) {
-		step.Announcements = append(step.Announcements, Announcement{orderSubject(m.order), c})
+		step.Announcements = append(step.Announcements, Announcement{OrderSubject(m.order), c})
 	}
 	return step
 }
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -82,7 +82,7 @@
 func announce(r *Rollouts, now time.Time, order *rollout.Order, f tally.Field) {
 	var c tally.Counts
 	c[f] = 1
-	r.Observe(now, orderSubject(order), c)
+	r.Observe(now, OrderSubject(order), c)
 }
 
 // Guards against samples that arrive as those of another route, server, side or class, and
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -213,7 +213,7 @@
 		}
 		toTarget := uint64(0)
 		if s.Version == m.order.Target {
-			toTarget, subject, counts = 1, orderSubject(m.order), true
+			toTarget, subject, counts = 1, OrderSubject(m.order), true
 		}
 		m.judge.RecordSends(now, 1, toTarget)
 	})
--- a/rollout/replica/subject.go
+++ b/rollout/replica/subject.go
@@ -48,8 +48,8 @@
 	return hashKey(string(id)+"/"+strconv.FormatInt(startedAt, 10), serverBytes)
 }
 
-// orderSubject returns the subject of what is sent and announced for an order.
-func orderSubject(o *rollout.Order) tally.Subject {
+// OrderSubject returns the subject of what is sent and announced for an order.
+func OrderSubject(o *rollout.Order) tally.Subject {
 	return tally.Subject(pad(string(rune(tally.Rollout)) + string(keyOfOrder(o))))
 }
 
