--- a/rollout/replica/write_test.go
+++ b/rollout/replica/write_test.go
@@ -63,10 +63,9 @@
 // call executes a write with an outcome. It returns what its writer learns, as
 // hosted.rolloutKeeper does.
 func (s *stateStore) call(now time.Time, state rollout.State, outcome writeOutcome, readBack bool) (succeeded bool, stored *rollout.State) {
-	err := rollout.ErrStateChanged
 	switch outcome {
 	case outcomeDone:
-		if err = s.put(state); err == nil {
+		if s.put(state) == nil {
 			return true, nil
 		}
 	case outcomeAnswerLost:
