rollout: compare versions, hold their share, complete or roll back

A judge counts sampled responses by route, second, side and fold of target servers, and weighs whether the target's are bad more often than the old servers' in the same seconds.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -52,9 +52,12 @@
 	ArrivalsPerSecond float64
 	// ConnectedShare is the share of the fleet (0 to 1) with which this VM exchanges counts.
 	ConnectedShare float64
-	// RemoteCountsUnknown is true while this VM does not know what the others sent since the
-	// order, because it has just started.
+	// RemoteCountsUnknown is true if this VM started after the order and VMs that know more
+	// of it are live, or if it does not know what all VMs sent since the order.
 	RemoteCountsUnknown bool
+	// OthersShift is true if another VM announced that it has found the target version no
+	// worse and moves its requests.
+	OthersShift bool
 	// Announced is the verdict that another VM has announced or that the store holds.
 	Announced Verdict
 }
@@ -88,12 +91,13 @@
 	Elapsed time.Duration
 	// Sent and SentToTarget are the requests that VMs sent since the order.
 	Sent, SentToTarget float64
-	// Responses, Failures and Slow count the sampled responses of the target version
-	// without those of its worst servers; OldResponses and OldFailures those of the old.
+	// Responses, Failures and Slow count the sampled responses of the target version,
+	// OldResponses and OldFailures those of the old one.
 	Responses, Failures, Slow float64
 	OldResponses, OldFailures float64
 	// Evidence is the factor by which the responses favour a worse target version over one
-	// that is not worse, without its worst servers. EvidenceAll includes them.
+	// that is not worse or has a few worse servers. EvidenceAll is the factor by which they
+	// favour a worse version or worse servers over neither.
 	Evidence, EvidenceAll float64
 	// Suspects is the number of target servers that are left out of the group because only
 	// they serve worse.
@@ -109,7 +113,9 @@
 	TargetServers []string
 	// SampleShares holds the probability with which a response of a side is sampled.
 	SampleShares [sideCount]float64
-	Verdict      Verdict
+	// Shifting is true once this VM moves all its requests. It is announced to the others.
+	Shifting bool
+	Verdict  Verdict
 	// WriteStatus is true when the verdict may be written to the store: requests sent to the
 	// target version before other VMs heard of a roll-back have then been served.
 	WriteStatus bool
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -1,40 +1,378 @@
 package rollout
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
+const (
+	// rollBackEvidence is the evidence at which a version is rolled back: a version that is
+	// not worse reaches it in one of 200 roll-outs at most.
+	rollBackEvidence = 200.0
+	// shiftRollBackEvidence is that evidence while all requests move. From then on a worse
+	// version costs ten times as much, and soon can't be rolled back any more.
+	shiftRollBackEvidence = 20.0
+	// shiftEvidence is the evidence above which the requests do not move yet. It is low,
+	// because a worse version that gets all requests costs callers more than a good one
+	// that is rolled back.
+	shiftEvidence = 2.0
+	// coveredEvidence takes the place of shiftEvidence where the bounds hold even for a
+	// worse version, because there are few requests.
+	coveredEvidence = 20.0
+	// joinEvidence takes its place where other VMs move their requests already. They have
+	// found less evidence, so that it lies close to the limit.
+	joinEvidence = 4.0
+	// suspectEvidence is the evidence at which the worst servers are left out of the group
+	// if the others are not worse.
+	suspectEvidence = 20.0
+	// minCompared is the number of responses of the target, but for servers that may be
+	// worse alone, without which the requests move
+	// only if the bounds hold in any case. Of versions that fail a tenth, 19 in 20 show a
+	// failure in it.
+	minCompared = 30
+	// maxExcessFailures is the number of failures, beyond twice those that the old servers
+	// would have had, after which a version is rolled back even if only some of its servers
+	// fail. It is well below the 50 bad responses from which Bounds.RollbackTime counts.
+	maxExcessFailures = 30
+
+	// comparePeriod is the time for which a comparison is used.
+	comparePeriod = 200 * time.Millisecond
+	// settlePeriod is the time after which VMs have heard of each other's requests.
+	settlePeriod = 500 * time.Millisecond
+	// minConnectedShare is the connected share below which a VM sends nothing to the target
+	// version, because it may miss a verdict. minShiftShare is the one from which on it
+	// knows enough of the fleet to move all its requests or to complete.
+	minConnectedShare = 0.3
+	minShiftShare     = 0.5
+
+	// maxOldSamplesPerSecond and maxTargetSamplesPerSecond bound the samples that all VMs
+	// together send.
+	maxOldSamplesPerSecond    = 150.0
+	maxTargetSamplesPerSecond = 80.0
+)
+
 // Judge holds one VM's evidence about one order and decides. A VM calls Decide some times
 // a second and applies the last decision to its requests. It is safe for concurrent use.
 type Judge struct {
-	mu      sync.Mutex
-	order   Order
-	bounds  Bounds
-	started time.Time
+	mu       sync.Mutex
+	order    Order
+	started  time.Time // when the order was acknowledged
+	schedule schedule
+	evidence evidence
+	exposure exposure
+	// cold holds the target servers that were cold at the last decision.
+	cold map[string]bool
+	// suspects holds the target servers that are left out because only they serve worse.
+	suspects map[string]bool
+	// findings are the results of the last comparison.
+	findings findings
+
+	verdict   Verdict
+	reason    Reason    // of the verdict
+	decidedAt time.Time // of the verdict
+	// shiftedAt is when the requests began to move, fullSince since when all of them go to
+	// the target, emptySince since when no request holds up completion; zero if not yet.
+	shiftedAt, fullSince, emptySince time.Time
+}
+
+// findings are the results of a comparison.
+type findings struct {
+	at time.Time
+	// evidence is that the version is worse, evidenceAll that it or some of its servers are.
+	evidence, evidenceAll float64
+	// compared is the number of responses of the target without those of servers that may
+	// be worse alone.
+	compared                float64
+	responses               float64
+	failures, slow          float64
+	oldResponses, oldFailed float64
+	// excessFailures is the number of failures of all target servers beyond twice those
+	// that the old servers would have had.
+	excessFailures float64
+	requestSeconds float64 // typical latency, 0 if not known
 }
 
 // NewJudge returns the judge of an order that was acknowledged startedAgo before now.
 func NewJudge(now time.Time, startedAgo time.Duration, order Order, bounds Bounds) *Judge {
-	return &Judge{order: order, bounds: bounds, started: now.Add(-startedAgo)}
+	return &Judge{
+		order:    order,
+		started:  now.Add(-startedAgo),
+		schedule: newSchedule(order.Duration),
+		evidence: newEvidence(order.Duration),
+		exposure: exposure{bounds: bounds},
+		suspects: map[string]bool{},
+	}
 }
 
 // Record adds a sample of this VM or another.
 func (j *Judge) Record(now time.Time, sample Sample) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.evidence.record(now.Sub(j.started), sample, j.cold[sample.Server])
 }
 
 // RecordSends adds requests that VMs sent to servers of the service, and how many of them
 // they sent to the target version.
-func (j *Judge) RecordSends(now time.Time, total, target uint64) {
+func (j *Judge) RecordSends(_ time.Time, total, target uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.exposure.total += float64(total)
+	j.exposure.target += float64(target)
 }
 
 // Decide returns the decision at the given time. A verdict is final.
 func (j *Judge) Decide(now time.Time, s Situation) Decision {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return Decision{Reason: ReasonNoTargets}
+	j.observe(now, s)
+	if j.verdict == NoVerdict {
+		j.verdict, j.reason = j.judge(now, s)
+		j.decidedAt = now
+	}
+	d := j.direct(now, s)
+	d.Verdict, d.Shifting = j.verdict, j.verdict == NoVerdict && !j.shiftedAt.IsZero()
+	d.SampleShares = sampleShares(s.ArrivalsPerSecond, d.TargetShare)
+	d.Figures = j.figures(now)
+	return d
+}
+
+// observe takes over what follows from the situation without a decision.
+func (j *Judge) observe(now time.Time, s Situation) {
+	j.cold = map[string]bool{}
+	for _, server := range s.Targets {
+		if server.Cold {
+			j.cold[server.Key] = true
+		}
+	}
+	if now.Sub(j.findings.at) >= comparePeriod {
+		j.compare(now, len(s.Targets))
+	}
+	empty := s.OldInFlight == 0
+	if now.Sub(j.started) >= j.schedule.writeBy {
+		empty = s.OldUnrepeatable == 0
+	}
+	switch {
+	case !empty:
+		j.emptySince = time.Time{}
+	case j.emptySince.IsZero():
+		j.emptySince = now
+	}
+}
+
+// compare updates the findings and the suspect servers.
+func (j *Judge) compare(now time.Time, targets int) {
+	f := findings{at: now, compared: math.Inf(1), requestSeconds: j.evidence.typicalSeconds()}
+	for _, slots := range j.evidence.routes {
+		for i := range slots {
+			f.oldResponses += slots[i].old.responses
+			f.oldFailed += slots[i].old.failures
+		}
+	}
+	for _, comparison := range j.evidence.compare() {
+		j.compareKind(comparison, targets, &f)
+	}
+	j.findings = f
+}
+
+// compareKind adds one kind of badness to the findings.
+func (j *Judge) compareKind(comparison comparison, targets int, f *findings) {
+	found := comparison.find(targets < 2)
+	f.evidence += found.ratio / float64(kindCount)
+	f.evidenceAll += found.ratioAll / float64(kindCount)
+	all, expected := comparison.target(allFolds)
+	clear := all
+	if found.worst != allFolds {
+		worst, _ := comparison.target(found.worst)
+		clear.all -= worst.all
+	}
+	if comparison.kind == failing {
+		f.responses, f.failures = all.all, all.bad
+		f.compared = min(f.compared, clear.all)
+		f.excessFailures = all.bad - 2*expected
+	} else {
+		f.slow = all.bad
+		if found.worst != allFolds {
+			f.compared = min(f.compared, clear.all)
+		}
+	}
+	if found.worstRatio < suspectEvidence || found.ratio >= suspectEvidence {
+		return
+	}
+	for _, key := range j.evidence.serversOf(found.worst) {
+		j.suspects[key] = true
+	}
+}
+
+// judge returns the verdict at the given time.
+func (j *Judge) judge(now time.Time, s Situation) (Verdict, Reason) {
+	elapsed := now.Sub(j.started)
+	limit := rollBackEvidence
+	if !j.shiftedAt.IsZero() {
+		limit = shiftRollBackEvidence
+	}
+	switch {
+	case s.Announced != NoVerdict:
+		return s.Announced, ReasonAnnounced
+	case j.findings.evidence >= limit:
+		return RollBack, ReasonWorse
+	case j.findings.excessFailures >= maxExcessFailures:
+		return RollBack, ReasonManyFailures
+	case elapsed >= j.schedule.deadline:
+		return RollBack, ReasonDeadline
+	case !j.shiftedAt.IsZero():
+		return j.judgeShift(now, s)
+	case elapsed < j.schedule.shift || len(s.Targets) == 0:
+		return NoVerdict, ""
+	}
+	return j.judgeComparison(now, s)
+}
+
+// judgeComparison begins to move the requests if the comparison allows it, and rolls back
+// if it still does not when the time runs out.
+func (j *Judge) judgeComparison(now time.Time, s Situation) (Verdict, Reason) {
+	elapsed := now.Sub(j.started)
+	if s.RemoteCountsUnknown || s.ConnectedShare < minShiftShare {
+		// Others have more evidence and decide.
+		if s.OthersShift && s.ConnectedShare >= minConnectedShare {
+			j.shiftedAt = now
+		}
+		return NoVerdict, ""
+	}
+	left := j.schedule.deadline - elapsed
+	covered := j.exposure.covers(s, left)
+	limit := shiftEvidence
+	switch {
+	case covered:
+		limit = coveredEvidence
+	case s.OthersShift:
+		limit = joinEvidence
+	}
+	clear := j.findings.evidence < limit
+	enough := j.findings.compared >= minCompared
+	late := elapsed >= j.schedule.latestShift
+	switch {
+	case clear && (covered || s.OthersShift),
+		clear && enough && (late || !j.exposure.coverable(s, left, j.schedule.tail())):
+		j.shiftedAt = now
+	case !clear && (late || s.OthersShift):
+		return RollBack, ReasonUnclear
+	case late:
+		return RollBack, ReasonTooFewCompared
+	}
+	return NoVerdict, ""
+}
+
+// judgeShift completes when the old servers have nothing left and the new ones carry
+// everything.
+func (j *Judge) judgeShift(now time.Time, s Situation) (Verdict, Reason) {
+	switch {
+	case s.RemoteCountsUnknown || s.ConnectedShare < minShiftShare:
+	case j.fullSince.IsZero() || now.Sub(j.fullSince) < settlePeriod:
+	case j.emptySince.IsZero() || now.Sub(j.emptySince) < settlePeriod:
+	default:
+		return Complete, ReasonEmptied
+	}
+	return NoVerdict, ""
+}
+
+// direct returns where this VM's requests go.
+func (j *Judge) direct(now time.Time, s Situation) Decision {
+	switch j.verdict {
+	case RollBack:
+		return Decision{Reason: j.reason, WriteStatus: now.Sub(j.decidedAt) >= settlePeriod}
+	case Complete:
+		return Decision{TargetShare: 1, Reason: j.reason, WriteStatus: true}
+	}
+	switch {
+	case len(s.Targets) == 0:
+		j.fullSince = time.Time{}
+		return Decision{Reason: ReasonNoTargets}
+	case s.ConnectedShare < minConnectedShare:
+		return Decision{Reason: ReasonIsolated}
+	case !j.shiftedAt.IsZero():
+		return j.directShift(now, s)
+	case s.OldServers == 0:
+		return Decision{TargetShare: j.exposure.admit(s, 1), Reason: ReasonOldGone}
+	}
+	return j.directCompared(now, s)
+}
+
+// directShift returns the share while all requests move: it grows from the compared one to
+// 1, as far as the target's servers can take them.
+func (j *Judge) directShift(now time.Time, s Situation) Decision {
+	moved := min(now.Sub(j.shiftedAt).Seconds()/j.schedule.ramp.Seconds(), 1)
+	least := usedShare * j.exposure.bounds.ExposedShare
+	share := least + (1-least)*moved
+	capacity := j.capacityShare(s, s.Targets)
+	if share > capacity {
+		j.fullSince = time.Time{}
+		return Decision{TargetShare: capacity, Reason: ReasonHeld}
+	}
+	if share < 1 {
+		return Decision{TargetShare: share, Reason: ReasonShift}
+	}
+	if j.fullSince.IsZero() {
+		j.fullSince = now
+	}
+	if j.emptySince.IsZero() {
+		return Decision{TargetShare: 1, Reason: ReasonEmptying}
+	}
+	return Decision{TargetShare: 1, Reason: ReasonShift}
+}
+
+// directCompared returns the share and the group while the versions are compared.
+func (j *Judge) directCompared(now time.Time, s Situation) Decision {
+	elapsed := now.Sub(j.started)
+	mean := j.exposure.comparedShare(s, j.schedule.shift-elapsed, j.schedule.tail())
+	g := selectGroup(j.order, s, mean, j.suspects)
+	share := min(g.likeShare, j.capacityShare(s, g.servers))
+	d := Decision{TargetShare: share, TargetServers: g.keys(), Reason: ReasonCompare}
+	if elapsed >= j.schedule.shift {
+		d.Reason = ReasonHeld
+	}
+	if share > mean && !likeLoadNow(elapsed, j.schedule.shift, mean/share) {
+		d.TargetShare, d.Reason = 0, ReasonPause
+		return d
+	}
+	if d.TargetShare = j.exposure.admit(s, share); d.TargetShare == 0 {
+		d.Reason = ReasonBudgetUsed
+	}
+	return d
+}
+
+// capacityShare returns the part of the service's requests (0 to 1) that the servers can
+// take. It is 1 for servers that can take what all old ones can.
+func (j *Judge) capacityShare(s Situation, servers []TargetServer) float64 {
+	capacity := capacityPerSecond(servers, j.findings.requestSeconds)
+	old := capacityPerSecond([]TargetServer{{Slots: s.OldSlots}}, j.findings.requestSeconds)
+	if needed := min(s.ArrivalsPerSecond, old); needed > capacity {
+		return capacity / needed
+	}
+	return 1
+}
+
+// sampleShares returns the probabilities with which responses are sampled.
+func sampleShares(arrivalsPerSecond, targetShare float64) (shares [sideCount]float64) {
+	shares[Old] = min(1, maxOldSamplesPerSecond/max(arrivalsPerSecond*(1-targetShare), 1))
+	shares[Target] = min(1, maxTargetSamplesPerSecond/max(arrivalsPerSecond*targetShare, 1))
+	return shares
+}
+
+// figures returns the figures behind the decision.
+func (j *Judge) figures(now time.Time) Figures {
+	f := j.findings
+	return Figures{
+		Elapsed:      now.Sub(j.started),
+		Sent:         j.exposure.total,
+		SentToTarget: j.exposure.target,
+		Responses:    f.responses,
+		Failures:     f.failures,
+		Slow:         f.slow,
+		OldResponses: f.oldResponses,
+		OldFailures:  f.oldFailed,
+		Evidence:     f.evidence,
+		EvidenceAll:  f.evidenceAll,
+		Suspects:     len(j.suspects),
+	}
 }
--- a/rollout/sample.go
+++ b/rollout/sample.go
@@ -17,29 +17,36 @@
 	sideCount
 )
 
-// Class classifies a response: failed, or successful within a range of latencies. It is
-// small enough for a byte of a message.
+// Class classifies a response by its latency and whether it failed. It is below 128, so
+// that it fits into a byte of a message beside a Side.
 type Class uint8
 
 const (
-	// Failed is the class of failures. All other classes are successes by latency.
-	Failed Class = 0
 	// classesPerOctave is the number of latency classes from one latency to its double.
 	classesPerOctave = 4
 	// latencyClasses covers 1 ms to 65 s. Longer latencies belong to the last class.
 	latencyClasses = 16 * classesPerOctave
-	classCount     = 1 + latencyClasses
 )
 
-// LatencyClass returns the class of a success with the latency.
-func LatencyClass(latency time.Duration) Class {
+// SuccessClass returns the class of a success with the latency.
+func SuccessClass(latency time.Duration) Class {
 	millis := max(latency.Seconds()*1000, 1)
-	return 1 + Class(min(math.Log2(millis)*classesPerOctave, latencyClasses-1))
+	return Class(min(math.Log2(millis)*classesPerOctave, latencyClasses-1))
 }
 
-// typicalSeconds returns the latency in the middle of a class of successes, in seconds.
-func (c Class) typicalSeconds() float64 {
-	return math.Exp2((float64(c)-0.5)/classesPerOctave) / 1000
+// FailureClass returns the class of a failure with the latency.
+func FailureClass(latency time.Duration) Class { return latencyClasses + SuccessClass(latency) }
+
+// failed reports whether the class is one of failures.
+func (c Class) failed() bool { return c >= latencyClasses }
+
+// latencyClass returns the number of the class of latency, from 0 on.
+func (c Class) latencyClass() int { return int(c % latencyClasses) }
+
+// latency returns the latency in the middle of the class.
+func (c Class) latency() time.Duration {
+	millis := math.Exp2((float64(c.latencyClass()) + 0.5) / classesPerOctave)
+	return time.Duration(millis * float64(time.Millisecond))
 }
 
 // Sample is a number of responses of one class that a server sent since the last sample,
