--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -1,6 +1,11 @@
 package rollout
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
 
 // The comparison asks how much likelier the target's responses are if its version is worse
 // than if it is not. Under "not worse", a response of the target is bad as often as one of
@@ -45,9 +50,12 @@
 	// factor of 1.4, or 2 where the old servers' latencies are not from the same seconds.
 	slowMargin      = classesPerOctave / 2
 	staleSlowMargin = classesPerOctave
-	// fastClass is the class of 20 ms. Whatever is faster is not slow: the way to servers
-	// of another zone may take as long.
-	fastClass = 17
+	// fastLatency is the latency below which no success is slow: the way to servers of
+	// another zone may take as long.
+	fastLatency = 20 * time.Millisecond
+	// minTimed is the number of successes of old servers without which nothing is known of
+	// a route's latency.
+	minTimed = 5
 
 	// minReference is the number of responses of old servers with which the target's are
 	// compared. nearSlots is how far before and after they lie, and maxReferenceSlots how
@@ -91,35 +99,59 @@
 	routes [][]cell
 }
 
-// compare returns the comparison of one kind.
-func (e *evidence) compare(k kind) comparison {
-	c := comparison{kind: k}
-	for _, slots := range e.routes {
-		c.routes = append(c.routes, compareRoute(k, slots))
+// compare returns the comparison of each kind.
+func (e *evidence) compare() (out [kindCount]comparison) {
+	for k := range kindCount {
+		out[k].kind = k
 	}
-	return c
+	for _, route := range slices.Sorted(maps.Keys(e.routes)) {
+		for k, cells := range compareRoute(e.routes[route]) {
+			out[k].routes = append(out[k].routes, cells)
+		}
+	}
+	return out
 }
 
-// compareRoute returns the cells of a route.
-func compareRoute(k kind, slots []slot) []cell {
+// compareRoute returns the cells of a route for each kind.
+func compareRoute(slots []slot) (cells [kindCount][]cell) {
 	var total counts
 	for i := range slots {
 		total.merge(&slots[i].old)
 	}
-	cells := make([]cell, len(slots))
+	for k := range kindCount {
+		cells[k] = make([]cell, len(slots))
+	}
 	for i := range slots {
-		reference, stale := referenceOf(slots, i)
-		threshold := max(reference.quantile(slowQuantile), fastClass)
-		cells[i] = newCell(k, &slots[i], &reference, &total, threshold, stale)
+		if slots[i].targetResponses() == 0 {
+			continue
+		}
+		r := referenceOf(slots, i)
+		for k := range kindCount {
+			cells[k][i] = newCell(k, &slots[i], &r, &total)
+		}
 	}
 	return cells
 }
 
-// referenceOf returns the responses of old servers with which those of the target in a
-// slot are compared. They are stale if the old servers sent hardly any in the same seconds.
-func referenceOf(slots []slot, at int) (reference counts, stale bool) {
+// reference is the responses of old servers with which those of the target in a slot are
+// compared.
+type reference struct {
+	counts
+	// stale is true if the old servers sent hardly any responses in the same seconds.
+	stale bool
+	// slowAbove is the class of latency above which a success is slow.
+	slowAbove int
+}
+
+// referenceOf returns the reference of a slot: its own responses, and those before and
+// after it as far as they are needed.
+func referenceOf(slots []slot, at int) (r reference) {
 	oldNear, targetNear := 0.0, 0.0
 	for d := 0; d <= maxReferenceSlots; d++ {
+		enough := r.responses >= minReference
+		if enough && d > nearSlots {
+			break
+		}
 		for i := at - d; i <= at+d; i += max(2*d, 1) {
 			if i < 0 || i >= len(slots) {
 				continue
@@ -128,30 +160,34 @@
 				oldNear += slots[i].old.responses
 				targetNear += slots[i].targetResponses()
 			}
-			reference.merge(&slots[i].old)
-		}
-		if d >= nearSlots && reference.responses >= minReference {
-			break
+			if !enough {
+				r.merge(&slots[i].old)
+			}
 		}
 	}
-	return reference, oldNear < minOldPart*targetNear
+	r.stale = oldNear < minOldPart*targetNear
+	r.slowAbove = max(r.quantile(slowQuantile), SuccessClass(fastLatency).latencyClass())
+	return r
 }
 
 // newCell returns the cell of a slot.
-func newCell(k kind, s *slot, reference, total *counts, threshold int, stale bool) (c cell) {
+func newCell(k kind, s *slot, r *reference, total *counts) (c cell) {
+	if k == slow && r.timed() < minTimed {
+		return cell{}
+	}
 	margin := slowMargin
-	if stale {
+	if r.stale {
 		margin = staleSlowMargin
 	}
 	for f := range s.target {
-		c.target[f] = trialsOf(k, &s.target[f], threshold+margin)
+		c.target[f] = trialsOf(k, &s.target[f], r.slowAbove+margin)
 	}
 	rule := rules[k]
-	seen, all := trialsOf(k, reference, threshold), trialsOf(k, total, threshold)
+	seen, all := trialsOf(k, &r.counts, r.slowAbove), trialsOf(k, total, r.slowAbove)
 	expected := (all.bad + priorCount*rule.priorRate) / (all.all + priorCount)
 	c.weight = min(seen.all+priorResponses, maxWeight)
 	c.rate = (seen.bad + priorResponses*expected) / (seen.all + priorResponses)
-	if stale {
+	if r.stale {
 		c.rate = c.rate*rule.staleFactor + rule.staleMore
 		c.weight = min(c.weight, staleMaxWeight)
 	}
@@ -162,10 +198,10 @@
 // trialsOf returns the responses of a kind. Slow successes are those above the class of
 // latency.
 func trialsOf(k kind, c *counts, threshold int) trials {
-	if k == failing {
+	if k == failing || c.responses == 0 {
 		return trials{all: c.responses, bad: c.failures}
 	}
-	return trials{all: c.timed(), bad: c.above(min(threshold, latencyClasses))}
+	return trials{all: c.timed(), bad: c.above(threshold)}
 }
 
 // allFolds stands for the responses of all folds.
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -6,7 +6,7 @@
 	// minSlotLength is the resolution in time of the comparison of the versions, and
 	// maxSlots bounds the memory of a long roll-out.
 	minSlotLength = 500 * time.Millisecond
-	maxSlots      = 32
+	maxSlots      = 48
 	// maxRoutes is the number of routes that are compared on their own. The others are
 	// compared as one.
 	maxRoutes = 16
@@ -29,10 +29,10 @@
 func (c *counts) add(class Class, n float64, cold bool) {
 	c.responses += n
 	switch {
-	case class == Failed:
+	case class.failed():
 		c.failures += n
 	case !cold:
-		c.latencies[min(class, latencyClasses)-1] += float32(n)
+		c.latencies[class.latencyClass()] += float32(n)
 	}
 }
 
@@ -55,7 +55,7 @@
 
 // above returns the number of successes in a higher class of latency.
 func (c *counts) above(class int) (sum float64) {
-	for i := class; i < latencyClasses; i++ {
+	for i := class + 1; i < latencyClasses; i++ {
 		sum += float64(c.latencies[i])
 	}
 	return sum
@@ -67,10 +67,10 @@
 	left := q * c.timed()
 	for i, n := range c.latencies {
 		if left -= float64(n); left <= 0 {
-			return i + 1
+			return i
 		}
 	}
-	return latencyClasses
+	return latencyClasses - 1
 }
 
 // slot holds the responses of a route in one period of time.
@@ -112,10 +112,13 @@
 
 // record counts a sample that arrived at the time since the order.
 func (e *evidence) record(elapsed time.Duration, sample Sample, cold bool) {
-	if sample.Class != Failed && !cold {
+	latency := sample.Class.latency()
+	if !sample.Class.failed() && !cold {
 		e.successes += float64(sample.Count)
-		e.successSeconds += float64(sample.Count) * sample.Class.typicalSeconds()
+		e.successSeconds += float64(sample.Count) * latency.Seconds()
 	}
+	// Requests that were sent in the same seconds are compared.
+	elapsed -= latency
 	slot := e.slot(sample.Route, elapsed)
 	if sample.Side == Old {
 		slot.old.add(sample.Class, float64(sample.Count), cold)
