tally: totals of roll-outs count from the order

A VM that had started after another one took the first total of each of its subjects for counts from before its start. Of a sample, which names a route, server and class, there is often only one, so such a VM lost most of the evidence. Totals of roll-outs begin with an order and are counted whole. TestTotalsOfRolloutsCountFromTheOrder failed before (observed 0 of 3 samples).

--- a/tally/ledger.go
+++ b/tally/ledger.go
@@ -270,11 +270,6 @@
 	}
 }
 
-// isState reports whether a receiver needs the whole totals of the subject, also what was
-// counted before its start: what was sent and decided since an order of a roll-out, and
-// the requests under way.
-func isState(s Subject) bool { return s.Kind() == Rollout || s.Kind() == RolloutLoad }
-
 // countsBeforeStart returns, for totals that are received for the first time, the
 // part from before this process could receive them. It is zero if the record's
 // uptime is at most this process's uptime plus uptimeTolerance, because its origin
@@ -282,9 +277,10 @@
 // while it was silent, it is all of the totals. After
 // fullDeliveryUptime, the last admission of a team is excepted: it has just
 // happened, and leaving it out would allow the team one extra request per origin.
+// Totals of roll-outs begin with an order and are excepted as a whole.
 func (l *Ledger) countsBeforeStart(now time.Time, r Record) Counts {
 	uptime := now.Sub(l.started)
-	if isState(r.Subject) {
+	if isOfRollout(r.Subject) {
 		return Counts{}
 	}
 	if r.Uptime <= uptime+uptimeTolerance && !l.totalsDeleted(r.Origin) {
@@ -418,10 +414,16 @@
 	l.hasRollouts.Store(left)
 }
 
-// isOfRollout reports whether the subject belongs to one order of a roll-out, so that it is
-// of no use some time after that has ended.
+// isOfRollout reports whether the subject belongs to one order of a roll-out. Receivers
+// need all that was counted since the order, also before their start, and nothing some time
+// after its end.
 func isOfRollout(s Subject) bool {
-	return isState(s) || s.Kind() == Sample || s.Kind() == FailedSample
+	switch s.Kind() {
+	case Rollout, Sample, FailedSample, RolloutLoad:
+		return true
+	default:
+		return false
+	}
 }
 
 // newEntry returns the entry of an origin and a subject without counts.
