rollout/replica: a completion waits until all VMs in touch follow it

The status was written 0.5 s after the verdict if the writer itself had nothing under way. A VM that had not heard of it could still send an old server a request, which was cut when that stopped. The reports of all VMs now have to say that the old servers have nothing under way, at the verdict and when the status is written (TestCompletionWaitsForAllVMs).

--- a/rollout/replica/decide.go
+++ b/rollout/replica/decide.go
@@ -89,7 +89,7 @@
 func (m *migration) decide(now time.Time, f Fleet, servers Servers) Step {
 	old := m.oldLoad(now, f.ConnectedVMs)
 	before, beforeVerdict := m.decision, m.verdict
-	m.decidedAt = now
+	m.decidedAt, m.old = now, old
 	m.decision = m.judge.Decide(now, rollout.Situation{
 		Targets: servers.Targets, OldServers: servers.OldServers, OldSlots: servers.OldSlots,
 		OldInFlight: old.all, OldUnrepeatable: old.unrepeatable,
--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -26,9 +26,10 @@
 	// usedExposure and usedSlack are the parts of the bounds that a roll-out uses at most,
 	// see package rollout. They stand for counts that nobody knows any more.
 	usedExposure, usedSlack = 0.8, 0.7
-	// missingReportsPart is the part of an order's duration after which VMs whose reports
-	// are missing are not waited for any more: they are more likely dead than cut off.
-	missingReportsPart = 0.85
+	// waitPart is the part of an order's duration after which VMs whose reports are missing
+	// are not waited for any more, as they are more likely dead than cut off, nor requests
+	// that may be repeated.
+	waitPart = 0.85
 )
 
 // migration is the roll-out of one service, the last one if there is none under way, and
@@ -75,6 +76,8 @@
 	announcedShift bool
 	report         ownReport
 	remote         map[tally.Subject]*remoteLoad
+	// old is oldLoad at the last decision.
+	old load
 	// write holds the attempts to write the wanted state.
 	write writeSchedule
 }
@@ -100,7 +103,7 @@
 	}
 	m.order, m.orderedAt = order, orderedAt
 	m.judge, m.judgeSince, m.startedBefore, m.countsKnown = nil, time.Time{}, 0, false
-	m.decision, m.decidedAt, m.group = rollout.Decision{}, time.Time{}, nil
+	m.decision, m.decidedAt, m.group, m.old = rollout.Decision{}, time.Time{}, nil, load{}
 	m.verdict, m.verdictAt, m.othersMove = rollout.NoVerdict, time.Time{}, false
 	m.announcedAt, m.announcedShift = time.Time{}, false
 	m.report, m.remote, m.write = ownReport{}, make(map[tally.Subject]*remoteLoad), writeSchedule{}
@@ -227,13 +230,28 @@
 		total.all += l.all
 		total.unrepeatable += l.unrepeatable
 	}
-	elapsed := m.startedBefore + now.Sub(m.judgeSince)
-	if elapsed.Seconds() < missingReportsPart*m.order.Duration.Seconds() {
+	if !m.nearDeadline(now) {
 		total.add(max(0, connectedVMs-reports), false)
 	}
 	return total
 }
 
+// nearDeadline reports whether so little of the order's duration is left that the old
+// servers' requests that may be repeated, and missing reports, are not waited for.
+func (m *migration) nearDeadline(now time.Time) bool {
+	elapsed := m.startedBefore + now.Sub(m.judgeSince)
+	return elapsed.Seconds() >= waitPart*m.order.Duration.Seconds()
+}
+
+// emptied reports whether the old servers have nothing under way, by a recent decision.
+// After the announcement of a completion that also means that all VMs in touch follow it.
+func (m *migration) emptied(now time.Time) bool {
+	if now.Sub(m.decidedAt) > maxDecisionAge {
+		return false
+	}
+	return m.old.all == 0 || m.old.unrepeatable == 0 && m.nearDeadline(now)
+}
+
 // reconstructCounts tells the judge what was sent before it began to count. A process that
 // ran when the order was written knows it. Another one hears it from older VMs. If all
 // have started since, nobody knows, and as much as a roll-out may use counts as sent. It
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -275,3 +275,52 @@
 		t.Error("a nil replica restricts requests")
 	}
 }
+
+// Guards against a completion that is written while another VM does not follow it yet, or
+// has a request under way at an old server, which stops at once.
+func TestCompletionWaitsForAllVMs(t *testing.T) {
+	order, servers := newOrder(7), Servers{OldServers: 3, OldSlots: 6}
+	r, other := newRollouts("vm-1"), newRollouts("vm-2")
+	both := fleet
+	both.ConnectedVMs = 2
+	now := start
+	for _, x := range []*Rollouts{r, other} {
+		x.Sync(now, copies(order, nil, oldVersion, target))
+	}
+	// decide lets a VM decide and the other one hear its announcements.
+	decide := func(x, to *Rollouts) {
+		step, ok := x.Decide(now, *order, both, servers)
+		if !ok {
+			t.Fatal("the order is not in force")
+		}
+		for _, a := range step.Announcements {
+			to.Observe(now, a.Subject, a.Counts)
+		}
+	}
+	send := Send{Service: "s", Version: oldVersion}
+	other.RecordStart(now, send)
+	announce(r, now, order, tally.Completions)
+	for _, c := range []struct {
+		what   string
+		change func()
+		want   rollout.Status
+	}{
+		{"the other VM has not heard of it", func() {}, rollout.Running},
+		{"its request is under way", func() { announce(other, now, order, tally.Completions) }, rollout.Running},
+		{"nothing is under way", func() { other.RecordEnd(send) }, rollout.Completed},
+	} {
+		c.change()
+		for range 10 {
+			now = now.Add(100 * time.Millisecond)
+			decide(other, r)
+			decide(r, other)
+		}
+		due := r.Due(now, 0)
+		if len(due) != 1 || due[0].Status != c.want {
+			t.Errorf("%s: %+v is due, want status %s", c.what, due, c.want)
+		}
+		for _, state := range due {
+			r.RecordWrite(now, state, false, &rollout.State{Service: "s"}, 0)
+		}
+	}
+}
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -15,6 +15,8 @@
 	// maxEarlyCounts bounds the counts that are kept of one order which this VM does not
 	// know yet.
 	maxEarlyCounts = 2000
+	// maxEarlyOrders bounds the number of such orders.
+	maxEarlyOrders = 100
 	// earlyRetention is how long they are kept. An order reaches a VM that is in touch in
 	// less time.
 	earlyRetention = 10 * time.Second
@@ -285,11 +287,7 @@
 	}
 	key := orderOf(subject)
 	if !r.judging(key) {
-		r.early.Do(key, func() *earlyCounts { return &earlyCounts{since: now} }, func(e *earlyCounts) {
-			if len(e.counts) < maxEarlyCounts {
-				e.counts = append(e.counts, subjectCounts{subject, counts})
-			}
-		})
+		r.keepEarly(now, key, subjectCounts{subject, counts})
 		return
 	}
 	service, _ := r.byOrder.Load(key)
@@ -300,6 +298,18 @@
 	})
 }
 
+// keepEarly keeps counts of an order that this VM does not know yet.
+func (r *Rollouts) keepEarly(now time.Time, key orderKey, c subjectCounts) {
+	if r.early.Len() >= maxEarlyOrders {
+		return // a message is more likely damaged than of so many orders
+	}
+	r.early.Do(key, func() *earlyCounts { return &earlyCounts{since: now} }, func(e *earlyCounts) {
+		if len(e.counts) < maxEarlyCounts {
+			e.counts = append(e.counts, c)
+		}
+	})
+}
+
 // observe adds counts of another VM about the order in force.
 func (m *migration) observe(now time.Time, subject tally.Subject, counts tally.Counts) {
 	switch subject.Kind() {
--- a/rollout/replica/write.go
+++ b/rollout/replica/write.go
@@ -87,7 +87,7 @@
 	switch {
 	case m.verdict == rollout.RollBack && settled:
 		next.Status = rollout.RolledBack
-	case m.verdict == rollout.Complete && settled && m.ownLoad().unrepeatable == 0:
+	case m.verdict == rollout.Complete && settled && m.emptied(now):
 		next.Status, next.Replaced = rollout.Completed, m.otherVersions()
 	}
 	return next, next.Status != m.stored.Status || next.OrderVersion != m.stored.OrderVersion
