--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -46,13 +46,12 @@
 const (
 	// slowQuantile is the part of the old servers' successes that are not slow.
 	slowQuantile = 0.8
-	// slowMargin is the number of classes of latency by which the target may be slower: a
-	// factor of 1.4, or 2 where the old servers' latencies are not from the same seconds.
-	slowMargin      = classesPerOctave / 2
-	staleSlowMargin = classesPerOctave
-	// fastLatency is the latency below which no success is slow: the way to servers of
-	// another zone may take as long.
-	fastLatency = 20 * time.Millisecond
+	// slowFactor and farLatency say how much slower the target may be: by load that is not
+	// quite alike, and by the way to servers of another zone. staleSlowFactor takes the
+	// place of the former where the old servers' latencies are not from the same seconds.
+	slowFactor      = 1.2
+	staleSlowFactor = 1.7
+	farLatency      = 10 * time.Millisecond
 	// minTimed is the number of successes of old servers without which nothing is known of
 	// a route's latency.
 	minTimed = 5
@@ -70,7 +69,7 @@
 	// maxWeight the largest weight of the rate that was seen, in responses. The rate of
 	// the target's servers differs from that of the old ones by chance as if it was
 	// estimated from so many responses.
-	priorResponses = 8.0
+	priorResponses = 4.0
 	priorCount     = 50.0
 	maxWeight      = 200.0
 	staleMaxWeight = 40.0
@@ -166,21 +165,27 @@
 		}
 	}
 	r.stale = oldNear < minOldPart*targetNear
-	r.slowAbove = max(r.quantile(slowQuantile), SuccessClass(fastLatency).latencyClass())
+	r.slowAbove = r.quantile(slowQuantile)
 	return r
 }
 
+// targetSlowAbove returns the class of latency above which a success of the target is slow.
+func (r *reference) targetSlowAbove() int {
+	factor := slowFactor
+	if r.stale {
+		factor = staleSlowFactor
+	}
+	limit := Class(r.slowAbove).maxLatency().Seconds() * factor
+	return SuccessClass(time.Duration(limit*float64(time.Second)) + farLatency).latencyClass()
+}
+
 // newCell returns the cell of a slot.
 func newCell(k kind, s *slot, r *reference, total *counts) (c cell) {
 	if k == slow && r.timed() < minTimed {
 		return cell{}
 	}
-	margin := slowMargin
-	if r.stale {
-		margin = staleSlowMargin
-	}
 	for f := range s.target {
-		c.target[f] = trialsOf(k, &s.target[f], r.slowAbove+margin)
+		c.target[f] = trialsOf(k, &s.target[f], r.targetSlowAbove())
 	}
 	rule := rules[k]
 	seen, all := trialsOf(k, &r.counts, r.slowAbove), trialsOf(k, total, r.slowAbove)
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -19,18 +19,26 @@
 	// the old servers must get enough to compare with.
 	maxComparedShare = 0.5
 	// likeLoadPeriods is the number of times that the target gets requests and pauses while
-	// the versions are compared, if its share is too small for like load all the time.
-	likeLoadPeriods     = 3
-	minLikeLoadPeriod   = 2 * time.Second
-	requestsInAdvance   = 1
+	// the versions are compared, if its share is too small for like load all the time. A
+	// fault that shows under load only needs a while to build up.
+	likeLoadPeriods   = 2
+	minLikeLoadPeriod = 3 * time.Second
+	// fewRequests is the slack of a VM that knows nothing of the others.
+	fewRequests = 1
+	// usedRampShare is the part of a cold server's rate that is used, as in package
+	// placement, and fullLoadUtilization the part of a warm server's slots.
 	usedRampShare       = 0.7
 	fullLoadUtilization = 0.9
+	// minRequestTime is the shortest time for which a request occupies a slot.
+	minRequestTime = time.Millisecond
 )
 
 // exposure counts the requests that VMs sent since an order, and holds their bound.
 type exposure struct {
 	bounds        Bounds
 	total, target float64
+	// late is true if requests were sent before this VM counted them.
+	late bool
 }
 
 // left returns the number of requests that the target version may still get from this VM
@@ -39,12 +47,25 @@
 	return usedShare*e.bounds.ExposedShare*e.total + e.slack(s) - e.target
 }
 
-// slack returns the requests that the target may get beyond its share of them.
+// slack returns the requests that the target may get beyond its share of them. If this VM
+// does not know what was sent before, most of the slack may have been used.
 func (e *exposure) slack(s Situation) float64 {
 	if s.RemoteCountsUnknown {
-		return requestsInAdvance
+		return fewRequests
 	}
-	return max(usedSlack*e.bounds.ExposedSlack*s.ConnectedShare, requestsInAdvance)
+	used := usedSlack
+	if e.late {
+		used = 1 - usedSlack
+	}
+	return max(used*e.bounds.ExposedSlack*s.ConnectedShare, fewRequests)
+}
+
+// lastSlack returns the slack that may be used until the deadline.
+func (e *exposure) lastSlack(s Situation) float64 {
+	if e.late {
+		return e.slack(s)
+	}
+	return coveredSlack * e.bounds.ExposedSlack * s.ConnectedShare
 }
 
 // comparedShare returns the mean share of the target while the versions are compared for
@@ -69,7 +90,7 @@
 // the time to the deadline.
 func (e *exposure) coverable(s Situation, timeLeft, tail time.Duration) bool {
 	total := e.total + s.ArrivalsPerSecond*max(timeLeft, 0).Seconds()
-	bound := e.bounds.ExposedShare*total + coveredSlack*e.bounds.ExposedSlack*s.ConnectedShare
+	bound := e.bounds.ExposedShare*total + e.lastSlack(s)
 	return !s.RemoteCountsUnknown && minCompared+s.ArrivalsPerSecond*tail.Seconds() <= bound
 }
 
@@ -83,7 +104,7 @@
 func (e *exposure) covers(s Situation, timeLeft time.Duration) bool {
 	coming := s.ArrivalsPerSecond * max(timeLeft.Seconds(), 0)
 	return !s.RemoteCountsUnknown &&
-		e.target+coming <= e.bounds.ExposedShare*(e.total+coming)+coveredSlack*e.bounds.ExposedSlack*s.ConnectedShare
+		e.target+coming <= e.bounds.ExposedShare*(e.total+coming)+e.lastSlack(s)
 }
 
 // likeLoadNow reports whether the target gets requests at the time since the order, if it
@@ -96,7 +117,7 @@
 // capacityPerSecond returns the number of requests a second that servers can take.
 func capacityPerSecond(servers []TargetServer, requestSeconds float64) (sum float64) {
 	for _, server := range servers {
-		rate := float64(server.Slots) * fullLoadUtilization / max(requestSeconds, 0.001)
+		rate := float64(server.Slots) * fullLoadUtilization / max(requestSeconds, minRequestTime.Seconds())
 		if server.Cold {
 			rate = min(rate, server.RampPerSecond*usedRampShare)
 		}
--- a/rollout/group.go
+++ b/rollout/group.go
@@ -64,10 +64,14 @@
 		return rankServers(order, servers, nil)
 	}
 	slices.SortFunc(ranked, func(a, b rankedServer) int {
-		if a.Cold != b.Cold {
-			return cmp.Compare(boolRank(a.Cold), boolRank(b.Cold))
+		switch {
+		case a.Cold == b.Cold:
+			return cmp.Compare(a.rank, b.rank)
+		case b.Cold:
+			return -1
+		default:
+			return 1
 		}
-		return cmp.Compare(a.rank, b.rank)
 	})
 	out := make([]TargetServer, len(ranked))
 	for i := range ranked {
@@ -75,11 +79,3 @@
 	}
 	return out
 }
-
-// boolRank ranks false before true.
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -40,11 +39,16 @@
 	comparePeriod = 200 * time.Millisecond
 	// settlePeriod is the time after which VMs have heard of each other's requests.
 	settlePeriod = 500 * time.Millisecond
+	// lateStart is the age of an order from which on requests may have been sent to the
+	// target version before. Orders are read, and servers found, in less.
+	lateStart = 2 * time.Second
 	// minConnectedShare is the connected share below which a VM sends nothing to the target
 	// version, because it may miss a verdict. minShiftShare is the one from which on it
 	// knows enough of the fleet to move all its requests or to complete.
 	minConnectedShare = 0.3
 	minShiftShare     = 0.5
+	// reconnectedShare is the rise of the connected share that counts as a reconnection.
+	reconnectedShare = 0.1
 
 	// maxOldSamplesPerSecond and maxTargetSamplesPerSecond bound the samples that all VMs
 	// together send.
@@ -71,28 +75,15 @@
 	verdict   Verdict
 	reason    Reason    // of the verdict
 	decidedAt time.Time // of the verdict
+	// connectedShare is the connected share at the last decision, and connectedAt when it
+	// last rose, so that others have yet to hear of the verdict.
+	connectedShare float64
+	connectedAt    time.Time
 	// shiftedAt is when the requests began to move, fullSince since when all of them go to
 	// the target, emptySince since when no request holds up completion; zero if not yet.
 	shiftedAt, fullSince, emptySince time.Time
 }
 
-// findings are the results of a comparison.
-type findings struct {
-	at time.Time
-	// evidence is that the version is worse, evidenceAll that it or some of its servers are.
-	evidence, evidenceAll float64
-	// compared is the number of responses of the target without those of servers that may
-	// be worse alone.
-	compared                float64
-	responses               float64
-	failures, slow          float64
-	oldResponses, oldFailed float64
-	// excessFailures is the number of failures of all target servers beyond twice those
-	// that the old servers would have had.
-	excessFailures float64
-	requestSeconds float64 // typical latency, 0 if not known
-}
-
 // NewJudge returns the judge of an order that was acknowledged startedAgo before now.
 func NewJudge(now time.Time, startedAgo time.Duration, order Order, bounds Bounds) *Judge {
 	return &Judge{
@@ -100,7 +91,7 @@
 		started:  now.Add(-startedAgo),
 		schedule: newSchedule(order.Duration),
 		evidence: newEvidence(order.Duration),
-		exposure: exposure{bounds: bounds},
+		exposure: exposure{bounds: bounds, late: startedAgo > lateStart},
 		suspects: map[string]bool{},
 	}
 }
@@ -148,6 +139,10 @@
 	if now.Sub(j.findings.at) >= comparePeriod {
 		j.compare(now, len(s.Targets))
 	}
+	if s.ConnectedShare >= j.connectedShare+reconnectedShare {
+		j.connectedAt = now
+	}
+	j.connectedShare = s.ConnectedShare
 	empty := s.OldInFlight == 0
 	if now.Sub(j.started) >= j.schedule.writeBy {
 		empty = s.OldUnrepeatable == 0
@@ -160,50 +155,6 @@
 	}
 }
 
-// compare updates the findings and the suspect servers.
-func (j *Judge) compare(now time.Time, targets int) {
-	f := findings{at: now, compared: math.Inf(1), requestSeconds: j.evidence.typicalSeconds()}
-	for _, slots := range j.evidence.routes {
-		for i := range slots {
-			f.oldResponses += slots[i].old.responses
-			f.oldFailed += slots[i].old.failures
-		}
-	}
-	for _, comparison := range j.evidence.compare() {
-		j.compareKind(comparison, targets, &f)
-	}
-	j.findings = f
-}
-
-// compareKind adds one kind of badness to the findings.
-func (j *Judge) compareKind(comparison comparison, targets int, f *findings) {
-	found := comparison.find(targets < 2)
-	f.evidence += found.ratio / float64(kindCount)
-	f.evidenceAll += found.ratioAll / float64(kindCount)
-	all, expected := comparison.target(allFolds)
-	clear := all
-	if found.worst != allFolds {
-		worst, _ := comparison.target(found.worst)
-		clear.all -= worst.all
-	}
-	if comparison.kind == failing {
-		f.responses, f.failures = all.all, all.bad
-		f.compared = min(f.compared, clear.all)
-		f.excessFailures = all.bad - 2*expected
-	} else {
-		f.slow = all.bad
-		if found.worst != allFolds {
-			f.compared = min(f.compared, clear.all)
-		}
-	}
-	if found.worstRatio < suspectEvidence || found.ratio >= suspectEvidence {
-		return
-	}
-	for _, key := range j.evidence.serversOf(found.worst) {
-		j.suspects[key] = true
-	}
-}
-
 // judge returns the verdict at the given time.
 func (j *Judge) judge(now time.Time, s Situation) (Verdict, Reason) {
 	elapsed := now.Sub(j.started)
@@ -276,89 +227,6 @@
 	return NoVerdict, ""
 }
 
-// direct returns where this VM's requests go.
-func (j *Judge) direct(now time.Time, s Situation) Decision {
-	switch j.verdict {
-	case RollBack:
-		return Decision{Reason: j.reason, WriteStatus: now.Sub(j.decidedAt) >= settlePeriod}
-	case Complete:
-		return Decision{TargetShare: 1, Reason: j.reason, WriteStatus: true}
-	}
-	switch {
-	case len(s.Targets) == 0:
-		j.fullSince = time.Time{}
-		return Decision{Reason: ReasonNoTargets}
-	case s.ConnectedShare < minConnectedShare:
-		return Decision{Reason: ReasonIsolated}
-	case !j.shiftedAt.IsZero():
-		return j.directShift(now, s)
-	case s.OldServers == 0:
-		return Decision{TargetShare: j.exposure.admit(s, 1), Reason: ReasonOldGone}
-	}
-	return j.directCompared(now, s)
-}
-
-// directShift returns the share while all requests move: it grows from the compared one to
-// 1, as far as the target's servers can take them.
-func (j *Judge) directShift(now time.Time, s Situation) Decision {
-	moved := min(now.Sub(j.shiftedAt).Seconds()/j.schedule.ramp.Seconds(), 1)
-	least := usedShare * j.exposure.bounds.ExposedShare
-	share := least + (1-least)*moved
-	capacity := j.capacityShare(s, s.Targets)
-	if share > capacity {
-		j.fullSince = time.Time{}
-		return Decision{TargetShare: capacity, Reason: ReasonHeld}
-	}
-	if share < 1 {
-		return Decision{TargetShare: share, Reason: ReasonShift}
-	}
-	if j.fullSince.IsZero() {
-		j.fullSince = now
-	}
-	if j.emptySince.IsZero() {
-		return Decision{TargetShare: 1, Reason: ReasonEmptying}
-	}
-	return Decision{TargetShare: 1, Reason: ReasonShift}
-}
-
-// directCompared returns the share and the group while the versions are compared.
-func (j *Judge) directCompared(now time.Time, s Situation) Decision {
-	elapsed := now.Sub(j.started)
-	mean := j.exposure.comparedShare(s, j.schedule.shift-elapsed, j.schedule.tail())
-	g := selectGroup(j.order, s, mean, j.suspects)
-	share := min(g.likeShare, j.capacityShare(s, g.servers))
-	d := Decision{TargetShare: share, TargetServers: g.keys(), Reason: ReasonCompare}
-	if elapsed >= j.schedule.shift {
-		d.Reason = ReasonHeld
-	}
-	if share > mean && !likeLoadNow(elapsed, j.schedule.shift, mean/share) {
-		d.TargetShare, d.Reason = 0, ReasonPause
-		return d
-	}
-	if d.TargetShare = j.exposure.admit(s, share); d.TargetShare == 0 {
-		d.Reason = ReasonBudgetUsed
-	}
-	return d
-}
-
-// capacityShare returns the part of the service's requests (0 to 1) that the servers can
-// take. It is 1 for servers that can take what all old ones can.
-func (j *Judge) capacityShare(s Situation, servers []TargetServer) float64 {
-	capacity := capacityPerSecond(servers, j.findings.requestSeconds)
-	old := capacityPerSecond([]TargetServer{{Slots: s.OldSlots}}, j.findings.requestSeconds)
-	if needed := min(s.ArrivalsPerSecond, old); needed > capacity {
-		return capacity / needed
-	}
-	return 1
-}
-
-// sampleShares returns the probabilities with which responses are sampled.
-func sampleShares(arrivalsPerSecond, targetShare float64) (shares [sideCount]float64) {
-	shares[Old] = min(1, maxOldSamplesPerSecond/max(arrivalsPerSecond*(1-targetShare), 1))
-	shares[Target] = min(1, maxTargetSamplesPerSecond/max(arrivalsPerSecond*targetShare, 1))
-	return shares
-}
-
 // figures returns the figures behind the decision.
 func (j *Judge) figures(now time.Time) Figures {
 	f := j.findings
--- a/rollout/sample.go
+++ b/rollout/sample.go
@@ -43,6 +43,12 @@
 // latencyClass returns the number of the class of latency, from 0 on.
 func (c Class) latencyClass() int { return int(c % latencyClasses) }
 
+// maxLatency returns the longest latency of the class.
+func (c Class) maxLatency() time.Duration {
+	millis := math.Exp2(float64(c.latencyClass()+1) / classesPerOctave)
+	return time.Duration(millis * float64(time.Millisecond))
+}
+
 // latency returns the latency in the middle of the class.
 func (c Class) latency() time.Duration {
 	millis := math.Exp2((float64(c.latencyClass()) + 0.5) / classesPerOctave)
