--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -179,7 +179,6 @@
 func (k *rolloutKeeper) fleet(now time.Time) replica.Fleet {
 	return replica.Fleet{
 		StartedAt: k.startedAt, ConnectedShare: k.roster.ConnectedShare(now), ConnectedVMs: k.roster.ConnectedVMs(now),
-		OlderVMsLive: k.roster.OlderVMsLive(now),
 	}
 }
 
--- a/rollout/replica/decide.go
+++ b/rollout/replica/decide.go
@@ -16,8 +16,6 @@
 	// ConnectedVMs the number of VMs, this one included.
 	ConnectedShare float64
 	ConnectedVMs   int
-	// OlderVMsLive is true if this VM receives messages from one that started before it.
-	OlderVMsLive bool
 }
 
 // Servers are the servers of a service that may get requests.
@@ -94,7 +92,7 @@
 		Targets: servers.Targets, OldServers: servers.OldServers, OldSlots: servers.OldSlots,
 		OldInFlight: old.all, OldUnrepeatable: old.unrepeatable,
 		ArrivalsPerSecond: servers.ArrivalsPerSecond, ConnectedShare: f.ConnectedShare,
-		RemoteCountsUnknown: !m.reconstructCounts(now, f, servers.ArrivalsPerSecond),
+		RemoteCountsUnknown: !m.knowsCounts(now, f),
 		OthersShift:         m.othersMove, Announced: m.verdict,
 	})
 	m.setVerdict(now, m.decision.Verdict)
--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -23,9 +23,6 @@
 	// catchUpTime is the time that a new replica takes to hear the counts of all VMs that
 	// send requests.
 	catchUpTime = 2 * time.Second
-	// usedExposure and usedSlack are the parts of the bounds that a roll-out uses at most,
-	// see package rollout. They stand for counts that nobody knows any more.
-	usedExposure, usedSlack = 0.8, 0.7
 	// waitPart is the part of an order's duration after which VMs whose reports are missing
 	// are not waited for any more, as they are more likely dead than cut off, nor requests
 	// that may be repeated.
@@ -59,12 +56,9 @@
 	judgeSince time.Time
 	// startedBefore is how long before judgeSince the order was written.
 	startedBefore time.Duration
-	// countsKnown is set once the judge knows, or has been told a high estimate of, what
-	// was sent before judgeSince.
-	countsKnown bool
-	decision    rollout.Decision
-	decidedAt   time.Time
-	group       map[string]bool // of decision.TargetServers
+	decision      rollout.Decision
+	decidedAt     time.Time
+	group         map[string]bool // of decision.TargetServers
 	// verdict is the verdict of this VM or another one, known since verdictAt. A roll-back
 	// goes before a completion.
 	verdict    rollout.Verdict
@@ -102,7 +96,7 @@
 		return false
 	}
 	m.order, m.orderedAt = order, orderedAt
-	m.judge, m.judgeSince, m.startedBefore, m.countsKnown = nil, time.Time{}, 0, false
+	m.judge, m.judgeSince, m.startedBefore = nil, time.Time{}, 0
 	m.decision, m.decidedAt, m.group, m.old = rollout.Decision{}, time.Time{}, nil, load{}
 	m.verdict, m.verdictAt, m.othersMove = rollout.NoVerdict, time.Time{}, false
 	m.announcedAt, m.announcedShift = time.Time{}, false
@@ -252,26 +246,11 @@
 	return m.old.all == 0 || m.old.unrepeatable == 0 && m.nearDeadline(now)
 }
 
-// reconstructCounts tells the judge what was sent before it began to count. A process that
-// ran when the order was written knows it. Another one hears it from older VMs. If all
-// have started since, nobody knows, and as much as a roll-out may use counts as sent. It
-// reports whether the judge knows the counts.
-func (m *migration) reconstructCounts(now time.Time, f Fleet, arrivalsPerSecond float64) bool {
-	if m.countsKnown {
-		return true
-	}
+// knowsCounts reports whether the judge knows what was sent since the order, as far as any
+// VM knows it. A process that ran when the order was written does. Another one hears it
+// from older VMs in a while; if all have started since, nobody knows, which the judge takes
+// into account.
+func (m *migration) knowsCounts(now time.Time, f Fleet) bool {
 	orderWritten := m.judgeSince.Add(-m.startedBefore)
-	switch {
-	case !orderWritten.Before(f.StartedAt):
-		m.countsKnown = true
-	case now.Sub(m.judgeSince) < catchUpTime:
-	case f.OlderVMsLive:
-		m.countsKnown = true
-	default:
-		total := arrivalsPerSecond * m.startedBefore.Seconds()
-		target := usedExposure*m.bounds.ExposedShare*total + usedSlack*m.bounds.ExposedSlack
-		m.judge.RecordSends(now, uint64(total), uint64(target))
-		m.countsKnown = true
-	}
-	return m.countsKnown
+	return !orderWritten.Before(f.StartedAt) || now.Sub(m.judgeSince) >= catchUpTime
 }
