--- a/rollout/replica/fleet_test.go
+++ b/rollout/replica/fleet_test.go
@@ -85,6 +85,7 @@
 	incarnation := fmt.Sprint(f.now.UnixNano())
 	v.rollouts = New(vm.VM{ID: v.id, Incarnation: incarnation}, bounds, hold)
 	v.ledger = tally.NewLedger(f.now, tally.OriginOf(v.id, incarnation), v, nil)
+	f.copies[v] = f.store.state // a VM reads the table before it is ready
 	if i < len(f.vms) {
 		f.vms[i] = v
 		return
