--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -58,8 +58,10 @@
 	// OthersShift is true if another VM announced that it has found the target version no
 	// worse and moves its requests.
 	OthersShift bool
-	// Announced is the verdict that another VM has announced or that the store holds.
+	// Announced is the verdict that another VM has announced, RollBack if they differ.
 	Announced Verdict
+	// Stored is the verdict that the store holds. It replaces that of this VM.
+	Stored Verdict
 }
 
 // Reason says what a decision follows from.
@@ -83,6 +85,7 @@
 	ReasonTooFewCompared Reason = "the target version had too few responses to move all requests to it"
 	ReasonDeadline       Reason = "the roll-out did not end in time"
 	ReasonAnnounced      Reason = "another VM announced the verdict"
+	ReasonStored         Reason = "the store holds the verdict"
 )
 
 // Figures are the figures behind a decision.
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -15,6 +15,9 @@
 	// coveredSlack is the part of the slack that may be used by the last requests before
 	// the deadline. The rest covers that more of them arrive than expected.
 	coveredSlack = 0.9
+	// minCoveredCompared is the number of requests with which a version is compared if the
+	// bounds hold in any case. It shows versions that fail or are slow always or often.
+	minCoveredCompared = 15
 	// maxComparedShare is the largest share of the target while the versions are compared:
 	// the old servers must get enough to compare with.
 	maxComparedShare = 0.5
@@ -91,7 +94,7 @@
 func (e *exposure) coverable(s Situation, timeLeft, tail time.Duration) bool {
 	total := e.total + s.ArrivalsPerSecond*max(timeLeft, 0).Seconds()
 	bound := e.bounds.ExposedShare*total + e.lastSlack(s)
-	return !s.RemoteCountsUnknown && minCompared+s.ArrivalsPerSecond*tail.Seconds() <= bound
+	return !s.RemoteCountsUnknown && minCoveredCompared+s.ArrivalsPerSecond*tail.Seconds() <= bound
 }
 
 // admit bounds a share by the requests that the target version may still get.
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -112,11 +112,15 @@
 	j.exposure.target += float64(target)
 }
 
-// Decide returns the decision at the given time. A verdict is final.
+// Decide returns the decision at the given time. A verdict is final, unless the store holds
+// another.
 func (j *Judge) Decide(now time.Time, s Situation) Decision {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.observe(now, s)
+	if s.Stored != NoVerdict && s.Stored != j.verdict {
+		j.verdict, j.reason, j.decidedAt = s.Stored, ReasonStored, now
+	}
 	if j.verdict == NoVerdict {
 		j.verdict, j.reason = j.judge(now, s)
 		j.decidedAt = now
@@ -208,7 +212,7 @@
 		j.shiftedAt = now
 	case !clear && (late || s.OthersShift):
 		return RollBack, ReasonUnclear
-	case late:
+	case clear && elapsed >= j.schedule.writeBy:
 		return RollBack, ReasonTooFewCompared
 	}
 	return NoVerdict, ""
