--- a/catalog/rollouts.go
+++ b/catalog/rollouts.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"almondstile/contract"
 )
 
 // addRollouts adds the states of roll-outs to a view under construction that has the
@@ -31,20 +29,19 @@
 	}
 }
 
-// RolloutOpen reports whether there is an order of a roll-out without a final state in
-// this VM's copy. Only then the states can change.
+// RolloutOpen reports whether a roll-out has no final state in this VM's copy: an order
+// stands, or was withdrawn while it ran. Only then the states can change.
 func (v *View) RolloutOpen() bool {
-	for service := range v.Rollouts {
-		if v.OpenRollout(service) {
+	for service, order := range v.Rollouts {
+		state := v.RolloutStates[service]
+		if state == nil || state.OrderVersion != order.RowVersion || !state.Status.Final() {
+			return true
+		}
+	}
+	for service, state := range v.RolloutStates {
+		if v.Rollouts[service] == nil && !state.Status.Final() {
 			return true
 		}
 	}
 	return false
 }
-
-// OpenRollout reports whether the service has an order of a roll-out without a final
-// state in this VM's copy.
-func (v *View) OpenRollout(service contract.ServiceID) bool {
-	order, state := v.Rollouts[service], v.RolloutStates[service]
-	return order != nil && (state == nil || state.OrderVersion != order.RowVersion || !state.Status.Final())
-}
--- a/catalog/rollouts_test.go
+++ b/catalog/rollouts_test.go
@@ -37,7 +37,8 @@
 }
 
 // Guards against states that are read while none can change, and not read while one can:
-// before the first one, while it runs, and after a new order.
+// before the first one, while it runs, after a new order, and after a withdrawal until the
+// status says so.
 func TestRolloutIsOpenUntilItsFinalState(t *testing.T) {
 	c := newRolloutCatalog()
 	for _, step := range []struct {
@@ -51,7 +52,11 @@
 		{"running", RolloutTable, Row{Key: "s", Version: 5, Value: []byte("running")}, true},
 		{"new order", OperatorTable, Row{Key: "s", Version: 6}, true},
 		{"completed", RolloutTable, Row{Key: "s", Version: 6, Value: []byte("completed")}, false},
-		{"withdrawn", OperatorTable, Row{Key: "s", Version: 7, Removed: true}, false},
+		{"withdrawn after the end", OperatorTable, Row{Key: "s", Version: 7, Removed: true}, false},
+		{"another order", OperatorTable, Row{Key: "s", Version: 8}, true},
+		{"it runs", RolloutTable, Row{Key: "s", Version: 8, Value: []byte("running")}, true},
+		{"withdrawn while it runs", OperatorTable, Row{Key: "s", Version: 9, Removed: true}, true},
+		{"rolled back", RolloutTable, Row{Key: "s", Version: 10, Value: []byte("rolled_back")}, false},
 	} {
 		c.Apply(step.table, Changes{Rows: []Row{step.row}, Version: step.row.Version, AsOf: c.storeNow()})
 		if got := c.View().RolloutOpen(); got != step.open {
