--- a/direct/replicatedstate.go
+++ b/direct/replicatedstate.go
@@ -11,6 +11,7 @@
 	"almondstile/quota"
 	"almondstile/request"
 	"almondstile/retry"
+	"almondstile/rollout/replica"
 	"almondstile/room"
 	"almondstile/tally"
 	"almondstile/work"
@@ -34,6 +35,9 @@
 	Crashes      crashTracker
 	Notices      notice.Board
 	Room         room.Gate
+	// Rollouts is nil in a deployment without roll-outs. It must be set before the first
+	// request and the first counts of other VMs.
+	Rollouts *replica.Rollouts
 	// configured is the configuration whose rate limits are in use.
 	configured atomic.Pointer[contract.Index]
 }
@@ -69,6 +73,7 @@
 		if !resent {
 			s.Room.RecordRemote(now, subject, counts)
 		}
+		s.Rollouts.ObserveSends(now, subject, counts[tally.FirstAttempts]+counts[tally.Retries])
 	case tally.Route:
 		s.Routes.RecordResponses(now, subject, counts[tally.GoodResponses], counts[tally.LatencyMillis])
 	case tally.Cost:
@@ -77,6 +82,8 @@
 		s.Crashes.add(now, subject, int(counts[tally.Crashes]))
 	case tally.Incarnation:
 		s.Notices.RecordRemote(now, subject, counts, resent)
+	case tally.Rollout, tally.Sample, tally.FailedSample, tally.RolloutLoad:
+		s.Rollouts.Observe(now, subject, counts)
 	}
 }
 
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"almondstile/catalog"
 	"almondstile/memory"
 	"almondstile/retry"
 	"almondstile/rollout"
@@ -61,6 +62,14 @@
 	return max(s.MaxKeyWithdrawalTime-keyWithdrawalMargin, s.MaxKeyWithdrawalTime/2)
 }
 
+// changeDelay returns MaxChangeDelay or its default.
+func (s *Settings) changeDelay() time.Duration {
+	if s.MaxChangeDelay > 0 {
+		return s.MaxChangeDelay
+	}
+	return catalog.DefaultMaxChangeDelay
+}
+
 const (
 	// callerDescriptorShare is the share of the descriptors that callers' connections may
 	// use. The others are for servers, other VMs, the store and files.
@@ -93,7 +102,8 @@
 	old := v.settings
 	if next.CallersAddress != old.CallersAddress || next.ReadyAddress != old.ReadyAddress ||
 		next.StoreAddress != old.StoreAddress || next.Self.ControlAddress != old.Self.ControlAddress ||
-		next.Self.Zone != old.Self.Zone || next.RetryBudget != old.RetryBudget || next.MaxKeyWithdrawalTime != old.MaxKeyWithdrawalTime {
+		next.Self.Zone != old.Self.Zone || next.RetryBudget != old.RetryBudget || next.MaxKeyWithdrawalTime != old.MaxKeyWithdrawalTime ||
+		next.Rollout != old.Rollout {
 		log.Warn("Settings that need a restart have changed; the old ones stay in force.")
 	}
 	v.node.SetSeeds(next.Seeds)
