httpfront: a chunked body that stops gets 408 wherever it stops

Cause: the HTTP library wraps a timeout in some places of a chunked body (the extension of a chunk, the line break behind its data, the trailer) in an error that hides it, so the caller got 400 as for malformed HTTP, which tells it not to send the request again. A request that stalled and was turned away for another connection got it, too.

The connection keeps whether its last read timed out.

Measured: TestBodyThatStopsGets408 failed in 3 of 11 places before, and passes; go test -race of inbound and httpfront passes (one run).

--- a/entry/httpfront/limits.go
+++ b/entry/httpfront/limits.go
@@ -1,7 +1,6 @@
 package httpfront
 
 import (
-	"net"
 	"time"
 
 	"almondstile/contract"
@@ -103,7 +102,6 @@
 // refuse answers a request that was not received whole, or for which there is no room.
 // Nothing of it has been passed on. Its connection closes.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, conn *inbound.Conn, err error) {
-	var netErr net.Error
 	ctx.SetConnectionClose()
 	switch {
 	case errors.Is(err, errHeadTooLarge):
@@ -118,7 +116,7 @@
 		result := request.Rejected(request.ReasonOverloaded)
 		result.RetryAfter = turnedAwayRetryAfter
 		s.protocol.WriteResponse(ctx, s.protocol.ReadRequest(&ctx.Request, time.Now()).ID, result)
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case conn.TimedOut():
 		s.refusals.record(s.log, ctx.RemoteAddr(), refusedLate)
 		writeError(ctx, "", request.Rejected(request.ReasonMalformed), "the request did not arrive in time")
 		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
--- a/entry/httpfront/limits_test.go
+++ b/entry/httpfront/limits_test.go
@@ -160,3 +160,48 @@
 		t.Errorf("a small request afterwards: status %d", status)
 	}
 }
+
+// Guards against a body that stops, and gets 400, wherever in a chunk that is: its caller
+// may send it again only if it is told that it has not run.
+func TestBodyThatStopsGets408(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	options := newTestOptions()
+	options.ReadTimeout = 50 * time.Millisecond
+	var dispatched atomic.Int64
+	s := New(dispatcherFunc(func(context.Context, entry.IncomingRequest) (string, request.Result) {
+		dispatched.Add(1)
+		return "id", request.Result{Outcome: request.Answered, Status: 200}
+	}), options, logging.Discard().Part("callers"))
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = s.Serve(listener) })
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Shutdown(ctx)
+		wg.Wait()
+	})
+	l := &limitedServer{t: t, address: listener.Addr().String()}
+	head := "POST /a HTTP/1.1\r\nHost: h\r\n"
+	for _, body := range []string{
+		"Content-Length: 5\r\n\r\n", "Content-Length: 5\r\n\r\nxxxx",
+		"Transfer-Encoding: chunked\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n5",
+		"Transfer-Encoding: chunked\r\n\r\n5;a",
+		"Transfer-Encoding: chunked\r\n\r\n5\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nxxxx",
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nxxxxx",
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n0",
+		"Transfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n0\r\n",
+	} {
+		if status, closes := l.send(head + body); status != 408 || !closes {
+			t.Errorf("%q: status %d, closes %v", body, status, closes)
+		}
+	}
+	if dispatched.Load() > 0 {
+		t.Errorf("%d requests were dispatched", dispatched.Load())
+	}
+}
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -29,6 +29,9 @@
 	// headPending says that the time for the head of a request has yet to begin. Only the
 	// server's goroutine uses it.
 	headPending bool
+	// timedOut says that the time of the last read from the socket has passed. Only the
+	// server's goroutine uses it.
+	timedOut bool
 	// readAt is when a request that is not complete was last read, in nanoseconds since
 	// accepted.
 	readAt   atomic.Int64
@@ -75,19 +78,23 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
-	if endsStream(err) {
-		c.peerGone.Store(true)
+	c.timedOut = isTimeout(err)
+	if err != nil && !c.timedOut {
+		c.peerGone.Store(true) // nothing more will arrive
 	}
 	return n, err
 }
 
-// endsStream reports whether an error of a read means that nothing more will arrive.
-func endsStream(err error) bool {
+// isTimeout reports whether an error means that a deadline has passed.
+func isTimeout(err error) bool {
 	var network net.Error
-	timedOut := errors.As(err, &network) && network.Timeout()
-	return err != nil && !timedOut
+	return err != nil && errors.As(err, &network) && network.Timeout()
 }
 
+// TimedOut reports whether the last read from the socket ended because its time had passed.
+// The HTTP library hides that from those who read a chunked body.
+func (c *Conn) TimedOut() bool { return c.timedOut }
+
 // PeerGone reports whether the peer has closed its sending side or reset the connection.
 // A request that was received before must not be executed any more.
 func (c *Conn) PeerGone() bool { return c.peerGone.Load() }
