memory: the bytes of a body come back if its reader panics

Cause: Receive released the pieces only where its reader returned, so a panic, which the server recovers from, took them from the budget for good.

--- a/memory/body.go
+++ b/memory/body.go
@@ -81,14 +81,16 @@
 		expected = int64(limit)
 	}
 	lease.Begin(Receiving, expected)
-	if err := b.receive(r, size, limit, clock); err != nil {
-		b.Release()
+	complete := false
+	defer func() {
+		if !complete { // also if r panics
+			b.Release()
+		}
+	}()
+	if err := b.receive(r, size, limit, clock); err != nil || b.size == 0 {
 		return nil, err
 	}
-	if b.size == 0 {
-		b.Release()
-		return nil, nil
-	}
+	complete = true
 	return b, nil
 }
 
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -255,3 +255,28 @@
 	r.rest = r.rest[n:]
 	return n, nil
 }
+
+// panickingReader panics after it has returned some bytes.
+type panickingReader struct{ left int }
+
+func (r *panickingReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		panic("broken reader")
+	}
+	n := min(r.left, len(p))
+	r.left -= n
+	return n, nil
+}
+
+// Guards against bytes that are held for good because a body's reader has panicked.
+func TestPanicWhileABodyArrivesGivesItsBytesBack(t *testing.T) {
+	b := newTestBudget()
+	l := b.Open("a", func() {})
+	func() {
+		defer func() { _ = recover() }()
+		_, _ = Receive(&panickingReader{left: 100_000}, 200_000, testTotal, l, func() time.Time { return b.now })
+	}()
+	if used := b.Used(); used != 0 {
+		t.Errorf("%d bytes were not given back", used)
+	}
+}
