inbound: each connection over the limit turns away another stalled one

Cause: a connection that is turned away needs a moment to close, and stayed the one that has stalled longest. A burst of new connections turned away that one only, until the HTTP library rejected the rest.

Measured: TestEachNewConnectionTurnsAwayAnotherStalledOne saw one of three turned away, three times, before; go test -race of inbound passes (one run).

--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -148,6 +148,7 @@
 	}
 	if len(stalled) > 0 {
 		slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(b.stalledFor(), a.stalledFor()) })
+		stalled[0].readAt.Store(0) // the next new connection turns away another one
 		stalled[0].turnAway()
 	}
 }
