inbound: a body that its caller was asked for is still arriving

Cause: the interim response 100 counted as the response to the request, so a connection whose caller then stalls was never turned away for others, and was closed for reading and writing if the budget turned it away.

The tests of limits share one start of a server.

--- a/entry/httpfront/limits.go
+++ b/entry/httpfront/limits.go
@@ -79,6 +79,9 @@
 		s.refusals.record(s.log, ctx.RemoteAddr(), refusedBody)
 		return fasthttp.StatusRequestEntityTooLarge
 	}
+	if conn, ok := ctx.Conn().(*inbound.Conn); ok {
+		conn.AskForBody()
+	}
 	return fasthttp.StatusContinue
 }
 
--- a/entry/httpfront/limits_test.go
+++ b/entry/httpfront/limits_test.go
@@ -31,6 +31,12 @@
 }
 
 func startLimitedServer(t *testing.T) *limitedServer {
+	t.Helper()
+	return startLimitedServerWith(t, func(*Options) {})
+}
+
+// startLimitedServerWith starts a server with changed options.
+func startLimitedServerWith(t *testing.T, change func(*Options)) *limitedServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -42,6 +48,7 @@
 	options.ReadBufferBytes = 16 << 10
 	options.Budget = l.budget
 	options.Limits = func() contract.CallerLimits { return *l.limits.Load() }
+	change(&options)
 	s := New(dispatcherFunc(func(_ context.Context, in entry.IncomingRequest) (string, request.Result) {
 		l.dispatched.Add(1)
 		return "id", request.Result{Outcome: request.Answered, Status: 200, Body: []byte(fmt.Sprint(in.Body.Len()))}
@@ -164,26 +171,7 @@
 // Guards against a body that stops, and gets 400, wherever in a chunk that is: its caller
 // may send it again only if it is told that it has not run.
 func TestBodyThatStopsGets408(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	options := newTestOptions()
-	options.ReadTimeout = 50 * time.Millisecond
-	var dispatched atomic.Int64
-	s := New(dispatcherFunc(func(context.Context, entry.IncomingRequest) (string, request.Result) {
-		dispatched.Add(1)
-		return "id", request.Result{Outcome: request.Answered, Status: 200}
-	}), options, logging.Discard().Part("callers"))
-	var wg conc.WaitGroup
-	wg.Go(func() { _ = s.Serve(listener) })
-	t.Cleanup(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = s.Shutdown(ctx)
-		wg.Wait()
-	})
-	l := &limitedServer{t: t, address: listener.Addr().String()}
+	l := startLimitedServerWith(t, func(o *Options) { o.ReadTimeout = 50 * time.Millisecond })
 	head := "POST /a HTTP/1.1\r\nHost: h\r\n"
 	for _, body := range []string{
 		"Content-Length: 5\r\n\r\n", "Content-Length: 5\r\n\r\nxxxx",
@@ -201,7 +189,48 @@
 			t.Errorf("%q: status %d, closes %v", body, status, closes)
 		}
 	}
-	if dispatched.Load() > 0 {
-		t.Errorf("%d requests were dispatched", dispatched.Load())
+	if dispatched := l.dispatched.Load(); dispatched > 0 {
+		t.Errorf("%d requests were dispatched", dispatched)
+	}
+}
+
+// Guards against a connection that cannot be turned away for others because its caller has
+// asked before it sends its body, and then sends no more.
+func TestStalledBodyThatWasAskedForIsTurnedAway(t *testing.T) {
+	l := startLimitedServerWith(t, func(o *Options) { o.MaxConnections, o.ReadTimeout = 1, time.Hour })
+	nc, err := net.Dial("tcp", l.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(testLimit))
+	_, _ = io.WriteString(nc, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n")
+	reader := bufio.NewReader(nc)
+	if line, err := reader.ReadString('\n'); err != nil || !strings.Contains(line, " 100 ") {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	_, _ = reader.ReadString('\n')
+	_, _ = io.WriteString(nc, "x")
+	stop := make(chan struct{})
+	var others conc.WaitGroup
+	others.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				if other, err := net.Dial("tcp", l.address); err == nil {
+					_, _ = io.WriteString(other, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+					_, _ = other.Read(make([]byte, 1)) // waits until it is served
+					_ = other.Close()
+				}
+			}
+		}
+	})
+	defer others.Wait()
+	defer close(stop)
+	var resp fasthttp.Response
+	if err := resp.Read(reader); err != nil || resp.StatusCode() != 408 {
+		t.Errorf("status %d, %v", resp.StatusCode(), err)
 	}
 }
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -32,6 +32,9 @@
 	// timedOut says that the time of the last read from the socket has passed. Only the
 	// server's goroutine uses it.
 	timedOut bool
+	// asksForBody says that the next write asks the peer to go on with its request. Only
+	// the server's goroutine uses it.
+	asksForBody bool
 	// readAt is when a request that is not complete was last read, in nanoseconds since
 	// accepted.
 	readAt   atomic.Int64
@@ -104,7 +107,10 @@
 
 // Write writes a part of a response. After an error the peer is taken for gone.
 func (c *Conn) Write(b []byte) (written int, err error) {
-	c.phase.CompareAndSwap(receiving, responding)
+	if !c.asksForBody {
+		c.phase.CompareAndSwap(receiving, responding)
+	}
+	c.asksForBody = false
 	for len(b) > 0 && err == nil {
 		var n int
 		n, err = c.Conn.Write(b[:min(len(b), maxWriteBytes)])
@@ -122,6 +128,10 @@
 	return written, err
 }
 
+// AskForBody tells that the next write is the interim response that asks the peer for the
+// body of its request, which is still arriving.
+func (c *Conn) AskForBody() { c.asksForBody = true }
+
 // Close closes the connection. After a response the socket stays open, for a bounded
 // time, until the peer has closed its side; Close does not wait for that. Further calls
 // do nothing.
