httpconn: large answers have room in the budget before they are read

Cause: an answer was charged only when it had arrived whole, so nothing bounded the answers that arrive at a time: as many as there are requests in flight, up to 16 MiB each.

An answer over 64 KiB takes its bytes from the process's budget before they are read, and waits for them until its request ends, while the server waits to send. One answer at a time may exceed the budget if nothing becomes free. Lease.TakeContext ends with a context.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -140,8 +140,12 @@
 	d.reporter = outlier.NewReporter(d.servers, quarantine, d.fleet, d.follower, d.caller, time.Now, log)
 	d.homes = outlier.NewHomes(quarantine, d.fleet, d.follower, d.caller, time.Now, log)
 	d.homes.SetObserver(decisionCounter{d.metrics})
+	memoryBytes := int64(d.settings.Limits.MemoryBytes)
+	memory.LimitRuntime(memoryBytes)
+	d.budget = memory.NewBudget(memory.BudgetBytes(memoryBytes), time.Now, d.metrics)
 	pool := httpconn.DefaultOptions()
 	pool.MaxResponseBytes = d.settings.Limits.ResponseBytes
+	pool.Budget = d.budget
 	d.upstream = upstream.NewClient(pool)
 	pool.MaxResponseBytes += maxEnvelopeBytes
 	d.relays = forward.NewExchangeClient(d.self.ID, d.secret(), d.links, pool)
@@ -175,8 +179,6 @@
 		Forwarder: d.forwardClient, Links: d.links, Observer: decisionCounter{d.metrics}, Clock: time.Now,
 		Limits: entry.Limits{MaxInFlight: limits.Requests, MaxInFlightPerTeam: limits.RequestsPerTeam},
 	})
-	memory.LimitRuntime(int64(limits.MemoryBytes))
-	d.budget = memory.NewBudget(memory.BudgetBytes(int64(limits.MemoryBytes)), time.Now, d.metrics)
 	d.front = httpfront.New(d.dispatcher, httpfront.Options{
 		Budget: d.budget,
 		Limits: func() contract.CallerLimits {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -75,8 +75,9 @@
 )
 
 // serverConnectionOptions returns the options of connections to backend servers.
-func serverConnectionOptions() httpconn.Options {
+func serverConnectionOptions(budget *memory.Budget) httpconn.Options {
 	options := httpconn.DefaultOptions()
+	options.Budget = budget
 	options.IdleTimeout, options.IdleTimeoutWithoutKeepAlive = serverIdleTimeout, unannouncedServerIdleTimeout
 	options.MaxIdlePerAddress = maxIdleConnectionsPerServer
 	options.ConnectTimeout = serverConnectTimeout
@@ -112,10 +113,11 @@
 	v := &Process{
 		urgentSend: make(chan struct{}, 1),
 		settings:   s, log: log, store: p.Store, metrics: telemetry.New(),
-		catalog:  catalog.New(p.Decoder, boottime.Now, log.Part("catalog")),
-		roster:   fleet.NewRoster(now, s.Self),
-		upstream: upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions()),
+		catalog: catalog.New(p.Decoder, boottime.Now, log.Part("catalog")),
+		roster:  fleet.NewRoster(now, s.Self),
 	}
+	v.budget = v.newBudget()
+	v.upstream = upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions(v.budget))
 	v.guard = guard.New(log.Part("guard"), v.metrics)
 	v.catalog.Observer = copyAges{v.metrics}
 	v.state = direct.NewReplicatedState(now, v.roster, s.RetryBudget)
@@ -125,7 +127,6 @@
 		Fleet: v.roster, Observer: v.metrics, Guard: v.guard, Limits: direct.Limits{MaxKeyDataAge: s.maxKeyAge()},
 		Log: log.Part("request"), Clock: time.Now, BootTime: boottime.Now,
 	})
-	v.budget = v.newBudget()
 	v.front = httpfront.New(v.dispatcher, httpfront.Options{
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxConnections: s.maxCallerConnections(),
 		Limits: v.callerLimits, Budget: v.budget,
--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -26,11 +26,13 @@
 	var err error
 	switch {
 	case length == chunkedLength:
-		err = readChunks(r, &body, options.MaxResponseBytes)
+		err = readChunks(r, &body, options)
 	case length > options.MaxResponseBytes:
 		err = fasthttp.ErrBodyTooLarge
 	default:
-		err = body.ReadN(r, length)
+		if err = options.room.cover(length); err == nil {
+			err = body.ReadN(r, length)
+		}
 	}
 	if err != nil {
 		return err
@@ -40,15 +42,18 @@
 }
 
 // readChunks reads the chunks of a body up to its trailer.
-func readChunks(r *bufio.Reader, body *memory.Collector, limit int) error {
+func readChunks(r *bufio.Reader, body *memory.Collector, options Options) error {
 	for {
 		size, err := readChunkSize(r)
 		if err != nil || size == 0 {
 			return err
 		}
-		if size > limit-body.Len() {
+		if size > options.MaxResponseBytes-body.Len() {
 			return fasthttp.ErrBodyTooLarge
 		}
+		if err := options.room.cover(body.Len() + size); err != nil {
+			return err
+		}
 		if err := body.ReadN(r, size); err != nil {
 			return err
 		}
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -7,8 +7,10 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/shard"
 
@@ -51,6 +53,11 @@
 	// responses have no timeout in the Keep-Alive header. The shorter of it and
 	// IdleTimeout applies.
 	IdleTimeoutWithoutKeepAlive time.Duration
+	// Budget, if not nil, bounds the bytes of large responses that arrive. A response
+	// waits until there is room for it.
+	Budget *memory.Budget
+	// room belongs to one exchange.
+	room *room
 }
 
 // DefaultOptions returns options that suit connections to backend servers and to
@@ -89,6 +96,8 @@
 type Pool struct {
 	options Options
 	idle    shard.Map[string, []*conn]
+	// beyondBudget is set while a response may exceed the budget.
+	beyondBudget atomic.Bool
 }
 
 // NewPool returns a pool without connections.
@@ -132,7 +141,10 @@
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Unix(1, 0)) // a past deadline aborts reads and writes at once
 	})
-	err = c.exchange(call, p.options)
+	options := p.options
+	options.room = p.newRoom(ctx)
+	defer options.room.release()
+	err = c.exchange(call, options)
 	if err == nil && call.Verify != nil {
 		err = call.Verify(call.Response)
 	}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -65,6 +65,9 @@
 // Total returns the size of the budget in bytes.
 func (b *Budget) Total() int64 { return b.total }
 
+// Largest returns the most bytes that one lease can hold.
+func (b *Budget) Largest() int64 { return b.total - b.reserve }
+
 // Used returns the bytes that leases hold.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
--- a/memory/lease.go
+++ b/memory/lease.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 )
@@ -61,7 +62,10 @@
 // Take takes n bytes. If the budget is short, it turns others away, or this lease if that
 // is the least complete and slowest one, and waits for at most maxWait. Small requests
 // may use the reserve and are not turned away here.
-func (l *Lease) Take(n int64) error {
+func (l *Lease) Take(n int64) error { return l.TakeContext(context.Background(), n) }
+
+// TakeContext is like Take, but waits only until ctx ends, and then returns its error.
+func (l *Lease) TakeContext(ctx context.Context, n int64) error {
 	freed, err := l.tryTake(n)
 	if freed == nil {
 		return err
@@ -76,6 +80,9 @@
 		case <-limit.C:
 			again.Stop()
 			return ErrShort
+		case <-ctx.Done():
+			again.Stop()
+			return ctx.Err()
 		}
 		again.Stop()
 		if freed, err = l.tryTake(n); freed == nil {
