inbound: a stalled request makes room before a connection that was just accepted

Cause: with more connections than allowed, the newest one without a request was closed, also while requests had stalled for a second or more. Its caller may be sending, and a closed connection does not tell it that nothing has run.

--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -127,9 +127,10 @@
 	return c.Conn.SetReadDeadline(time.Now().Add(limit))
 }
 
-// makeRoom closes a connection without a request, or turns away one whose request does not
-// get on, if there are more connections than allowed. The HTTP server rejects the new one
-// if that does not help.
+// makeRoom closes a connection without a request, or turns away one whose request has
+// stalled, if there are more connections than allowed. Connections that were just accepted
+// come last, since their callers may be sending. The HTTP server rejects the new one if that
+// does not help.
 func (l *Listener) makeRoom(added *Conn) {
 	if l.options.MaxConnections == 0 || l.count.Load() <= int64(l.options.MaxConnections) {
 		return
@@ -144,20 +145,16 @@
 			stalled = append(stalled, c)
 		}
 	}
-	if len(unusedConns) > 0 {
-		slices.SortFunc(unusedConns, func(a, b *Conn) int { return a.accepted.Compare(b.accepted) })
-		oldest, newest := unusedConns[0], unusedConns[len(unusedConns)-1]
-		if time.Since(oldest.accepted) >= unusedTime {
-			oldest.closeIfUnused()
-		} else {
-			newest.closeIfUnused()
-		}
-		return
-	}
-	if len(stalled) > 0 {
-		slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(b.stalledFor(), a.stalledFor()) })
+	slices.SortFunc(unusedConns, func(a, b *Conn) int { return a.accepted.Compare(b.accepted) })
+	slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(b.stalledFor(), a.stalledFor()) })
+	switch {
+	case len(unusedConns) > 0 && time.Since(unusedConns[0].accepted) >= unusedTime:
+		unusedConns[0].closeIfUnused()
+	case len(stalled) > 0:
 		stalled[0].readAt.Store(0) // the next new connection turns away another one
 		stalled[0].turnAway()
+	case len(unusedConns) > 0:
+		unusedConns[len(unusedConns)-1].closeIfUnused()
 	}
 }
 
--- a/inbound/limits_test.go
+++ b/inbound/limits_test.go
@@ -55,3 +55,33 @@
 		}
 	}
 }
+
+// Guards against a connection that was just accepted, and whose caller may be sending, and
+// that is closed although the request of another one has stalled.
+func TestStalledConnectionMakesRoomBeforeANewOne(t *testing.T) {
+	from, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer from.Close()
+	l := newListener(from, Options{MaxConnections: 2}, logging.Discard().Part("test"))
+	newConn := func() (*Conn, *wokenConn) {
+		a, b := net.Pipe()
+		t.Cleanup(func() { _, _ = a.Close(), b.Close() })
+		socket := &wokenConn{Conn: a}
+		return l.add(socket), socket
+	}
+	stalled, socket := newConn()
+	stalled.phase.Store(receiving)
+	stalled.accepted = time.Now().Add(-time.Minute)
+	stalled.readAt.Store(int64(time.Second))
+	recent, _ := newConn()
+	newest, _ := newConn()
+	if recent.Closed() || newest.Closed() || socket.woken.Load() != 1 {
+		t.Errorf("recent connection closed %v, stalled one turned away %d times", recent.Closed(), socket.woken.Load())
+	}
+	newConn()
+	if recent.Closed() || !newest.Closed() {
+		t.Errorf("after the stalled one, closed: recent %v, newest %v; want the newest", recent.Closed(), newest.Closed())
+	}
+}
