--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -78,8 +78,9 @@
 )
 
 // serverConnectionOptions returns the options of connections to backend servers.
-func serverConnectionOptions() httpconn.Options {
+func serverConnectionOptions(budget *memory.Budget) httpconn.Options {
 	options := httpconn.DefaultOptions()
+	options.Budget = budget
 	options.IdleTimeout, options.IdleTimeoutWithoutKeepAlive = serverIdleTimeout, unannouncedServerIdleTimeout
 	options.MaxIdlePerAddress = maxIdleConnectionsPerServer
 	options.ConnectTimeout = serverConnectTimeout
@@ -117,10 +118,11 @@
 	v := &Process{
 		urgentSend: make(chan struct{}, 1),
 		settings:   s, log: log, store: p.Store, metrics: telemetry.New(),
-		catalog:  catalog.New(p.Decoder, boottime.Now, log.Part("catalog")),
-		roster:   fleet.NewRoster(now, s.Self),
-		upstream: upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions()),
+		catalog: catalog.New(p.Decoder, boottime.Now, log.Part("catalog")),
+		roster:  fleet.NewRoster(now, s.Self),
 	}
+	v.budget = v.newBudget()
+	v.upstream = upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions(v.budget))
 	v.guard = guard.New(log.Part("guard"), v.metrics)
 	v.catalog.Observer = copyAges{v.metrics}
 	v.catalog.Rollouts = s.Rollout.Enabled()
@@ -132,7 +134,6 @@
 		Fleet: v.roster, Observer: v.metrics, Guard: v.guard, Limits: direct.Limits{MaxKeyDataAge: s.maxKeyAge()}, IgnoreCosts: s.IgnoreCosts,
 		Log: log.Part("request"), Clock: time.Now, BootTime: boottime.Now,
 	})
-	v.budget = v.newBudget()
 	if v.state.Rollouts != nil {
 		v.rollouts = &rolloutKeeper{
 			rollouts: v.state.Rollouts, servers: v.dispatcher.RolloutServers, catalog: v.catalog, roster: v.roster, ledger: v.ledger,
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -29,6 +29,12 @@
 	// headPending says that the time for the head of a request has yet to begin. Only the
 	// server's goroutine uses it.
 	headPending bool
+	// timedOut says that the time of the last read from the socket has passed. Only the
+	// server's goroutine uses it.
+	timedOut bool
+	// asksForBody says that the next write asks the peer to go on with its request. Only
+	// the server's goroutine uses it.
+	asksForBody bool
 	// readAt is when a request that is not complete was last read, in nanoseconds since
 	// accepted.
 	readAt   atomic.Int64
@@ -75,19 +81,23 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
-	if endsStream(err) {
-		c.peerGone.Store(true)
+	c.timedOut = isTimeout(err)
+	if err != nil && !c.timedOut {
+		c.peerGone.Store(true) // nothing more will arrive
 	}
 	return n, err
 }
 
-// endsStream reports whether an error of a read means that nothing more will arrive.
-func endsStream(err error) bool {
+// isTimeout reports whether an error means that a deadline has passed.
+func isTimeout(err error) bool {
 	var network net.Error
-	timedOut := errors.As(err, &network) && network.Timeout()
-	return err != nil && !timedOut
+	return err != nil && errors.As(err, &network) && network.Timeout()
 }
 
+// TimedOut reports whether the last read from the socket ended because its time had passed.
+// The HTTP library hides that from those who read a chunked body.
+func (c *Conn) TimedOut() bool { return c.timedOut }
+
 // PeerGone reports whether the peer has closed its sending side or reset the connection.
 // A request that was received before must not be executed any more.
 func (c *Conn) PeerGone() bool { return c.peerGone.Load() }
@@ -97,7 +107,10 @@
 
 // Write writes a part of a response. After an error the peer is taken for gone.
 func (c *Conn) Write(b []byte) (written int, err error) {
-	c.phase.CompareAndSwap(receiving, responding)
+	if !c.asksForBody {
+		c.phase.CompareAndSwap(receiving, responding)
+	}
+	c.asksForBody = false
 	for len(b) > 0 && err == nil {
 		var n int
 		n, err = c.Conn.Write(b[:min(len(b), maxWriteBytes)])
@@ -115,6 +128,10 @@
 	return written, err
 }
 
+// AskForBody tells that the next write is the interim response that asks the peer for the
+// body of its request, which is still arriving.
+func (c *Conn) AskForBody() { c.asksForBody = true }
+
 // Close closes the connection. After a response the socket stays open, for a bounded
 // time, until the peer has closed its side; Close does not wait for that. Further calls
 // do nothing.
