rollout: sampling does not change with the target's pauses

At many requests a second, a response that arrived in a pause was sampled for certain and one that arrived earlier was not, so slow responses of the target counted more often. Sampling is drawn when a request is sent, with the mean share.

--- a/rollout/decision.go
+++ b/rollout/decision.go
@@ -114,7 +114,8 @@
 	TargetShare float64
 	// TargetServers holds the keys of the target servers that may be used; nil means all.
 	TargetServers []string
-	// SampleShares holds the probability with which a response of a side is sampled.
+	// SampleShares holds the probability with which the response to a request that is sent
+	// to a side is sampled.
 	SampleShares [sideCount]float64
 	// Shifting is true once this VM moves all its requests. It is announced to the others.
 	Shifting bool
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -127,7 +127,7 @@
 	}
 	d := j.direct(now, s)
 	d.Verdict, d.Shifting = j.verdict, j.verdict == NoVerdict && !j.shiftedAt.IsZero()
-	d.SampleShares = sampleShares(s.ArrivalsPerSecond, d.TargetShare)
+	d.SampleShares = sampleShares(s.ArrivalsPerSecond, j.meanShare(now, s, d))
 	d.Figures = j.figures(now)
 	return d
 }
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -112,11 +112,12 @@
 }
 
 type response struct {
-	group  *vmGroup
-	server *server
-	route  int
-	class  Class
-	bad    bool // because of the version
+	group   *vmGroup
+	server  *server
+	route   int
+	class   Class
+	bad     bool // because of the version
+	sampled bool
 }
 
 const (
@@ -271,7 +272,7 @@
 			m.fiftiethBad = m.now
 		}
 	}
-	if m.rng.Float64() >= r.group.decision.SampleShares[r.server.side] {
+	if !r.sampled {
 		return
 	}
 	sample := Sample{Route: fmt.Sprint(r.route), Server: r.server.key, Side: r.server.side, Class: r.class, Count: 1}
@@ -393,6 +394,7 @@
 	s.inFlight++
 	s.sends++
 	r := response{group: g, server: s, route: m.rng.IntN(m.play.routes)}
+	r.sampled = m.rng.Float64() < g.decision.SampleShares[s.side]
 	seconds := m.play.latency.Seconds() * math.Exp(m.rng.NormFloat64()*m.play.spread)
 	seconds *= 1 + max(float64(s.inFlight-slotsPerServer), 0)/slotsPerServer
 	fails := m.play.baseRate
--- a/rollout/sample.go
+++ b/rollout/sample.go
@@ -56,9 +56,12 @@
 }
 
 // Sample is a number of responses of one class that a server sent since the last sample,
-// to this VM or another. Whether a response is sampled must not depend on its class. An
-// attempt that its VM gave up counts as a failure on its route's timeout, and not at all
-// if the caller left or another attempt was faster.
+// to this VM or another. Whether a response is sampled is drawn when its request is sent,
+// with Decision.SampleShares, so that it does not depend on the response.
+//
+// An attempt that its VM gave up counts as a failure on its route's timeout, and as a
+// success of the latency so far if another attempt was faster: its response would have
+// been slower. It does not count if the caller left.
 type Sample struct {
 	// Route is an opaque key of the route.
 	Route string
--- a/rollout/shares.go
+++ b/rollout/shares.go
@@ -79,6 +79,15 @@
 	return 1
 }
 
+// meanShare returns the share of the target without its pauses. The part of responses that
+// is sampled must not change with them, or slow ones would be sampled more often.
+func (j *Judge) meanShare(now time.Time, s Situation, d Decision) float64 {
+	if j.verdict != NoVerdict || !j.shiftedAt.IsZero() {
+		return d.TargetShare
+	}
+	return j.exposure.comparedShare(s, j.schedule.shift-now.Sub(j.started), j.schedule.tail())
+}
+
 // sampleShares returns the probabilities with which responses are sampled.
 func sampleShares(arrivalsPerSecond, targetShare float64) (shares [sideCount]float64) {
 	shares[Old] = min(1, maxOldSamplesPerSecond/max(arrivalsPerSecond*(1-targetShare), 1))
