--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -206,3 +206,20 @@
 	}
 	t.Logf("reached %g in %d of %d cases", limit, reached, cases)
 }
+
+// Guards against a status that says "rolled back" before VMs that were cut off from this
+// one have heard of the verdict and stopped sending.
+func TestStatusWaitsForReconnectedVMs(t *testing.T) {
+	j := newTestJudge()
+	j.situation.ConnectedShare = 0.5
+	j.at(0)
+	j.situation.Announced = RollBack
+	j.at(time.Second)
+	j.situation.ConnectedShare = 1
+	if d := j.at(4 * time.Second); d.Verdict != RollBack || d.WriteStatus {
+		t.Errorf("at the reconnection: %+v", d)
+	}
+	if d := j.at(4*time.Second + settlePeriod); !d.WriteStatus {
+		t.Errorf("after the others heard of the verdict: %+v", d)
+	}
+}
