rollout: rounding does not keep requests from a version with the old capacity

Cause: the capacity of the target's servers is a sum over them, that of the old ones a product.

Change: a tolerance of 1e-9.

--- a/rollout/shares.go
+++ b/rollout/shares.go
@@ -68,12 +68,16 @@
 	return d
 }
 
+// roundingTolerance covers the rounding of the sums of capacityPerSecond: many servers
+// against one with all their slots.
+const roundingTolerance = 1e-9
+
 // capacityShare returns the part of the service's requests (0 to 1) that the servers can
 // take. It is 1 for servers that can take what all old ones can.
 func (j *Judge) capacityShare(s Situation, servers []TargetServer) float64 {
 	capacity := capacityPerSecond(servers, j.findings.requestSeconds)
 	old := capacityPerSecond([]TargetServer{{Slots: s.OldSlots}}, j.findings.requestSeconds)
-	if needed := min(s.ArrivalsPerSecond, old); needed > capacity {
+	if needed := min(s.ArrivalsPerSecond, old); needed > capacity*(1+roundingTolerance) {
 		return capacity / needed
 	}
 	return 1
