room: ranks compete only where requests of several are in use

All of 36 logged rejections were at this service.

Change: the gate and its return times act only while at least 2% of a service's requests have another rank than the most frequent one, or while too few are known.

--- a/direct/room.go
+++ b/direct/room.go
@@ -124,8 +124,11 @@
 	if len(terms.Ranks) < 2 {
 		return rejectedRetryAfter
 	}
-	now := d.deps.Clock()
-	return d.deps.ReplicatedState.Room.ReturnAfterRefusal(now, d.ticket(route, req, terms), d.roomOf(now, view, req.Service), rand.Float64())
+	now, gate := d.deps.Clock(), &d.deps.ReplicatedState.Room
+	if !gate.Competing(now, tally.SubjectOf(tally.Service, string(req.Service))) {
+		return rejectedRetryAfter
+	}
+	return gate.ReturnAfterRefusal(now, d.ticket(route, req, terms), d.roomOf(now, view, req.Service), rand.Float64())
 }
 
 // retryReserve returns the part of the service's retry budget that a retry of the request
--- a/room/gate.go
+++ b/room/gate.go
@@ -149,6 +149,10 @@
 	}
 	g.services.Do(t.request.Service, newServiceState, func(s *serviceState) {
 		s.recordArrival(now, t, room.Load())
+		if !s.offered.competing() {
+			decision = Decision{Action: Go}
+			return
+		}
 		shortage := s.shortage(now, t, room)
 		decision = Decision{Shortage: shortage, Load: room.Load()}
 		if cause := g.drawRejection(now, s, t, shortage, random); cause != NoCause {
@@ -186,6 +190,16 @@
 	})
 }
 
+// Competing reports whether requests of different ranks compete for the service's room.
+func (g *Gate) Competing(now time.Time, service tally.Subject) bool {
+	competing := true
+	g.services.DoExisting(service, func(s *serviceState) {
+		s.offered.decay(now)
+		competing = s.offered.competing()
+	})
+	return competing
+}
+
 // Leave removes a waiting request whose caller has gone, or that must not go any more.
 func (g *Gate) Leave(t *Ticket) {
 	g.services.DoExisting(t.request.Service, func(s *serviceState) { s.remove(t) })
--- a/room/offered.go
+++ b/room/offered.go
@@ -60,6 +60,25 @@
 	return sum / offeredDecayTime.Seconds()
 }
 
+// minOtherShare is the share of requests of other ranks than the most frequent one from
+// which on ranks compete for the room of a service. A few requests of another rank, such as
+// those of operators who look at a new route, change nothing for the others.
+const minOtherShare = 0.02
+
+// minKnownRequests is the decayed number of requests below which their ranks are not known.
+const minKnownRequests = 50
+
+// competing reports whether requests of different ranks compete for the service's room. They
+// may, as long as their ranks are not known.
+func (o *offered) competing() bool {
+	total, most := 0.0, 0.0
+	for _, n := range o.requests {
+		total += n
+		most = max(most, n)
+	}
+	return total < minKnownRequests || total-most >= minOtherShare*total
+}
+
 // mix returns the shares of the ranks in the requests, the most urgent first. The ranks of
 // the middle class have equal shares of it.
 func (o *offered) mix(ranks int) []float64 {
