rollout: a completion is written only while the new servers carry the load

Cause: after the verdict the status was written without another look at the servers. If the new ones were lost before the write (a store that was down), the old ones stopped although nothing could take their requests. Change: Decision.WriteStatus of a completion also needs servers of the target with room for the whole load. Two tests of rollout/replica that complete roll-outs had no target server in their situation and now have one; their checks are unchanged. Result: TestCompletionIsNotWrittenAfterNewServersAreLost fails without the change and passes with it; go test ./rollout/... and go test -race ./rollout/replica pass.

--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -223,3 +223,24 @@
 		t.Errorf("after the others heard of the verdict: %+v", d)
 	}
 }
+
+// Guards against a status that says "completed" although the new servers were lost between
+// the verdict and the write, for example while the store was down: the old servers would
+// stop.
+func TestCompletionIsNotWrittenAfterNewServersAreLost(t *testing.T) {
+	j := newTestJudge()
+	j.situation.Announced = Complete
+	j.situation.ArrivalsPerSecond = 60
+	targets := j.situation.Targets
+	if d := j.at(time.Second); d.Verdict != Complete || !d.WriteStatus {
+		t.Fatalf("with all new servers: %+v", d)
+	}
+	j.situation.Targets = nil
+	if d := j.at(2 * time.Second); d.Verdict != Complete || d.WriteStatus {
+		t.Errorf("without new servers: %+v", d)
+	}
+	j.situation.Targets = targets
+	if d := j.at(3 * time.Second); !d.WriteStatus {
+		t.Errorf("after the new servers came back: %+v", d)
+	}
+}
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -279,7 +279,8 @@
 // Guards against a completion that is written while another VM does not follow it yet, or
 // has a request under way at an old server, which stops at once.
 func TestCompletionWaitsForAllVMs(t *testing.T) {
-	order, servers := newOrder(7), Servers{OldServers: 3, OldSlots: 6}
+	order := newOrder(7)
+	servers := Servers{Targets: []rollout.TargetServer{{Key: "t", Slots: 6}}, OldServers: 3, OldSlots: 6}
 	r, other := newRollouts("vm-1"), newRollouts("vm-2")
 	both := fleet
 	both.ConnectedVMs = 2
--- a/rollout/replica/write_test.go
+++ b/rollout/replica/write_test.go
@@ -101,6 +101,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := &stateStore{finals: make(map[uint64][]rollout.Status), version: 10}
 		order := newOrder(7)
+		servers := Servers{Targets: []rollout.TargetServer{{Key: "t", Slots: 6}}, OldServers: 3, OldSlots: 6}
 		var writers []*Rollouts
 		for i := range writersAt {
 			r := newRollouts(vm.ID(fmt.Sprintf("vm-%d", i)))
@@ -126,7 +127,7 @@
 					r.Sync(now, copies(order, &current, oldVersion, target))
 				}
 				if now.Sub(start)%decideStep == 0 {
-					r.Decide(now, *order, fleet, Servers{OldServers: 3, OldSlots: 6})
+					r.Decide(now, *order, fleet, servers)
 				}
 				delay := time.Duration(i) * 150 * time.Millisecond
 				for _, state := range r.Due(now, delay) {
--- a/rollout/shares.go
+++ b/rollout/shares.go
@@ -9,7 +9,9 @@
 		told := now.Sub(j.decidedAt) >= settlePeriod && now.Sub(j.connectedAt) >= settlePeriod
 		return Decision{Reason: j.reason, WriteStatus: told}
 	case Complete:
-		return Decision{TargetShare: 1, Reason: j.reason, WriteStatus: true}
+		// The old servers stop once the status is written.
+		carried := len(s.Targets) > 0 && j.capacityShare(s, s.Targets) >= 1
+		return Decision{TargetShare: 1, Reason: j.reason, WriteStatus: carried}
 	}
 	switch {
 	case len(s.Targets) == 0:
