rollout/replica: servers of a replaced version get requests again after a completion

Cause: the versions that a completed roll-out replaced got nothing for good, also without an order. Operators who went back to the earlier version by a release left the service without servers, and so did a restart of all VMs after that. Change: replaced versions get nothing for 30 s after a VM learns of the completion, as long as servers of the target are registered.

--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -23,6 +23,10 @@
 	// catchUpTime is the time that a new replica takes to hear the counts of all VMs that
 	// send requests.
 	catchUpTime = 2 * time.Second
+	// replacedTimeout is the time after a completion within which the registrations of the
+	// old servers, which stop at once, are gone. Later, servers of their versions were
+	// started anew, for example to go back to the earlier version without an order.
+	replacedTimeout = 30 * time.Second
 	// waitPart is the part of an order's duration after which VMs whose reports are missing
 	// are not waited for any more, as they are more likely dead than cut off, nor requests
 	// that may be repeated.
@@ -44,6 +48,8 @@
 	// copy of the states at all.
 	stored      rollout.State
 	statesKnown bool
+	// storedSince is the time since which this VM knows the stored state.
+	storedSince time.Time
 	arrivals    arrivals
 	ready       map[rollout.Version]bool // of arrivals, at the last refresh
 	// underWay holds what this VM has under way at the servers of each version.
@@ -116,9 +122,9 @@
 }
 
 // setStored takes over a state of the store unless a newer one is known.
-func (m *migration) setStored(s rollout.State) {
+func (m *migration) setStored(now time.Time, s rollout.State) {
 	if s.RowVersion > m.stored.RowVersion {
-		m.stored = s
+		m.stored, m.storedSince = s, now
 	}
 }
 
@@ -154,9 +160,9 @@
 	rule := Rule{ready: m.ready}
 	switch {
 	case !m.ordered():
-		m.withdrawnRule(&rule)
+		m.withdrawnRule(now, &rule)
 	case !m.open() && m.stored.Status == rollout.Completed:
-		rule.replaced = m.stored.Replaced
+		rule.replaced = m.replaced(now)
 	case !m.open():
 		rule.target, rule.scope = m.stored.Target, onlyOld
 	default:
@@ -168,15 +174,25 @@
 // withdrawnRule fills in the rule while there is no order. A version whose order was
 // withdrawn, or that was rolled back, gets what the others cannot take, so that nobody is
 // left without a server because of an old state.
-func (m *migration) withdrawnRule(rule *Rule) {
+func (m *migration) withdrawnRule(now time.Time, rule *Rule) {
 	switch m.stored.Status {
 	case rollout.Completed:
-		rule.replaced = m.stored.Replaced
+		rule.replaced = m.replaced(now)
 	case rollout.Running, rollout.RolledBack:
 		rule.target, rule.scope = m.stored.Target, preferOld
 	}
 }
 
+// replaced returns the versions whose servers stop because of the completion. Without
+// servers of the target there are none, as nothing else could take the requests.
+func (m *migration) replaced(now time.Time) []rollout.Version {
+	_, targetKnown := m.arrivals.heldUntil[m.stored.Target]
+	if !targetKnown || now.Sub(m.storedSince) >= replacedTimeout {
+		return nil
+	}
+	return m.stored.Replaced
+}
+
 // openRule fills in the rule of an order without a final state.
 func (m *migration) openRule(now time.Time, rule *Rule, failedAtTarget bool, random float64) {
 	rule.target, rule.scope = m.order.Target, onlyOld
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -325,3 +325,25 @@
 		}
 	}
 }
+
+// Guards against a service without servers after a completed roll-out: its operators go
+// back to the earlier version without an order, by a release.
+func TestReplacedVersionReturns(t *testing.T) {
+	for name, order := range map[string]*rollout.Order{"order stands": newOrder(7), "order withdrawn": nil} {
+		completed := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Completed, Replaced: []rollout.Version{oldVersion}, RowVersion: 9}
+		r := newRollouts("vm-1")
+		r.Sync(start, copies(order, completed, oldVersion, target))
+		if got := choices(r, order, "", 0, oldVersion, target); fmt.Sprint(got) != fmt.Sprint([]rollout.Version{target}) {
+			t.Errorf("%s: after the completion a request may go to %v, want the new version", name, got)
+		}
+		rule := r.Rule(start.Add(replacedTimeout), "s", order, func(rollout.Version) bool { return false }, 0)
+		if !rule.Allows(Server{Version: oldVersion}) || !rule.Allows(Server{Version: target}) {
+			t.Errorf("%s: servers of the earlier version get nothing after %v", name, replacedTimeout)
+		}
+		restarted := newRollouts("vm-2")
+		restarted.Sync(start, copies(order, completed, oldVersion))
+		if got := choices(restarted, order, "", 0, oldVersion); len(got) != 1 {
+			t.Errorf("%s: a VM that starts when all servers have the earlier version sends to %v", name, got)
+		}
+	}
+}
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -111,7 +111,7 @@
 		m.arrivals.update(now, s.Servers, r.hold)
 		m.ready = m.arrivals.ready(now)
 		if s.Stored != nil {
-			m.setStored(*s.Stored)
+			m.setStored(now, *s.Stored)
 		}
 		if m.setOrder(now, s.Order, s.OrderedAt) {
 			started = s.Order
--- a/rollout/replica/write.go
+++ b/rollout/replica/write.go
@@ -111,7 +111,7 @@
 		w := &m.write
 		w.busy = false
 		if stored != nil {
-			m.setStored(*stored)
+			m.setStored(now, *stored)
 		}
 		switch {
 		case succeeded:
