direct: a repeat may go to a version that is only held

Cause: servers of a version that became known less than MaxChangeDelay ago, without an order, were left out as long as any other server might get requests. A request whose other servers had all failed it went to them again. Change: the hold ends for a request that has tried all servers of the versions before it. Rules of an order are as before. Result: TestHeldVersionGetsRepeats fails without the change (four attempts at the same server) and passes with it; go test -race ./direct ./rollout/replica passes.

--- a/direct/choose.go
+++ b/direct/choose.go
@@ -45,7 +45,7 @@
 		}
 		available = append(available, s)
 	}
-	available = preferredByRollout(&rule, available)
+	available = preferredByRollout(&rule, available, tried)
 	candidates := make([]placement.Candidate, len(available))
 	for i := range available {
 		candidates[i] = d.candidate(&available[i], tried)
--- a/direct/rollout.go
+++ b/direct/rollout.go
@@ -33,18 +33,20 @@
 }
 
 // preferredByRollout returns the servers that the rule prefers, or all if it prefers none
-// of them.
-func preferredByRollout(rule *replica.Rule, available []selection) []selection {
+// of them. A version that is only held does not wait if the request has tried all others.
+func preferredByRollout(rule *replica.Rule, available []selection, tried map[contract.ServerID]bool) []selection {
 	if rule.PrefersAll() {
 		return available
 	}
 	var preferred []selection
+	untried := false
 	for _, s := range available {
 		if rule.Prefers(versionedServer(s.server)) {
 			preferred = append(preferred, s)
+			untried = untried || !tried[s.server.Server.ID]
 		}
 	}
-	if len(preferred) == 0 {
+	if len(preferred) == 0 || rule.OnlyHolds() && !untried {
 		return available
 	}
 	return preferred
--- a/direct/rollout_test.go
+++ b/direct/rollout_test.go
@@ -124,6 +124,27 @@
 	}
 }
 
+// Guards against a repeat that goes to a server that has failed the request, although one
+// of a version that is held because no order is known yet could have it.
+func TestHeldVersionGetsRepeats(t *testing.T) {
+	d, s, servers := newRolloutDispatcher(t, false)
+	all := s.view.ByService["service-1"]
+	s.view.ByService["service-1"] = all[:1]
+	syncRollouts(d, s)
+	s.view.ByService["service-1"] = []*catalog.Registration{all[0], all[2]}
+	rollouts := d.deps.ReplicatedState.Rollouts
+	rollouts.Sync(time.Now(), replica.Copies{Services: []replica.ServiceState{{Service: "service-1", Servers: map[rollout.Version]int{"v1": 1, "v2": 1}}}})
+	servers.respond = func(_ int, id contract.ServerID) upstream.Exchange {
+		if id == "c" {
+			return upstream.Exchange{Result: request.Result{Outcome: request.Answered, Status: 200}}
+		}
+		return upstream.Exchange{Result: request.Rejected(request.ReasonConnectFailed), ConnectFailed: true}
+	}
+	if result := send(d); result.Status != 200 || servers.sentTo[0] != "a" {
+		t.Errorf("got %+v from servers %v, want a response of the held version after the other failed", result, servers.sentTo)
+	}
+}
+
 // announceToReplica applies an announcement of another VM.
 func announceToReplica(d *Dispatcher, f tally.Field) {
 	var c tally.Counts
--- a/rollout/replica/rule.go
+++ b/rollout/replica/rule.go
@@ -64,6 +64,10 @@
 	return r.ready == nil && r.scope != preferOld && r.scope != preferTarget
 }
 
+// OnlyHolds reports whether the rule has no order behind it and only keeps requests from
+// versions that were not known for long.
+func (r *Rule) OnlyHolds() bool { return r.scope == anyVersion }
+
 // Prefers reports whether the server is among those that get the request if any of them
 // may have it.
 func (r *Rule) Prefers(s Server) bool {
