direct: an attempt that was hedged is evidence about its server's version

Cause: a hedge that answers first cancels the slow attempt, which then counted as if the caller had left. Of a version that takes several times as long, most slow responses of idempotent requests were lost for the comparison; package rollout expects them as successes of the latency so far. Change: the cause of the cancellation tells them apart. A hedge that was slower than the first attempt does not count, as it had less time. Result: TestHedgedAttemptIsEvidence fails without the change (1 response) and passes with it (2); go test -race ./direct passes.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -12,6 +12,7 @@
 	"almondstile/request"
 	"almondstile/upstream"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 )
 
@@ -66,6 +67,10 @@
 	stopped        stopReason      // why there was no further attempt
 }
 
+// errAnswered is the cause with which the attempts in flight are canceled once another one
+// has answered the request.
+var errAnswered = errors.New("another attempt answered the request")
+
 // stopReason is why a request gets no further attempt.
 type stopReason string
 
@@ -90,14 +95,14 @@
 // runAttempts sends the request to servers until one attempt succeeds or no
 // further attempt is allowed. It returns the best result and a summary of the attempts.
 func (d *Dispatcher) runAttempts(ctx context.Context, route *contract.Route, req *request.Request) (request.Result, attemptSummary) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	r := &attemptLoop{
 		d: d, ctx: ctx, route: route, req: req,
 		results: make(chan finishedAttempt, maxAttempts), tried: make(map[contract.ServerID]bool),
 		typicalLatency: d.deps.ReplicatedState.Routes.TypicalLatency(evidence.RouteSubject(route.ID)),
 	}
 	defer func() {
-		cancel() // closes the connections of attempts still in flight
+		cancel(errAnswered) // closes the connections of attempts still in flight
 		r.wg.Wait()
 	}()
 	if !r.startAttempt() {
@@ -276,11 +281,13 @@
 	r.tried[selected.server.Server.ID] = true
 	r.attempts++
 	r.inFlight++
+	first := r.attempts == 1
 	r.wg.Go(func() {
 		// The result if the attempt panics: the server may have got the request.
 		e := upstream.Exchange{Result: request.UnknownResult(request.ReasonInternal)}
 		r.d.deps.Guard.Handle("attempt", r.req.ID, func() { e = r.runAttempt(selected) })
-		r.d.counters.recordRolloutResult(r.d.deps.Clock(), sendOf(r.req, selected.server), r.route.ID, selected.server, e)
+		hedged := first && errors.Is(context.Cause(r.ctx), errAnswered)
+		r.d.counters.recordRolloutResult(r.d.deps.Clock(), sendOf(r.req, selected.server), r.route.ID, selected.server, e, hedged)
 		r.results <- finishedAttempt{selected.server, e}
 	})
 	return true
--- a/direct/rollout.go
+++ b/direct/rollout.go
@@ -70,10 +70,10 @@
 }
 
 // recordRolloutResult records the end of an attempt, and its response as evidence about
-// the server's version.
-func (c counters) recordRolloutResult(now time.Time, send replica.Send, route contract.RouteID, server *catalog.Registration, e upstream.Exchange) {
+// the server's version. hedged is true if a hedge was faster.
+func (c counters) recordRolloutResult(now time.Time, send replica.Send, route contract.RouteID, server *catalog.Registration, e upstream.Exchange, hedged bool) {
 	c.state.Rollouts.RecordEnd(send)
-	class, ok := responseClass(e)
+	class, ok := responseClass(e, hedged)
 	if !ok {
 		return
 	}
@@ -85,11 +85,15 @@
 
 // responseClass returns the class of an attempt's response. It returns false if the attempt
 // says nothing about the server's version: the server was not reached or did not run the
-// request, or the caller left or another attempt was faster.
-func responseClass(e upstream.Exchange) (rollout.Class, bool) {
+// request, or the caller left. An attempt that was hedged counts as a success that took as
+// long as it had until the hedge answered; otherwise slow versions would show few slow
+// responses. A hedge that was slower says nothing, as it had less time.
+func responseClass(e upstream.Exchange, hedged bool) (rollout.Class, bool) {
 	switch result := classify(e); {
 	case e.ConnectFailed:
 		return 0, false
+	case hedged && e.Result.Reason == request.ReasonCanceled:
+		return rollout.SuccessClass(e.Latency), true
 	case result == evidence.Success:
 		return rollout.SuccessClass(e.Latency), true
 	case result == evidence.Failure:
--- a/direct/rollout_test.go
+++ b/direct/rollout_test.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,17 +169,20 @@
 	}
 	for name, c := range map[string]struct {
 		exchange upstream.Exchange
+		hedged   bool
 		class    rollout.Class
 		counts   bool
 	}{
-		"success":     {answered(200), rollout.SuccessClass(100 * time.Millisecond), true},
-		"error":       {answered(500), rollout.FailureClass(100 * time.Millisecond), true},
-		"no response": {upstream.Exchange{Result: request.UnknownResult(request.ReasonDeadline)}, rollout.FailureClass(0), true},
-		"caller left": {upstream.Exchange{Result: request.UnknownResult(request.ReasonCanceled)}, 0, false},
-		"shed":        {upstream.Exchange{Result: request.Rejected(request.ReasonShed)}, 0, false},
-		"not reached": {upstream.Exchange{Result: request.Rejected(request.ReasonConnectFailed), ConnectFailed: true}, 0, false},
+		"success":     {answered(200), false, rollout.SuccessClass(100 * time.Millisecond), true},
+		"error":       {answered(500), false, rollout.FailureClass(100 * time.Millisecond), true},
+		"no response": {upstream.Exchange{Result: request.UnknownResult(request.ReasonDeadline)}, false, rollout.FailureClass(0), true},
+		"caller left": {upstream.Exchange{Result: request.UnknownResult(request.ReasonCanceled)}, false, 0, false},
+		"hedged": {upstream.Exchange{Result: request.UnknownResult(request.ReasonCanceled), Latency: 400 * time.Millisecond}, true,
+			rollout.SuccessClass(400 * time.Millisecond), true},
+		"shed":        {upstream.Exchange{Result: request.Rejected(request.ReasonShed)}, false, 0, false},
+		"not reached": {upstream.Exchange{Result: request.Rejected(request.ReasonConnectFailed), ConnectFailed: true}, false, 0, false},
 	} {
-		if class, counts := responseClass(c.exchange); class != c.class || counts != c.counts {
+		if class, counts := responseClass(c.exchange, c.hedged); class != c.class || counts != c.counts {
 			t.Errorf("%s: class %d, counts %v, want %d, %v", name, class, counts, c.class, c.counts)
 		}
 	}
@@ -196,3 +201,38 @@
 		t.Errorf("targets %+v, want a cold one at 10 requests a second", targets)
 	}
 }
+
+// slowUntilCanceled answers at once, but for the first request that it gets, which it keeps
+// until it is canceled.
+type slowUntilCanceled struct{ requests atomic.Int32 }
+
+func (s *slowUntilCanceled) Do(ctx context.Context, _ *contract.Server, _ *request.Request) upstream.Exchange {
+	if s.requests.Add(1) > 1 {
+		return upstream.Exchange{Result: request.Result{Outcome: request.Answered, Status: 200}}
+	}
+	started := time.Now()
+	<-ctx.Done()
+	return upstream.Exchange{Result: request.UnknownResult(request.ReasonCanceled), Latency: time.Since(started)}
+}
+
+func (s *slowUntilCanceled) RefusesConnections(context.Context, *contract.Server) bool { return false }
+
+// Guards against a version that is several times slower and is not found to be, because
+// its slow attempts are hedged and canceled.
+func TestHedgedAttemptIsEvidence(t *testing.T) {
+	d, s, _ := newRolloutDispatcher(t, true)
+	d.deps.Exchanger = &slowUntilCanceled{}
+	rollouts := d.deps.ReplicatedState.Rollouts
+	servers := replica.Servers{Targets: []rollout.TargetServer{{Key: "c", Slots: 2}}, OldServers: 2, OldSlots: 4}
+	decide := func(now time.Time) replica.Step {
+		step, _ := rollouts.Decide(now, *s.view.Rollouts["service-1"], replica.Fleet{ConnectedShare: 1, ConnectedVMs: 1}, servers)
+		return step
+	}
+	decide(time.Now())
+	if result := send(d); result.Status != 200 {
+		t.Fatalf("got %+v", result)
+	}
+	if f := decide(time.Now().Add(time.Second)).Decision.Figures; f.OldResponses+f.Responses != 2 {
+		t.Errorf("%v responses are evidence, want those of the attempt that was hedged and of the hedge", f.OldResponses+f.Responses)
+	}
+}
