rollout/replica: a sample is drawn when its request is sent

Cause: the draw was made at the response, with the shares of that time, while package rollout takes it as drawn at the send. When the share of the target grows, slow responses to earlier requests were sampled less often than fast ones. Change: Rollouts.Sample draws at the send, Send.Sampled carries the result. Result: TestSampleIsDrawnWhenTheRequestIsSent fails with the draw in RecordResponse and passes here; go test -race ./direct ./rollout/replica passes.

--- a/direct/attempts.go
+++ b/direct/attempts.go
@@ -277,7 +277,8 @@
 		r.d.counters.recordFirstAttempt(now, r.req.Service)
 	}
 	r.d.counters.recordLimitedSend(now, incarnationOf(selected.server))
-	r.d.counters.recordRolloutSend(now, sendOf(r.req, selected.server))
+	send := r.d.counters.sendOf(r.req, selected.server)
+	r.d.counters.recordRolloutSend(now, send)
 	r.tried[selected.server.Server.ID] = true
 	r.attempts++
 	r.inFlight++
@@ -287,7 +288,7 @@
 		e := upstream.Exchange{Result: request.UnknownResult(request.ReasonInternal)}
 		r.d.deps.Guard.Handle("attempt", r.req.ID, func() { e = r.runAttempt(selected) })
 		hedged := first && errors.Is(context.Cause(r.ctx), errAnswered)
-		r.d.counters.recordRolloutResult(r.d.deps.Clock(), sendOf(r.req, selected.server), r.route.ID, selected.server, e, hedged)
+		r.d.counters.recordRolloutResult(r.d.deps.Clock(), send, r.route.ID, selected.server, e, hedged)
 		r.results <- finishedAttempt{selected.server, e}
 	})
 	return true
--- a/direct/rollout.go
+++ b/direct/rollout.go
@@ -58,8 +58,10 @@
 }
 
 // sendOf returns the record of an attempt for the service's roll-out.
-func sendOf(req *request.Request, r *catalog.Registration) replica.Send {
-	return replica.Send{Service: req.Service, Version: r.Version, Repeatable: req.Idempotent}
+func (c counters) sendOf(req *request.Request, r *catalog.Registration) replica.Send {
+	send := replica.Send{Service: req.Service, Version: r.Version, Repeatable: req.Idempotent}
+	send.Sampled = c.state.Rollouts.Sample(send, rand.Float64())
+	return send
 }
 
 // recordRolloutSend counts an attempt that is about to be sent.
@@ -77,8 +79,8 @@
 	if !ok {
 		return
 	}
-	subject, sampled := c.state.Rollouts.RecordResponse(now, send, route, versionedServer(server), class, rand.Float64())
-	if sampled {
+	subject, recorded := c.state.Rollouts.RecordResponse(now, send, route, versionedServer(server), class)
+	if recorded {
 		c.ledger.Add(now, subject, tally.Sampled, 1)
 	}
 }
--- a/rollout/replica/fleet_test.go
+++ b/rollout/replica/fleet_test.go
@@ -213,6 +213,7 @@
 	server := preferred[f.rng.IntN(len(preferred))]
 	send := Send{Service: "s", Version: server.Version, Repeatable: f.rng.IntN(2) == 0}
 	v.ledger.Add(f.now, tally.SubjectOf(tally.Service, "s"), tally.FirstAttempts, 1)
+	send.Sampled = v.rollouts.Sample(send, f.rng.Float64())
 	if subject, counts := v.rollouts.RecordStart(f.now, send); counts {
 		v.ledger.Add(f.now, subject, tally.TargetSends, 1)
 	}
@@ -240,7 +241,7 @@
 		if r.failed {
 			class = rollout.FailureClass(f.now.Sub(r.began))
 		}
-		if subject, sampled := r.vm.rollouts.RecordResponse(f.now, r.send, r.route, r.server, class, f.rng.Float64()); sampled {
+		if subject, sampled := r.vm.rollouts.RecordResponse(f.now, r.send, r.route, r.server, class); sampled {
 			r.vm.ledger.Add(f.now, subject, tally.Sampled, 1)
 		}
 	}
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -347,3 +347,27 @@
 		}
 	}
 }
+
+// Guards against a sample that depends on how long the response took, because the shares
+// changed while its request was under way.
+func TestSampleIsDrawnWhenTheRequestIsSent(t *testing.T) {
+	r, order := newRollouts("vm-1"), newOrder(7)
+	r.Sync(start, copies(order, nil, oldVersion, target))
+	setSamples := func(share float64) {
+		r.services.DoExisting("s", func(m *migration) { m.decision.SampleShares = [2]float64{share, share} })
+	}
+	for _, sampled := range []bool{true, false} {
+		atSend, atResponse := 1.0, 0.0
+		if !sampled {
+			atSend, atResponse = 0, 1
+		}
+		send := Send{Service: "s", Version: target}
+		setSamples(atSend)
+		send.Sampled = r.Sample(send, 0.5)
+		r.RecordStart(start, send)
+		setSamples(atResponse)
+		if _, got := r.RecordResponse(start, send, "r", Server{ID: "t"}, 0); got != sampled {
+			t.Errorf("sampled when sent: %v, recorded: %v", sampled, got)
+		}
+	}
+}
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -195,6 +195,29 @@
 	Service    contract.ServiceID
 	Version    rollout.Version
 	Repeatable bool
+	// Sampled is the result of Sample.
+	Sampled bool
+}
+
+// Sample draws whether the response to a request that is about to be sent is sampled.
+// Drawn later, with the shares of another phase, slow responses would be sampled more or
+// less often than fast ones. random is uniformly distributed in [0, 1).
+func (r *Rollouts) Sample(s Send, random float64) (sampled bool) {
+	if r == nil {
+		return false
+	}
+	r.services.DoExisting(s.Service, func(m *migration) {
+		sampled = m.judge != nil && m.open() && random < m.decision.SampleShares[m.side(s.Version)]
+	})
+	return sampled
+}
+
+// side returns the side of the order in force to which a version belongs.
+func (m *migration) side(v rollout.Version) rollout.Side {
+	if v == m.order.Target {
+		return rollout.Target
+	}
+	return rollout.Old
 }
 
 // RecordStart records a request of this VM that is sent. If it counts for an order, the
@@ -239,27 +262,21 @@
 	})
 }
 
-// RecordResponse records the class of a response to this VM if it is sampled. The other
-// VMs then learn of it by the subject. random is uniformly distributed in [0, 1).
-func (r *Rollouts) RecordResponse(now time.Time, s Send, route contract.RouteID, server Server, class rollout.Class, random float64) (subject tally.Subject, sampled bool) {
-	if r == nil {
+// RecordResponse records the class of a response to this VM if it is sampled and belongs
+// to an open roll-out. The other VMs then learn of it by the subject.
+func (r *Rollouts) RecordResponse(now time.Time, s Send, route contract.RouteID, server Server, class rollout.Class) (subject tally.Subject, recorded bool) {
+	if r == nil || !s.Sampled {
 		return "", false
 	}
 	r.services.DoExisting(s.Service, func(m *migration) {
 		if m.judge == nil || !m.open() {
 			return
 		}
-		side := rollout.Old
-		if s.Version == m.order.Target {
-			side = rollout.Target
-		}
-		if sampled = random < m.decision.SampleShares[side]; !sampled {
-			return
-		}
-		subject = sampleSubject(m.order, route, ServerKey(server.ID, server.StartedAt), side, class)
+		recorded = true
+		subject = sampleSubject(m.order, route, ServerKey(server.ID, server.StartedAt), m.side(s.Version), class)
 		m.judge.Record(now, sampleOf(subject, 1))
 	})
-	return subject, sampled
+	return subject, recorded
 }
 
 // ObserveSends adds requests for a service that other VMs sent. The subject is that of the
