rollout/replica: a removed state is not written in each round

Cause: if the row of a state is gone from the store while the VMs' copies still have it, the condition of every write fails, the state that is read back is older than the copy, and each VM wrote again at once: up to ten calls a second. Change: a read-back that is older than the known state counts as a failed attempt and is followed by the growing pause.

--- a/rollout/replica/write.go
+++ b/rollout/replica/write.go
@@ -116,9 +116,9 @@
 		switch {
 		case succeeded:
 			w.failures, w.notBefore = 0, now.Add(copyTimeout)
-		case stored != nil:
+		case stored != nil && stored.RowVersion == m.stored.RowVersion:
 			w.failures, w.notBefore = 0, now
-		default:
+		default: // nothing is known, or the row is older than this VM's copy: it was removed
 			nominal := min(initialWriteDelay<<min(w.failures, 4), maxWriteDelay)
 			w.failures++
 			w.notBefore = now.Add(nominal/2 + time.Duration(random*float64(nominal)))
--- a/rollout/replica/write_test.go
+++ b/rollout/replica/write_test.go
@@ -183,3 +183,21 @@
 		t.Errorf("%+v of the replaced order is due", due)
 	}
 }
+
+// Guards against VMs that call the store in each round because the row of a state was
+// removed there, while their copies still have it.
+func TestRemovedStateIsNotWrittenInEachRound(t *testing.T) {
+	r := newRollouts("vm-1")
+	stored := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, RowVersion: 9}
+	r.Sync(start, copies(newOrder(12), stored, oldVersion, target))
+	calls := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(decideStep) {
+		for _, state := range r.Due(now, 0) {
+			calls++
+			r.RecordWrite(now, state, false, &rollout.State{Service: "s"}, 0.5)
+		}
+	}
+	if calls == 0 || calls > 10 {
+		t.Errorf("%d writes in 10 s", calls)
+	}
+}
