direct: no copy of the servers for a request while no roll-out is under way

Cause: in a deployment with roll-outs each selection copied all servers of the service into a second slice, also without an order. Change: the preferred servers are counted first; if all or none are, nothing is copied. Result: TestPreferenceWithoutARolloutDoesNotAllocate fails without the change (3 allocations with 3 servers) and passes with it; go test ./direct passes.

--- a/direct/rollout.go
+++ b/direct/rollout.go
@@ -38,17 +38,22 @@
 	if rule.PrefersAll() {
 		return available
 	}
-	var preferred []selection
-	untried := false
+	count, untried := 0, false
+	for i := range available {
+		if server := available[i].server; rule.Prefers(versionedServer(server)) {
+			count++
+			untried = untried || !tried[server.Server.ID]
+		}
+	}
+	if count == 0 || count == len(available) || rule.OnlyHolds() && !untried {
+		return available
+	}
+	preferred := make([]selection, 0, count)
 	for _, s := range available {
 		if rule.Prefers(versionedServer(s.server)) {
 			preferred = append(preferred, s)
-			untried = untried || !tried[s.server.Server.ID]
 		}
 	}
-	if len(preferred) == 0 || rule.OnlyHolds() && !untried {
-		return available
-	}
 	return preferred
 }
 
--- a/direct/rollout_test.go
+++ b/direct/rollout_test.go
@@ -236,3 +236,18 @@
 		t.Errorf("%v responses are evidence, want those of the attempt that was hedged and of the hedge", f.OldResponses+f.Responses)
 	}
 }
+
+// Guards against a copy of all servers for each request of a deployment with roll-outs
+// while none is under way.
+func TestPreferenceWithoutARolloutDoesNotAllocate(t *testing.T) {
+	d, s, _ := newRolloutDispatcher(t, false)
+	syncRollouts(d, s)
+	rule := d.rolloutRule(time.Now(), &s.view, "service-1", nil)
+	var available []selection
+	for _, r := range s.view.ByService["service-1"] {
+		available = append(available, selection{server: r})
+	}
+	if n := testing.AllocsPerRun(100, func() { preferredByRollout(&rule, available, nil) }); n > 0 {
+		t.Errorf("%g allocations", n)
+	}
+}
