rollout/replica: the load of one VM is bounded

Cause: a damaged report could make the load of a VM negative as an int and hide the requests of others, so that a completion was written too early. Change: a VM's load counts as at most 2^20 requests. Result: TestAbsurdLoadIsNotNegative fails without the change (-1) and passes with it; go test ./rollout/replica passes.

--- a/rollout/replica/load.go
+++ b/rollout/replica/load.go
@@ -46,11 +46,17 @@
 // counts as none.
 func (r *remoteLoad) load() load {
 	return load{
-		all:          int(r.up - min(r.up, r.down)),
-		unrepeatable: int(r.unrepeatableUp - min(r.unrepeatableUp, r.unrepeatableDown)),
+		all:          difference(r.up, r.down),
+		unrepeatable: difference(r.unrepeatableUp, r.unrepeatableDown),
 	}
 }
 
+// maxRemoteLoad bounds the load of one VM, so that damaged reports do not overflow a sum.
+const maxRemoteLoad = 1 << 20
+
+// difference returns up - down, from 0 to maxRemoteLoad.
+func difference(up, down uint64) int { return int(min(up-min(up, down), maxRemoteLoad)) }
+
 // ownReport is what this VM reported last.
 type ownReport struct {
 	load load
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -371,3 +372,13 @@
 		}
 	}
 }
+
+// Guards against a completion while requests are under way at old servers, because a
+// damaged report of one VM makes the sum of all negative.
+func TestAbsurdLoadIsNotNegative(t *testing.T) {
+	var r remoteLoad
+	r.add(start, tally.Counts{tally.LoadUp: math.MaxUint64, tally.UnrepeatableUp: math.MaxUint64})
+	if l := r.load(); l.all <= 0 || l.unrepeatable <= 0 || l.all+l.all <= 0 {
+		t.Errorf("the load is %+v", l)
+	}
+}
