--- a/direct/choose.go
+++ b/direct/choose.go
@@ -46,7 +46,7 @@
 		}
 		available = append(available, s)
 	}
-	available = preferredByRollout(&rule, available)
+	available = preferredByRollout(&rule, available, tried)
 	kind, estimate := d.estimateCost(now, req)
 	candidates := make([]placement.Candidate, len(available))
 	for i := range available {
--- a/direct/rollout.go
+++ b/direct/rollout.go
@@ -33,20 +33,27 @@
 }
 
 // preferredByRollout returns the servers that the rule prefers, or all if it prefers none
-// of them.
-func preferredByRollout(rule *replica.Rule, available []selection) []selection {
+// of them. A version that is only held does not wait if the request has tried all others.
+func preferredByRollout(rule *replica.Rule, available []selection, tried map[contract.ServerID]bool) []selection {
 	if rule.PrefersAll() {
 		return available
 	}
-	var preferred []selection
+	count, untried := 0, false
+	for i := range available {
+		if server := available[i].server; rule.Prefers(versionedServer(server)) {
+			count++
+			untried = untried || !tried[server.Server.ID]
+		}
+	}
+	if count == 0 || count == len(available) || rule.OnlyHolds() && !untried {
+		return available
+	}
+	preferred := make([]selection, 0, count)
 	for _, s := range available {
 		if rule.Prefers(versionedServer(s.server)) {
 			preferred = append(preferred, s)
 		}
 	}
-	if len(preferred) == 0 {
-		return available
-	}
 	return preferred
 }
 
@@ -56,8 +63,10 @@
 }
 
 // sendOf returns the record of an attempt for the service's roll-out.
-func sendOf(req *request.Request, r *catalog.Registration) replica.Send {
-	return replica.Send{Service: req.Service, Version: r.Version, Repeatable: req.Idempotent}
+func (c counters) sendOf(req *request.Request, r *catalog.Registration) replica.Send {
+	send := replica.Send{Service: req.Service, Version: r.Version, Repeatable: req.Idempotent}
+	send.Sampled = c.state.Rollouts.Sample(send, rand.Float64())
+	return send
 }
 
 // recordRolloutSend counts an attempt that is about to be sent.
@@ -68,26 +77,30 @@
 }
 
 // recordRolloutResult records the end of an attempt, and its response as evidence about
-// the server's version.
-func (c counters) recordRolloutResult(now time.Time, send replica.Send, route contract.RouteID, server *catalog.Registration, e upstream.Exchange) {
+// the server's version. hedged is true if a hedge was faster.
+func (c counters) recordRolloutResult(now time.Time, send replica.Send, route contract.RouteID, server *catalog.Registration, e upstream.Exchange, hedged bool) {
 	c.state.Rollouts.RecordEnd(send)
-	class, ok := responseClass(e)
+	class, ok := responseClass(e, hedged)
 	if !ok {
 		return
 	}
-	subject, sampled := c.state.Rollouts.RecordResponse(now, send, route, versionedServer(server), class, rand.Float64())
-	if sampled {
+	subject, recorded := c.state.Rollouts.RecordResponse(now, send, route, versionedServer(server), class)
+	if recorded {
 		c.ledger.Add(now, subject, tally.Sampled, 1)
 	}
 }
 
 // responseClass returns the class of an attempt's response. It returns false if the attempt
 // says nothing about the server's version: the server was not reached or did not run the
-// request, or the caller left or another attempt was faster.
-func responseClass(e upstream.Exchange) (rollout.Class, bool) {
+// request, or the caller left. An attempt that was hedged counts as a success that took as
+// long as it had until the hedge answered; otherwise slow versions would show few slow
+// responses. A hedge that was slower says nothing, as it had less time.
+func responseClass(e upstream.Exchange, hedged bool) (rollout.Class, bool) {
 	switch result := classify(e); {
 	case e.ConnectFailed:
 		return 0, false
+	case hedged && e.Result.Reason == request.ReasonCanceled:
+		return rollout.SuccessClass(e.Latency), true
 	case result == evidence.Success:
 		return rollout.SuccessClass(e.Latency), true
 	case result == evidence.Failure:
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -279,7 +280,8 @@
 // Guards against a completion that is written while another VM does not follow it yet, or
 // has a request under way at an old server, which stops at once.
 func TestCompletionWaitsForAllVMs(t *testing.T) {
-	order, servers := newOrder(7), Servers{OldServers: 3, OldSlots: 6}
+	order := newOrder(7)
+	servers := Servers{Targets: []rollout.TargetServer{{Key: "t", Slots: 6}}, OldServers: 3, OldSlots: 6}
 	r, other := newRollouts("vm-1"), newRollouts("vm-2")
 	both := fleet
 	both.ConnectedVMs = 2
@@ -324,3 +326,59 @@
 		}
 	}
 }
+
+// Guards against a service without servers after a completed roll-out: its operators go
+// back to the earlier version without an order, by a release.
+func TestReplacedVersionReturns(t *testing.T) {
+	for name, order := range map[string]*rollout.Order{"order stands": newOrder(7), "order withdrawn": nil} {
+		completed := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Completed, Replaced: []rollout.Version{oldVersion}, RowVersion: 9}
+		r := newRollouts("vm-1")
+		r.Sync(start, copies(order, completed, oldVersion, target))
+		if got := choices(r, order, "", 0, oldVersion, target); fmt.Sprint(got) != fmt.Sprint([]rollout.Version{target}) {
+			t.Errorf("%s: after the completion a request may go to %v, want the new version", name, got)
+		}
+		rule := r.Rule(start.Add(replacedTimeout), "s", order, func(rollout.Version) bool { return false }, 0)
+		if !rule.Allows(Server{Version: oldVersion}) || !rule.Allows(Server{Version: target}) {
+			t.Errorf("%s: servers of the earlier version get nothing after %v", name, replacedTimeout)
+		}
+		restarted := newRollouts("vm-2")
+		restarted.Sync(start, copies(order, completed, oldVersion))
+		if got := choices(restarted, order, "", 0, oldVersion); len(got) != 1 {
+			t.Errorf("%s: a VM that starts when all servers have the earlier version sends to %v", name, got)
+		}
+	}
+}
+
+// Guards against a sample that depends on how long the response took, because the shares
+// changed while its request was under way.
+func TestSampleIsDrawnWhenTheRequestIsSent(t *testing.T) {
+	r, order := newRollouts("vm-1"), newOrder(7)
+	r.Sync(start, copies(order, nil, oldVersion, target))
+	setSamples := func(share float64) {
+		r.services.DoExisting("s", func(m *migration) { m.decision.SampleShares = [2]float64{share, share} })
+	}
+	for _, sampled := range []bool{true, false} {
+		atSend, atResponse := 1.0, 0.0
+		if !sampled {
+			atSend, atResponse = 0, 1
+		}
+		send := Send{Service: "s", Version: target}
+		setSamples(atSend)
+		send.Sampled = r.Sample(send, 0.5)
+		r.RecordStart(start, send)
+		setSamples(atResponse)
+		if _, got := r.RecordResponse(start, send, "r", Server{ID: "t"}, 0); got != sampled {
+			t.Errorf("sampled when sent: %v, recorded: %v", sampled, got)
+		}
+	}
+}
+
+// Guards against a completion while requests are under way at old servers, because a
+// damaged report of one VM makes the sum of all negative.
+func TestAbsurdLoadIsNotNegative(t *testing.T) {
+	var r remoteLoad
+	r.add(start, tally.Counts{tally.LoadUp: math.MaxUint64, tally.UnrepeatableUp: math.MaxUint64})
+	if l := r.load(); l.all <= 0 || l.unrepeatable <= 0 || l.all+l.all <= 0 {
+		t.Errorf("the load is %+v", l)
+	}
+}
--- a/rollout/replica/write_test.go
+++ b/rollout/replica/write_test.go
@@ -101,6 +101,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := &stateStore{finals: make(map[uint64][]rollout.Status), version: 10}
 		order := newOrder(7)
+		servers := Servers{Targets: []rollout.TargetServer{{Key: "t", Slots: 6}}, OldServers: 3, OldSlots: 6}
 		var writers []*Rollouts
 		for i := range writersAt {
 			r := newRollouts(vm.ID(fmt.Sprintf("vm-%d", i)))
@@ -126,7 +127,7 @@
 					r.Sync(now, copies(order, &current, oldVersion, target))
 				}
 				if now.Sub(start)%decideStep == 0 {
-					r.Decide(now, *order, fleet, Servers{OldServers: 3, OldSlots: 6})
+					r.Decide(now, *order, fleet, servers)
 				}
 				delay := time.Duration(i) * 150 * time.Millisecond
 				for _, state := range r.Due(now, delay) {
@@ -182,3 +183,21 @@
 		t.Errorf("%+v of the replaced order is due", due)
 	}
 }
+
+// Guards against VMs that call the store in each round because the row of a state was
+// removed there, while their copies still have it.
+func TestRemovedStateIsNotWrittenInEachRound(t *testing.T) {
+	r := newRollouts("vm-1")
+	stored := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, RowVersion: 9}
+	r.Sync(start, copies(newOrder(12), stored, oldVersion, target))
+	calls := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(decideStep) {
+		for _, state := range r.Due(now, 0) {
+			calls++
+			r.RecordWrite(now, state, false, &rollout.State{Service: "s"}, 0.5)
+		}
+	}
+	if calls == 0 || calls > 10 {
+		t.Errorf("%d writes in 10 s", calls)
+	}
+}
