direct, hosted: room and rank are off unless the settings call for them

Change: hosted.Settings.HoldForRoom, off. The tests of direct set it.

Measured: the tests of direct pass, one with it off.

--- a/direct/dispatcher.go
+++ b/direct/dispatcher.go
@@ -62,8 +62,8 @@
 	MaxKeyDataAge time.Duration
 }
 
-// Dependencies holds what a Dispatcher needs. All fields but IgnoreCosts are
-// required.
+// Dependencies holds what a Dispatcher needs. All fields but IgnoreCosts
+// and HoldForRoom are required.
 type Dependencies struct {
 	Self            vm.VM
 	Source          Source
@@ -77,6 +77,9 @@
 	// IgnoreCosts makes the choice of servers count requests instead of weighing what they
 	// are likely to cost.
 	IgnoreCosts bool
+	// HoldForRoom makes requests wait at this VM, or turns them away, by rank and team while
+	// their service is short of room.
+	HoldForRoom bool
 	Log         logging.Logger
 	Clock       func() time.Time
 	BootTime    func() time.Duration
--- a/direct/dispatcher_test.go
+++ b/direct/dispatcher_test.go
@@ -105,7 +105,7 @@
 	return NewDispatcher(Dependencies{
 		Self: vm.VM{ID: "vm-1", Zone: "zone-a"}, Source: s, ReplicatedState: state,
 		Ledger: tally.NewLedger(time.Now(), "origin", state, nil), Exchanger: e, Fleet: f,
-		Observer: discardObserver{}, Limits: Limits{MaxKeyDataAge: 4 * time.Second}, Log: logging.Discard().Part("request"),
+		Observer: discardObserver{}, HoldForRoom: true, Limits: Limits{MaxKeyDataAge: 4 * time.Second}, Log: logging.Discard().Part("request"),
 		Clock: time.Now, BootTime: func() time.Duration { return time.Hour },
 	})
 }
--- a/direct/room.go
+++ b/direct/room.go
@@ -22,7 +22,7 @@
 // It returns nil if the request may be sent to a server, and otherwise the result for the
 // caller. Services whose requests all have one rank are not held back.
 func (d *Dispatcher) waitForRoom(ctx context.Context, view *catalog.View, route *contract.Route, req *request.Request) *request.Result {
-	terms := view.Index.Terms(req.Service)
+	terms := d.termsOf(view, req.Service)
 	if len(terms.Ranks) < 2 {
 		return nil
 	}
@@ -56,6 +56,15 @@
 	return &rejected
 }
 
+// termsOf returns the terms of the service. They have no ranks if this VM does not hold
+// requests back.
+func (d *Dispatcher) termsOf(view *catalog.View, service contract.ServiceID) contract.ServiceTerms {
+	if !d.deps.HoldForRoom {
+		return contract.ServiceTerms{}
+	}
+	return view.Index.Terms(service)
+}
+
 // holdBack waits until the given time. It returns the result of a request that cannot be
 // sent after that: its caller has gone, the VM stops, or its key may have been withdrawn.
 func (d *Dispatcher) holdBack(ctx context.Context, until time.Time, req *request.Request) *request.Result {
@@ -120,7 +129,7 @@
 // return.
 func (d *Dispatcher) returnAfterRefusal(route *contract.Route, req *request.Request) time.Duration {
 	view := d.deps.Source.View()
-	terms := view.Index.Terms(req.Service)
+	terms := d.termsOf(view, req.Service)
 	if len(terms.Ranks) < 2 {
 		return rejectedRetryAfter
 	}
@@ -134,7 +143,7 @@
 // retryReserve returns the part of the service's retry budget that a retry of the request
 // leaves to more urgent ones.
 func (d *Dispatcher) retryReserve(route *contract.Route, req *request.Request) float64 {
-	return d.ticket(route, req, d.deps.Source.View().Index.Terms(req.Service)).RetryReserve()
+	return d.ticket(route, req, d.termsOf(d.deps.Source.View(), req.Service)).RetryReserve()
 }
 
 // ReportRoom sets the gauges of the services that have requests of several ranks.
@@ -144,7 +153,7 @@
 		return
 	}
 	for service := range view.ByService {
-		if len(view.Index.Terms(service).Ranks) < 2 {
+		if len(d.termsOf(view, service).Ranks) < 2 {
 			continue
 		}
 		r := d.roomOf(now, view, service)
--- a/direct/room_test.go
+++ b/direct/room_test.go
@@ -307,3 +307,17 @@
 		}
 	}
 }
+
+// Guards against requests that are held back or turned away where the settings do not call
+// for it.
+func TestRoomIsOffUnlessTheSettingsCallForIt(t *testing.T) {
+	d := newDispatcher(newRankedSource(), &fakeServers{})
+	view := d.deps.Source.View()
+	if ranks := d.termsOf(view, "service-1").Ranks; len(ranks) < 2 {
+		t.Fatalf("ranks %v, want several", ranks)
+	}
+	d.deps.HoldForRoom = false
+	if ranks := d.termsOf(view, "service-1").Ranks; len(ranks) > 0 {
+		t.Errorf("ranks %v although the settings do not call for them", ranks)
+	}
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -131,7 +131,7 @@
 	v.ledger = tally.NewLedger(now, tally.OriginOf(s.Self.ID, s.Self.Incarnation), v.state, v.notifyUrgent)
 	v.dispatcher = direct.NewDispatcher(direct.Dependencies{
 		Self: s.Self, Source: v.catalog, ReplicatedState: v.state, Ledger: v.ledger, Exchanger: v.upstream,
-		Fleet: v.roster, Observer: v.metrics, Guard: v.guard, Limits: direct.Limits{MaxKeyDataAge: s.maxKeyAge()}, IgnoreCosts: s.IgnoreCosts,
+		Fleet: v.roster, Observer: v.metrics, Guard: v.guard, Limits: direct.Limits{MaxKeyDataAge: s.maxKeyAge()}, IgnoreCosts: s.IgnoreCosts, HoldForRoom: s.HoldForRoom,
 		Log: log.Part("request"), Clock: time.Now, BootTime: boottime.Now,
 	})
 	if v.state.Rollouts != nil {
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -34,6 +34,9 @@
 	// IgnoreCosts makes the choice of backend servers count requests instead of weighing
 	// what they are likely to cost.
 	IgnoreCosts bool
+	// HoldForRoom makes requests wait at the VM, or turns them away, by rank and team while
+	// their service is short of room.
+	HoldForRoom bool
 	// MaxDescriptors is the number of descriptors that the process may have, or 0 if the
 	// settings name none.
 	MaxDescriptors int
