--- a/catalog/rollouts_test.go
+++ b/catalog/rollouts_test.go
@@ -56,7 +56,7 @@
 		{"another order", OperatorTable, Row{Key: "s", Version: 8}, true},
 		{"it runs", RolloutTable, Row{Key: "s", Version: 8, Value: []byte("running")}, true},
 		{"withdrawn while it runs", OperatorTable, Row{Key: "s", Version: 9, Removed: true}, true},
-		{"rolled back", RolloutTable, Row{Key: "s", Version: 10, Value: []byte("rolled_back")}, false},
+		{"rolled back", RolloutTable, Row{Key: "s", Version: 10, Value: []byte(rollout.RolledBack)}, false},
 	} {
 		c.Apply(step.table, Changes{Rows: []Row{step.row}, Version: step.row.Version, AsOf: c.storeNow()})
 		if got := c.View().RolloutOpen(); got != step.open {
--- a/rollout/status.go
+++ b/rollout/status.go
@@ -20,7 +20,7 @@
 const (
 	Running    Status = "running"
 	Completed  Status = "completed"
-	RolledBack Status = "rolled_back"
+	RolledBack Status = "rolled-back"
 )
 
 // Final reports whether the status of an order never changes again.
--- a/room/gate_test.go
+++ b/room/gate_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against requests with short time limits that are turned away as too late although
-// servers have free slots, and against short requests that are measured by the mean of a
+// servers have free slots, and against short requests that are judged by the mean of a
 // service whose others take much longer.
 func TestShortTimeLimitsAreNotTooLateWithFreeSlots(t *testing.T) {
 	now := time.Unix(1000, 0)
