memory, inbound: connections of a crowd give way to those of ordinary callers

What callers saw: with about 500 connections that had each carried one request and then idled, every new caller got 503 "Server.Concurrency limit exceeded" until idle-timeout-s. The same beside a crowd that sends bodies a byte at a time, each byte before the connection counts as stalled.

Cause: only connections that never carried a request and requests without a byte for a second made room for new ones. All others kept their place, and those that were turned away kept their descriptor for up to 2 s while they waited for their peers to close, without a bound on their number.

Change: one order of giving way for all open connections, in memory.victims beside the order for bytes: answered for the last time, unused, stalled, unread, kept but idle for long for the requests that they have carried, slow, other kept ones, new ones. An address with more than one and a half times its part goes first. A kept connection on which a request has arrived is not closed: the request gets 503 with Retry-After. A new connection waits, for at most 100 ms, until those that were turned away are closed.

Why it works: whatever a crowd does with its connections, it either gets on, or it ranks before callers who do; and a kept connection counts the more, the more requests it has carried.

Order and promises: two tests in memory, one in inbound.

TestStalledBodyThatWasAskedForIsTurnedAway expected 408: the status depended on which limit was short. It now expects 503, Retry-After and the close, which docs/design/memory.md states for all who are turned away for room. The tests of inbound use the budget's clock; one that expected the newest connection to be closed at once now expects that it is left alone for its first moment and is closed after that.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -32,13 +32,12 @@
 	// timedOut says that the time of the last read from the socket has passed. Only the
 	// server's goroutine uses it.
 	timedOut bool
+	// lastRead is the number of bytes of the last read from the socket. Only the server's
+	// goroutine uses it.
+	lastRead int
 	// asksForBody says that the next write asks the peer to go on with its request. Only
 	// the server's goroutine uses it.
 	asksForBody bool
-	// readAt is when a request that is not complete was last read, in nanoseconds since
-	// accepted.
-	readAt   atomic.Int64
-	accepted time.Time
 	// peerGone says that the peer has closed its sending side or reset the connection.
 	peerGone atomic.Bool
 
@@ -81,6 +80,8 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
+	c.lastRead = n
+	c.lease.Move(time.Now(), n)
 	c.timedOut = isTimeout(err)
 	if err != nil && !c.timedOut {
 		c.peerGone.Store(true) // nothing more will arrive
@@ -115,11 +116,9 @@
 		var n int
 		n, err = c.Conn.Write(b[:min(len(b), maxWriteBytes)])
 		b, written = b[n:], written+n
-		if c.answerBytes > answerRoomBytes {
-			c.lease.Move(time.Now(), n)
-			if c.lease.TurnedAway() {
-				err = errNotRead
-			}
+		c.lease.Move(time.Now(), n)
+		if c.answerBytes > 0 && c.lease.TurnedAway() {
+			err = errNotRead
 		}
 	}
 	if err != nil {
@@ -141,6 +140,7 @@
 		return nil
 	}
 	if last == responding && !c.peerGone.Load() {
+		c.lease.Begin(memory.Closing, 0)
 		c.listener.lingering.Go(c.linger)
 		return nil
 	}
@@ -154,9 +154,22 @@
 	}
 }
 
+// closeIfWaiting closes the connection if it is without a request and nothing of the next
+// one has arrived.
+func (c *Conn) closeIfWaiting() {
+	before := c.phase.Load()
+	if before != unused && before != idle || c.hasUnread() {
+		return
+	}
+	if c.phase.CompareAndSwap(before, closed) {
+		_ = c.release() // nothing was sent that could be lost
+	}
+}
+
 // release closes the socket and removes the connection from its listener.
 func (c *Conn) release() error {
 	c.dropAhead()
+	c.lease.Disconnect()
 	c.listener.remove(c.id)
 	return c.Conn.Close()
 }
@@ -170,12 +183,14 @@
 	switch state {
 	case fasthttp.StateActive:
 		c.headPending = true
-		c.readAt.Store(0)
+		c.lease.Begin(memory.Receiving, maxHeadBytes)
+		c.lease.Move(time.Now(), c.lastRead) // the first bytes of the request
 		if !c.phase.CompareAndSwap(unused, receiving) {
 			c.phase.CompareAndSwap(idle, receiving)
 		}
 	case fasthttp.StateIdle:
 		c.releaseAnswer()
+		c.lease.Wait()
 		c.phase.CompareAndSwap(responding, idle)
 	case fasthttp.StateClosed:
 		c.releaseAnswer()
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -1,8 +1,7 @@
 package inbound
 
 import (
-	"cmp"
-	"slices"
+	"os"
 	"time"
 
 	"almondstile/memory"
@@ -24,7 +23,8 @@
 	Budget *memory.Budget
 	// Times returns the bounds that are in force. It may be nil.
 	Times func() Times
-	// MaxConnections is the highest number of connections, or 0 if there is none.
+	// MaxConnections is the highest number of connections, or 0 if there is none. It needs a
+	// Budget.
 	MaxConnections int
 }
 
@@ -32,12 +32,23 @@
 	// maxWriteBytes is the largest part of a response that is written at a time, so that
 	// it shows whether the peer reads.
 	maxWriteBytes = 64 << 10
-	// unusedTime is how long a connection may be without a request before it is the first to
-	// make room. Callers may connect some time before they send.
-	unusedTime = 10 * time.Second
-	// requestStallTime is the time without a byte after which an incomplete request may
-	// be turned away for another connection.
-	requestStallTime = 1 * time.Second
+	// maxHeadBytes is the size of a head that has yet to arrive, for the order in which
+	// connections give way.
+	maxHeadBytes = 32 << 10
+)
+
+const (
+	// spareShare is the number of connections beyond MaxConnections, as a part of it, that
+	// are accepted while those that make room for them are closing. maxSpareConnections is
+	// its upper bound.
+	spareShare          = 1.0 / 8
+	maxSpareConnections = 32
+	// maxAcceptDelay bounds how long a new connection waits until another one is closed. It
+	// is accepted then, and the HTTP server rejects it if it cannot serve it.
+	maxAcceptDelay = 100 * time.Millisecond
+	// makeRoomInterval is the time after which the listener looks again for a connection
+	// that can be turned away.
+	makeRoomInterval = 10 * time.Millisecond
 )
 
 // errNotRead means that a response was given up, because its reader does not take it and
@@ -69,10 +80,13 @@
 
 // HoldAnswer makes the lease hold an answer of the given size until it has been sent.
 func (c *Conn) HoldAnswer(bytes int) {
-	if c.lease == nil || bytes <= answerRoomBytes {
+	if c.lease == nil {
 		return
 	}
 	c.lease.Begin(memory.Answering, int64(bytes))
+	if bytes <= answerRoomBytes {
+		return
+	}
 	c.lease.Charge(int64(bytes) - c.answerBytes)
 	c.answerBytes = int64(bytes)
 }
@@ -85,13 +99,18 @@
 	}
 }
 
-// turnAway wakes the server if it reads or writes. Its request then fails.
+// turnAway closes the connection if it waits for a request. It wakes the server if it reads
+// or writes; the request then fails. A request that has just begun to arrive is refused when
+// its head is there.
 func (c *Conn) turnAway() {
-	if c.phase.Load() == receiving {
+	c.closeIfWaiting()
+	switch c.phase.Load() {
+	case unused, idle:
+	case receiving:
 		_ = c.Conn.SetReadDeadline(pastTime) // the caller can still be told why
-		return
+	default:
+		_ = c.Conn.SetDeadline(pastTime) // fails only after the connection is closed
 	}
-	_ = c.Conn.SetDeadline(pastTime) // fails only after the connection is closed
 }
 
 // SetReadDeadline sets the time at which reads end. The time for the head no longer applies.
@@ -102,19 +121,20 @@
 
 // startTime starts the time that the next read may take.
 func (c *Conn) startTime() error {
+	phase := c.phase.Load()
+	if c.lease.TurnedAway() && (phase == receiving || !c.hasUnread()) {
+		c.timedOut = true
+		return os.ErrDeadlineExceeded
+	}
 	if c.listener.options.Times == nil {
 		return nil
 	}
-	phase := c.phase.Load()
 	switch {
 	case phase == unused, phase == idle:
 		return c.setReadTime(c.listener.options.Times().Idle)
 	case phase == receiving && c.headPending:
 		c.headPending = false
-		c.readAt.Store(int64(time.Since(c.accepted)))
 		return c.setReadTime(c.listener.options.Times().Head)
-	case phase == receiving:
-		c.readAt.Store(int64(time.Since(c.accepted)))
 	}
 	return nil
 }
@@ -127,49 +147,43 @@
 	return c.Conn.SetReadDeadline(time.Now().Add(limit))
 }
 
-// makeRoom closes a connection without a request, or turns away one whose request has
-// stalled, if there are more connections than allowed. Connections that were just accepted
-// come last, since their callers may be sending. The HTTP server rejects the new one if that
-// does not help.
+// makeRoom turns a connection away if there are more than allowed, but not the one that was
+// just accepted. The HTTP server rejects that one if there is no other.
 func (l *Listener) makeRoom(added *Conn) {
 	if l.options.MaxConnections == 0 || l.count.Load() <= int64(l.options.MaxConnections) {
 		return
 	}
-	var unusedConns, stalled []*Conn
-	for _, c := range l.open() {
-		switch {
-		case c == added:
-		case c.phase.Load() == unused:
-			unusedConns = append(unusedConns, c)
-		case c.stalledFor() >= requestStallTime:
-			stalled = append(stalled, c)
-		}
-	}
-	slices.SortFunc(unusedConns, func(a, b *Conn) int { return a.accepted.Compare(b.accepted) })
-	slices.SortFunc(stalled, func(a, b *Conn) int { return cmp.Compare(b.stalledFor(), a.stalledFor()) })
-	switch {
-	case len(unusedConns) > 0 && time.Since(unusedConns[0].accepted) >= unusedTime:
-		unusedConns[0].closeIfUnused()
-	case len(stalled) > 0:
-		stalled[0].readAt.Store(0) // the next new connection turns away another one
-		stalled[0].turnAway()
-	case len(unusedConns) > 0:
-		unusedConns[len(unusedConns)-1].closeIfUnused()
-	}
+	l.options.Budget.TurnOneAway(added.lease)
 }
 
-// stalledFor returns the time since an incomplete request was last read, or 0 if no
-// request is arriving.
-func (c *Conn) stalledFor() time.Duration {
-	if c.phase.Load() != receiving || c.readAt.Load() == 0 || c.served() {
-		return 0
-	}
-	return time.Since(c.accepted) - time.Duration(c.readAt.Load())
+// acceptedConnections returns the highest number of connections that are open at a time: a
+// few more than MaxConnections.
+func (o Options) acceptedConnections() int64 {
+	spare := min(int(spareShare*float64(o.MaxConnections)), maxSpareConnections)
+	return int64(o.MaxConnections + max(spare, 1))
 }
 
-// served reports whether a request of the connection is being served.
-func (c *Conn) served() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.hangup != nil
+// waitForRoom waits, for a bounded time, until a further connection stays within
+// acceptedConnections. Connections that were turned away need a moment to
+// close; without the wait they and their successors would use up the descriptors.
+func (l *Listener) waitForRoom() {
+	most := l.options.acceptedConnections()
+	if l.options.MaxConnections == 0 || l.count.Load() < most {
+		return
+	}
+	limit := time.NewTimer(maxAcceptDelay)
+	defer limit.Stop()
+	again := time.NewTicker(makeRoomInterval)
+	defer again.Stop()
+	for l.count.Load() >= most {
+		l.options.Budget.TurnOneAway(nil)
+		select {
+		case <-l.roomMade:
+		case <-again.C:
+		case <-limit.C:
+			return
+		case <-l.closing.Done():
+			return
+		}
+	}
 }
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -25,8 +25,9 @@
 	accepted   atomic.Int64
 	aheadBytes atomic.Int64 // buffers of all connections for bytes read ahead
 	lingering  conc.WaitGroup
-	// removed gets a value when a connection is closed.
-	removed chan struct{}
+	// removed and roomMade get a value when a connection is closed. WaitClosed receives from
+	// the first one, Accept from the second one.
+	removed, roomMade chan struct{}
 	// failedAt is when a connection could last not be accepted, or nil. It keeps the
 	// monotonic reading, which a step of the time of day does not change.
 	failedAt atomic.Pointer[time.Time]
@@ -42,7 +43,7 @@
 
 // newListener returns a listener with bounds on its connections.
 func newListener(from net.Listener, options Options, log logging.Logger) *Listener {
-	l := &Listener{Listener: from, log: log, options: options, removed: make(chan struct{}, 1)}
+	l := &Listener{Listener: from, log: log, options: options, removed: make(chan struct{}, 1), roomMade: make(chan struct{}, 1)}
 	l.closing, l.cancel = context.WithCancel(context.Background())
 	return l
 }
@@ -62,6 +63,7 @@
 // server would stop accepting for good. After Close it returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for pause := minAcceptPause; ; pause = min(2*pause, maxAcceptPause) {
+		l.waitForRoom()
 		nc, err := l.Listener.Accept()
 		if err == nil {
 			return l.add(nc), nil
@@ -80,10 +82,10 @@
 
 // add keeps track of an accepted connection.
 func (l *Listener) add(nc net.Conn) *Conn {
-	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36)), accepted: time.Now()}
+	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36))}
 	if l.options.Budget != nil {
 		address, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // "" stands for all others
-		c.lease = l.options.Budget.Open(address, c.turnAway)
+		c.lease = l.options.Budget.Connect(address, c.turnAway)
 	}
 	l.conns.Store(c.id, c)
 	l.count.Add(1)
@@ -178,8 +180,10 @@
 func (l *Listener) remove(id connID) {
 	l.conns.Delete(id)
 	l.count.Add(-1)
-	select {
-	case l.removed <- struct{}{}:
-	default: // WaitClosed has yet to receive an earlier value
+	for _, signal := range []chan struct{}{l.removed, l.roomMade} {
+		select {
+		case signal <- struct{}{}:
+		default: // an earlier value has yet to be received
+		}
 	}
 }
--- a/inbound/watch.go
+++ b/inbound/watch.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// hasUnread reports whether the socket holds bytes that nobody has read.
+func (c *Conn) hasUnread() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		var probe [1]byte
+		n, err := receive(fd, probe[:], syscall.MSG_PEEK)
+		unread = n > 0 && err == nil
+	})
+	return err == nil && unread
+}
+
 // receive receives from the socket without waiting.
 func receive(fd uintptr, b []byte, flags int) (n int, err error) {
 	for {
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -47,7 +47,7 @@
 	peak int64 // the largest value of used since the last reclaim
 	// leaving is what leases hold that were turned away.
 	leaving int64
-	// holding contains the leases that hold bytes.
+	// holding contains the leases that hold bytes or belong to an open connection.
 	holding map[*Lease]struct{}
 	// freed is closed when bytes are given back while somebody waits for them. It is nil
 	// while nobody waits.
@@ -75,18 +75,74 @@
 	return b.used
 }
 
-// Holders returns the number of leases that hold bytes.
+// Holders returns the number of leases that hold bytes or belong to an open connection.
 func (b *Budget) Holders() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.holding)
 }
 
-// Open returns a lease for a connection from the address. turnAway is called, at most once
+// Open returns a lease for messages from the address. turnAway is called, at most once
 // and on any goroutine, when the lease is turned away; it must not block and must not call
 // the lease. The holder has to give all bytes back then.
 func (b *Budget) Open(address string, turnAway func()) *Lease {
-	return &Lease{budget: b, address: address, turnAway: turnAway}
+	l := &Lease{budget: b, address: address, turnAway: turnAway, opened: b.clock()}
+	l.stage.Store(int32(Receiving))
+	return l
+}
+
+// Connect returns a lease for a connection from the address that was just accepted. It may
+// be turned away also while it holds nothing, until Disconnect. turnAway is as for Open.
+func (b *Budget) Connect(address string, turnAway func()) *Lease {
+	l := b.Open(address, turnAway)
+	l.stage.Store(int32(Waiting))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l.connected = true
+	b.holding[l] = struct{}{}
+	return l
+}
+
+// TurnOneAway turns away the connection that gives way first, so that another one can be
+// accepted, but not the given one. It returns false if there is none that may be.
+func (b *Budget) TurnOneAway(but *Lease) bool {
+	b.mu.Lock()
+	first := b.firstToGiveWay(but)
+	if first != nil {
+		b.markLeaving(first)
+	}
+	b.mu.Unlock()
+	if first == nil {
+		return false
+	}
+	first.turnAway()
+	return true
+}
+
+// firstToGiveWay returns the open connection that gives way first, or nil if there is none
+// that may be turned away. The caller holds b.mu.
+func (b *Budget) firstToGiveWay(but *Lease) *Lease {
+	now := b.clock()
+	var leases []*Lease
+	var holders []holder
+	for l := range b.holding {
+		if h := l.describe(now); l != but && !l.leaving.Load() && h.mayGiveWay() {
+			leases = append(leases, l)
+			holders = append(holders, h)
+		}
+	}
+	if len(holders) == 0 {
+		return nil
+	}
+	return leases[firstVictim(holders)]
+}
+
+// markLeaving marks a lease as turned away. The caller holds b.mu, and calls turnAway of the
+// lease without it.
+func (b *Budget) markLeaving(l *Lease) {
+	l.leaving.Store(true)
+	b.leaving += l.held
+	b.count(l.describe(b.clock()))
 }
 
 // room reports whether n bytes are free for the lease. The caller holds b.mu.
@@ -100,12 +156,10 @@
 
 // add adds bytes to the lease. The caller holds b.mu.
 func (b *Budget) add(l *Lease, n int64) {
-	if l.held == 0 {
-		b.holding[l] = struct{}{}
-	}
+	b.holding[l] = struct{}{}
 	l.held += n
 	b.used += n
-	if l.leaving {
+	if l.leaving.Load() {
 		b.leaving += n
 	}
 	b.peak = max(b.peak, b.used)
@@ -116,10 +170,10 @@
 func (b *Budget) giveBack(l *Lease, n int64) {
 	l.held -= n
 	b.used -= n
-	if l.leaving {
+	if l.leaving.Load() {
 		b.leaving -= n
 	}
-	if l.held == 0 {
+	if l.held == 0 && !l.connected {
 		delete(b.holding, l)
 	}
 	if b.freed != nil {
@@ -142,7 +196,7 @@
 	addresses := make(map[string]bool)
 	for other := range b.holding {
 		addresses[other.address] = true
-		if !other.leaving {
+		if !other.leaving.Load() {
 			leases = append(leases, other)
 			holders = append(holders, other.describe(now))
 		}
@@ -152,10 +206,8 @@
 		if leases[i] == l && small {
 			continue // makes room for itself from others
 		}
-		leases[i].leaving = true
-		b.leaving += leases[i].held
+		b.markLeaving(leases[i])
 		chosen = append(chosen, leases[i])
-		b.count(holders[i])
 	}
 	return chosen, b.leaving > 0
 }
@@ -166,11 +218,15 @@
 		return
 	}
 	reason := "slow"
-	if h.stalled() {
-		reason = "stalled"
-	}
-	if h.stage == Answering {
+	switch {
+	case h.stage == Waiting:
+		reason = "idle"
+	case h.stage == Closing:
+		reason = "closing"
+	case h.stage == Answering:
 		reason = "unread"
+	case h.stalled():
+		reason = "stalled"
 	}
 	b.observer.Count("memory.turned-away." + reason)
 }
--- a/memory/lease.go
+++ b/memory/lease.go
@@ -7,57 +7,82 @@
 )
 
 // Lease is the part of a Budget that one connection holds. Its methods may be called by
-// several goroutines.
+// several goroutines. A nil Lease bounds nothing and holds nothing.
 type Lease struct {
 	budget   *Budget
 	address  string
 	turnAway func()
+	opened   time.Time
 
-	// moved is the number of bytes of the message that have arrived or have been read, and
-	// lastByte the time of the last one in nanoseconds since began.
-	moved, lastByte atomic.Int64
+	stage atomic.Int32
+	// began and lastByte are when the message began and when its last byte moved, in
+	// nanoseconds since opened. Without a message both are when the last one ended.
+	began, lastByte atomic.Int64
+	// size is that of the message, or its largest possible value, and moved the number of
+	// its bytes that have arrived or have been read.
+	size, moved atomic.Int64
+	// requests is the number of requests that the connection has carried.
+	requests atomic.Int64
+	// leaving says that the lease was turned away. It is set under budget.mu.
+	leaving atomic.Bool
 
 	// The fields below are guarded by budget.mu.
-	held    int64
-	leaving bool // it was turned away
-	stage   Stage
-	began   time.Time
-	size    int64 // of the message, or its largest possible value
+	held      int64
+	connected bool // it belongs to an open connection
 }
 
 // Begin begins a message of the given size, or of at most this size if it is not known.
 func (l *Lease) Begin(stage Stage, size int64) {
-	now := l.budget.clock()
-	l.budget.mu.Lock()
-	defer l.budget.mu.Unlock()
-	l.stage, l.size, l.began = stage, size, now
+	if l == nil {
+		return
+	}
+	l.setStage(stage, size)
+}
+
+// Wait begins the time without a message after a request of the connection has been
+// answered.
+func (l *Lease) Wait() {
+	if l == nil {
+		return
+	}
+	l.requests.Add(1)
+	l.setStage(Waiting, 0)
+}
+
+// setStage begins a stage. The times are set first, so that nobody sees the new stage with
+// the times of the last one.
+func (l *Lease) setStage(stage Stage, size int64) {
+	now := int64(l.budget.clock().Sub(l.opened))
 	l.moved.Store(0)
-	l.lastByte.Store(0)
+	l.size.Store(size)
+	l.began.Store(now)
+	l.lastByte.Store(now)
+	l.stage.Store(int32(stage))
 }
 
 // Move records that n bytes of the message have arrived or have been read. The bytes of
 // a message move on one goroutine.
 func (l *Lease) Move(now time.Time, n int) {
+	if l == nil {
+		return
+	}
 	l.moved.Add(int64(n))
-	l.lastByte.Store(int64(now.Sub(l.began)))
+	l.lastByte.Store(int64(now.Sub(l.opened)))
 }
 
 // describe returns what victims has to know. The caller holds budget.mu.
 func (l *Lease) describe(now time.Time) holder {
-	age := now.Sub(l.began)
+	age := now.Sub(l.opened)
 	moved := l.moved.Load()
 	return holder{
-		address: l.address, stage: l.stage, held: l.held, moved: moved, missing: max(0, l.size-moved),
-		age: age, idle: age - time.Duration(l.lastByte.Load()),
+		address: l.address, stage: Stage(l.stage.Load()), held: l.held, moved: moved, missing: max(0, l.size.Load()-moved),
+		age: age - time.Duration(l.began.Load()), idle: age - time.Duration(l.lastByte.Load()),
+		requests: l.requests.Load(), connected: l.connected,
 	}
 }
 
 // TurnedAway reports whether the lease was turned away.
-func (l *Lease) TurnedAway() bool {
-	l.budget.mu.Lock()
-	defer l.budget.mu.Unlock()
-	return l.leaving
-}
+func (l *Lease) TurnedAway() bool { return l != nil && l.leaving.Load() }
 
 // Take takes n bytes. If the budget is short, it turns others away, or this lease if that
 // is the least complete and slowest one, and waits for at most maxWait. Small requests
@@ -96,17 +121,17 @@
 func (l *Lease) tryTake(n int64) (freed <-chan struct{}, err error) {
 	b := l.budget
 	b.mu.Lock()
-	if !l.leaving && b.room(l, n) {
+	if !l.leaving.Load() && b.room(l, n) {
 		b.add(l, n)
 		b.mu.Unlock()
 		return nil, nil
 	}
 	var chosen []*Lease
 	coming := false
-	if !l.leaving {
+	if !l.leaving.Load() {
 		chosen, coming = b.relieve(l, n)
 	}
-	turnedAway := l.leaving
+	turnedAway := l.leaving.Load()
 	if !turnedAway && (coming || b.mayFind(l)) {
 		freed = b.waitForBytes()
 	}
@@ -130,7 +155,7 @@
 	for other := range b.holding {
 		h := other.describe(now)
 		h.idle += maxWait
-		if other != l && !other.leaving && h.mayBeTurnedAway() {
+		if other != l && other.held > 0 && !other.leaving.Load() && h.mayBeTurnedAway() {
 			return true
 		}
 	}
@@ -145,11 +170,11 @@
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	if l.leaving {
+	if l.leaving.Load() {
 		l.budget.giveBack(l, answerRoom)
 		return ErrTurnedAway
 	}
-	l.stage = Serving
+	l.stage.Store(int32(Serving))
 	return nil
 }
 
@@ -171,10 +196,22 @@
 
 // GiveBack gives n bytes back.
 func (l *Lease) GiveBack(n int64) {
-	if n == 0 {
+	if l == nil || n == 0 {
 		return
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
 	l.budget.giveBack(l, n)
 }
+
+// Disconnect ends the connection of the lease. What it holds is given back by those who
+// have taken it.
+func (l *Lease) Disconnect() {
+	if l == nil {
+		return
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.connected = false
+	l.budget.giveBack(l, 0)
+}
