hosted: requests in service stay within the process's descriptors

What callers saw: beside a crowd that pipelines requests and does not read the answers, 503 for all others; the process had 683 to 1092 descriptors open of the 600 in its settings.

Cause: callers' connections could use three quarters of the descriptors, but each of them may have a request in service, which uses a connection to a server as well.

Change: callers' connections use two fifths, so that as many connections to servers fit beside them, and a fifth is left for other VMs, the store and files.

--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -75,8 +75,9 @@
 
 const (
 	// callerDescriptorShare is the share of the descriptors that callers' connections may
-	// use. The others are for servers, other VMs, the store and files.
-	callerDescriptorShare = 0.75
+	// use. Each of them may have a request in service, which uses a connection to a server.
+	// The others are for other VMs, the store and files.
+	callerDescriptorShare = 0.4
 	// defaultMaxDescriptors applies if the system does not say how many are allowed.
 	defaultMaxDescriptors = 1024
 )
