memory, inbound, httpconn: one sum bounds all that is held for callers

Cause: the budget counted bodies and large answers only. Buffers and stacks of connections, up to three copies of the largest head that a connection keeps and five more in service, connections to servers, and answers up to 64 KiB came on top of it; bodies of answers were held twice while they were joined. The parts were bounded one by one, not together, and the runtime's limit was below their sum, so the collector ran without pause.

An answer with a length is read into one buffer, for which there is room.

Why it works: program (16 MB) + own state + budget + garbage is the memory; only the third part depends on callers, and it cannot be exceeded except by one answer of the largest size.

--- a/entry/httpfront/limits.go
+++ b/entry/httpfront/limits.go
@@ -95,6 +95,9 @@
 	if len(h.RawHeaders()) > limits.MaxHeaderBytes {
 		return nil, errHeadTooLarge
 	}
+	if err := conn.HoldHead(len(h.RawHeaders())); err != nil {
+		return nil, err
+	}
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		return nil, nil
--- a/entry/httpfront/server.go
+++ b/entry/httpfront/server.go
@@ -92,12 +92,13 @@
 	if s.options.Budget == nil {
 		s.options.Budget = memory.NewBudget(defaultBudgetBytes, time.Now, nil)
 	}
+	readBufferBytes := max(options.MaxHeaderBytes, options.ReadBufferBytes)
 	s.server = inbound.NewServer(&fasthttp.Server{
 		Handler:                       s.handleGuarded,
 		ErrorHandler:                  s.handleParseError,
 		ExpectHandler:                 s.expectBody,
 		HeaderReceived:                s.bodyConfig,
-		ReadBufferSize:                max(options.MaxHeaderBytes, options.ReadBufferBytes),
+		ReadBufferSize:                readBufferBytes,
 		StreamRequestBody:             true,
 		MaxRequestBodySize:            prefetchedBodyBytes,
 		Concurrency:                   concurrency(options.MaxConnections),
@@ -108,7 +109,9 @@
 		CloseOnShutdown:               true,
 		DisableHeaderNamesNormalizing: false,
 		Logger:                        logging.DiscardPrintf{},
-	}, inbound.Options{Budget: s.options.Budget, Times: s.times, MaxConnections: options.MaxConnections}, log)
+	}, inbound.Options{
+		Budget: s.options.Budget, ConnectionBytes: memory.ConnectionBytes(readBufferBytes), Times: s.times, MaxConnections: options.MaxConnections,
+	}, log)
 	return s
 }
 
@@ -185,7 +188,7 @@
 		s.drop(ctx, in)
 		return
 	}
-	if err := conn.BeginServing(); err != nil {
+	if err := conn.BeginServing(len(ctx.Request.Header.RawHeaders())); err != nil {
 		s.refuse(ctx, conn, err)
 		return
 	}
--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"strconv"
 
 	"almondstile/memory"
@@ -15,28 +16,54 @@
 // body has arrived.
 const maxTrustedLength = 64 << 10
 
-// readSizedBody reads a body that is chunked or has a length. It holds what has arrived, and
-// not what was announced.
+// readSizedBody reads a body that is chunked or has a length. It holds what has arrived, or
+// what it has taken room for, and not what was announced.
 func readSizedBody(r *bufio.Reader, resp *fasthttp.Response, length int, options Options) error {
-	if 0 <= length && length <= maxTrustedLength {
+	if length > options.MaxResponseBytes {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if length >= 0 {
+		if err := options.room.cover(length); err != nil {
+			return err
+		}
+	}
+	switch {
+	case 0 <= length && length <= maxTrustedLength:
 		return resp.ReadBody(r, options.MaxResponseBytes)
+	case length > 0 && options.room != nil:
+		return readWholeBody(r, resp, length)
 	}
 	var body memory.Collector
 	defer body.Release()
 	var err error
-	switch {
-	case length == chunkedLength:
+	if length == chunkedLength {
 		err = readChunks(r, &body, options)
-	case length > options.MaxResponseBytes:
-		err = fasthttp.ErrBodyTooLarge
-	default:
-		if err = options.room.cover(length); err == nil {
-			err = body.ReadN(r, length)
-		}
+	} else {
+		err = body.ReadN(r, length)
 	}
 	if err != nil {
 		return err
 	}
+	return moveBody(resp, &body, options)
+}
+
+// readWholeBody reads a body into one buffer of its size.
+func readWholeBody(r *bufio.Reader, resp *fasthttp.Response, length int) error {
+	body := make([]byte, length)
+	if _, err := io.ReadFull(r, body); errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	} else if err != nil {
+		return err
+	}
+	resp.SwapBody(body)
+	return nil
+}
+
+// moveBody moves the collected bytes to the response. It takes room for both copies.
+func moveBody(resp *fasthttp.Response, body *memory.Collector, options Options) error {
+	if err := options.room.cover(options.room.atMost(2 * body.Len())); err != nil {
+		return err
+	}
 	resp.SwapBody(body.MoveTo(resp.SwapBody(nil)))
 	return nil
 }
--- a/httpconn/room.go
+++ b/httpconn/room.go
@@ -14,6 +14,9 @@
 // roomRetryInterval is how long a response waits before it asks again for room.
 const roomRetryInterval = 50 * time.Millisecond
 
+// freeResponseBytes is the size of a response for which room was taken with its request.
+const freeResponseBytes = 16 << 10
+
 // room is what one exchange holds of the budget of bytes while its response arrives. A nil
 // room bounds nothing.
 type room struct {
@@ -36,12 +39,12 @@
 }
 
 // cover waits until the budget has room for size bytes of the response, or until the
-// exchange ends. The server meanwhile waits to send. A response of at most maxTrustedLength
+// exchange ends. The server meanwhile waits to send. A response of at most freeResponseBytes
 // needs no room. If none becomes free, one response at a time may exceed the budget: else
 // a large request could not get a large response, and responses that have arrived in part
 // could wait for each other.
 func (r *room) cover(size int) error {
-	if r == nil || size <= maxTrustedLength || size <= r.held {
+	if r == nil || size <= freeResponseBytes || size <= r.held {
 		return nil
 	}
 	if int64(size) > r.budget.Largest() {
@@ -65,6 +68,14 @@
 	return nil
 }
 
+// atMost returns size, or the most that one response can have room for.
+func (r *room) atMost(size int) int {
+	if r == nil {
+		return size
+	}
+	return min(size, int(r.budget.Largest()))
+}
+
 // mayExceed reports whether this response may exceed the budget.
 func (r *room) mayExceed() bool {
 	if !r.exceeds && r.ctx.Err() == nil {
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -23,9 +23,10 @@
 	phase    atomic.Int32
 	// lease is the connection's part of the budget of bytes, or nil if there is none.
 	lease *memory.Lease
-	// answerBytes is what the lease holds for the answer that is being sent. Only the
-	// server's goroutine uses it.
-	answerBytes int64
+	// servingBytes is what the lease holds for the request in service and its answer, and
+	// keptHeadBytes what it holds for the largest head so far. Only the server's goroutine
+	// uses them.
+	servingBytes, keptHeadBytes int64
 	// headPending says that the time for the head of a request has yet to begin. Only the
 	// server's goroutine uses it.
 	headPending bool
@@ -117,7 +118,7 @@
 		n, err = c.Conn.Write(b[:min(len(b), maxWriteBytes)])
 		b, written = b[n:], written+n
 		c.lease.Move(time.Now(), n)
-		if c.answerBytes > 0 && c.lease.TurnedAway() {
+		if c.servingBytes > 0 && c.lease.TurnedAway() {
 			err = errNotRead
 		}
 	}
@@ -140,7 +141,7 @@
 		return nil
 	}
 	if last == responding && !c.peerGone.Load() {
-		c.lease.Begin(memory.Closing, 0)
+		c.lease.Linger(lingeringBytes)
 		c.listener.lingering.Go(c.linger)
 		return nil
 	}
@@ -189,10 +190,10 @@
 			c.phase.CompareAndSwap(idle, receiving)
 		}
 	case fasthttp.StateIdle:
-		c.releaseAnswer()
+		c.endServing()
 		c.lease.Wait()
 		c.phase.CompareAndSwap(responding, idle)
 	case fasthttp.StateClosed:
-		c.releaseAnswer()
+		c.endServing()
 	}
 }
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -21,6 +21,8 @@
 type Options struct {
 	// Budget is the amount of bytes of which each connection has a lease. It may be nil.
 	Budget *memory.Budget
+	// ConnectionBytes is what an open connection takes of the budget.
+	ConnectionBytes int64
 	// Times returns the bounds that are in force. It may be nil.
 	Times func() Times
 	// MaxConnections is the highest number of connections, or 0 if there is none. It needs a
@@ -65,16 +67,35 @@
 // answers are smaller.
 const answerRoomBytes = 16 << 10
 
-// BeginServing takes room for the answer to a request that has arrived. If it returns an
-// error of memory.Lease, the request must not be served.
-func (c *Conn) BeginServing() error {
+// HoldHead takes room for what the connection keeps of a head that has arrived, until it
+// closes. If it returns an error of memory.Lease, the request must not be served.
+func (c *Conn) HoldHead(bytes int) error {
+	c.lease.Begin(memory.Receiving, 0) // a body begins a message of its own
+	more := memory.HeadBytes(bytes) - c.keptHeadBytes
+	if c.lease == nil || more <= 0 {
+		return nil
+	}
+	if err := c.lease.TakeForConnection(more, servingRoom(bytes)); err != nil {
+		return err
+	}
+	c.keptHeadBytes += more
+	return nil
+}
+
+// servingRoom returns the room for a request in service with a head of the given size.
+func servingRoom(headBytes int) int64 { return memory.RequestBytes(headBytes) + answerRoomBytes }
+
+// BeginServing takes room for a request that has arrived, with a head of the given size, and
+// for its answer. If it returns an error of memory.Lease, the request must not be served.
+func (c *Conn) BeginServing(headBytes int) error {
 	if c.lease == nil {
 		return nil
 	}
-	if err := c.lease.Serve(answerRoomBytes); err != nil {
+	room := servingRoom(headBytes)
+	if err := c.lease.Serve(room); err != nil {
 		return err
 	}
-	c.answerBytes = answerRoomBytes
+	c.servingBytes = room
 	return nil
 }
 
@@ -87,16 +108,15 @@
 	if bytes <= answerRoomBytes {
 		return
 	}
-	c.lease.Charge(int64(bytes) - c.answerBytes)
-	c.answerBytes = int64(bytes)
+	more := int64(bytes) - answerRoomBytes
+	c.lease.Charge(more)
+	c.servingBytes += more
 }
 
-// releaseAnswer gives back what is held for an answer.
-func (c *Conn) releaseAnswer() {
-	if c.answerBytes > 0 {
-		c.lease.GiveBack(c.answerBytes)
-		c.answerBytes = 0
-	}
+// endServing gives back what is held for a request in service and its answer.
+func (c *Conn) endServing() {
+	c.lease.GiveBack(c.servingBytes)
+	c.servingBytes = 0
 }
 
 // turnAway closes the connection if it waits for a request. It wakes the server if it reads
--- a/inbound/linger.go
+++ b/inbound/linger.go
@@ -12,6 +12,8 @@
 	maxLingerBytes = 4 << 20
 	// lingerBufferBytes is the size of the buffer for these bytes.
 	lingerBufferBytes = 4 << 10
+	// lingeringBytes is what a closed connection takes meanwhile: this buffer and a stack.
+	lingeringBytes = 12 << 10
 )
 
 var lingerBuffers = sync.Pool{New: func() any { return new([lingerBufferBytes]byte) }}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -18,9 +18,9 @@
 const (
 	// reserveShare is the part of the budget that only small requests may use.
 	reserveShare = 1.0 / 8
-	// smallBytes is what a small request may take of the reserve: its body, and room for
-	// its answer.
-	smallBytes = 32 << 10
+	// smallBytes is what a small request may take of the reserve: its body, and what it
+	// takes in service.
+	smallBytes = 128 << 10
 	// reliefShare is the part of the budget that is made free at a time.
 	reliefShare = 1.0 / 32
 	// maxWait bounds how long Take waits for bytes that others give back. It is longer
@@ -91,18 +91,33 @@
 	return l
 }
 
-// Connect returns a lease for a connection from the address that was just accepted. It may
-// be turned away also while it holds nothing, until Disconnect. turnAway is as for Open.
-func (b *Budget) Connect(address string, turnAway func()) *Lease {
+// Connect returns a lease for a connection from the address that was just accepted and takes
+// the given bytes. It may be turned away also without a message, until Disconnect. If the
+// budget is short, others are turned away. turnAway is as for Open.
+func (b *Budget) Connect(address string, bytes int64, turnAway func()) *Lease {
 	l := b.Open(address, turnAway)
 	l.stage.Store(int32(Waiting))
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	l.connected = true
-	b.holding[l] = struct{}{}
+	l.connected, l.connection = true, bytes
+	chosen := b.charge(l, bytes)
+	b.mu.Unlock()
+	for _, other := range chosen {
+		other.turnAway()
+	}
 	return l
 }
 
+// charge adds bytes to the lease, also beyond the budget. If the budget is short, it marks
+// others and returns them. The caller holds b.mu, and calls turnAway of the returned ones
+// without it.
+func (b *Budget) charge(l *Lease, n int64) (chosen []*Lease) {
+	b.add(l, n)
+	if over := b.used - b.total + b.reserve; over > 0 {
+		chosen, _ = b.relieve(l, over, false)
+	}
+	return chosen
+}
+
 // TurnOneAway turns away the connection that gives way first, so that another one can be
 // accepted, but not the given one. It returns false if there is none that may be.
 func (b *Budget) TurnOneAway(but *Lease) bool {
@@ -145,10 +160,11 @@
 	b.count(l.describe(b.clock()))
 }
 
-// room reports whether n bytes are free for the lease. The caller holds b.mu.
-func (b *Budget) room(l *Lease, n int64) bool {
+// room reports whether n bytes are free for a small request or for another one. The caller
+// holds b.mu.
+func (b *Budget) room(n int64, small bool) bool {
 	limit := b.total
-	if l.held+n > smallBytes {
+	if !small {
 		limit -= b.reserve
 	}
 	return b.used+n <= limit
@@ -183,9 +199,10 @@
 }
 
 // relieve selects leases to turn away so that n bytes become free for the lease, and marks
-// them. It returns them, and whether bytes will become free that are not yet. The caller
-// holds b.mu, and calls turnAway of the returned ones without it.
-func (b *Budget) relieve(l *Lease, n int64) (chosen []*Lease, coming bool) {
+// them. It returns them, and whether bytes will become free that are not yet. A small request
+// is not turned away for itself. The caller holds b.mu, and calls turnAway of the returned
+// ones without it.
+func (b *Budget) relieve(l *Lease, n int64, small bool) (chosen []*Lease, coming bool) {
 	need := max(n, int64(reliefShare*float64(b.total))) - b.leaving
 	if need <= 0 {
 		return nil, true
@@ -201,7 +218,6 @@
 			holders = append(holders, other.describe(now))
 		}
 	}
-	small := l.held+n <= smallBytes
 	for _, i := range victims(holders, need, b.total/int64(max(1, len(addresses)))) {
 		if leases[i] == l && small {
 			continue // makes room for itself from others
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -41,6 +41,9 @@
 	stalled := with(func(h *holder) { h.idle, h.missing = 2*time.Second, 1 })
 	longer := with(func(h *holder) { h.idle, h.missing = 5*time.Second, 1 })
 	slow := with(func(h *holder) { h.moved, h.missing = 10*kb, 190*kb })
+	smallOne := with(func(h *holder) { h.held, h.missing, h.age = 48*kb, 0, time.Second })
+	largeOne := with(func(h *holder) { h.held, h.missing, h.age = 140*kb, 0, time.Millisecond })
+	begun := with(func(h *holder) { h.held, h.moved, h.age, h.idle = 48*kb, 1, time.Millisecond, 0 })
 	serving := with(func(h *holder) { h.stage = Serving })
 	unread := with(func(h *holder) { h.stage, h.idle = Answering, 3*time.Second })
 	read := with(func(h *holder) { h.stage = Answering })
@@ -55,6 +58,8 @@
 		"stalled, though nearly complete":     {[]holder{sound, stalled}, 1, testTotal, []int{1}},
 		"longest stalled first":               {[]holder{stalled, longer, sound}, 150 * kb, testTotal, []int{1, 0}},
 		"least complete and slowest":          {[]holder{sound, slow}, 1, testTotal, []int{1}},
+		"the larger of two that are complete": {[]holder{smallOne, largeOne}, 1, testTotal, []int{1}},
+		"not a small one that has just begun": {[]holder{begun, smallOne}, 1, testTotal, []int{1}},
 		"as many as needed":                   {[]holder{sound, slow, stalled}, 201 * kb, testTotal, []int{2, 1, 0}},
 		"never one that may be running":       {[]holder{serving, serving}, 1, testTotal, nil},
 		"never an answer that is being read":  {[]holder{read, serving}, 1, testTotal, nil},
@@ -135,7 +140,7 @@
 		turnedAway := make(map[int]int)
 		var leases []*Lease
 		for i := range rapid.IntRange(1, 20).Draw(t, "connections") {
-			leases = append(leases, b.Connect(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address"), func() { turnedAway[i]++ }))
+			leases = append(leases, b.Connect(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address"), 0, func() { turnedAway[i]++ }))
 		}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			b.now = b.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
@@ -203,7 +208,8 @@
 			c := conns[rapid.IntRange(0, len(conns)-1).Draw(t, "connection")]
 			n := int64(rapid.SampledFrom([]int{smallPieceBytes, largePieceBytes}).Draw(t, "bytes"))
 			b.mu.Lock()
-			fits, alone := b.room(c.lease, n) && !c.lease.leaving.Load(), len(b.holding) == 0
+			small := c.lease.held+n <= smallBytes
+			fits, alone := b.room(n, small) && !c.lease.leaving.Load(), len(b.holding) == 0
 			b.mu.Unlock()
 			switch {
 			case rapid.IntRange(0, 9).Draw(t, "end") == 0:
@@ -218,7 +224,7 @@
 				t.Fatal("no room for the only lease")
 			default:
 				b.mu.Lock()
-				chosen, _ := b.relieve(c.lease, n)
+				chosen, _ := b.relieve(c.lease, n, small)
 				b.mu.Unlock()
 				for _, l := range chosen {
 					l.turnAway()
--- a/memory/lease.go
+++ b/memory/lease.go
@@ -27,8 +27,9 @@
 	leaving atomic.Bool
 
 	// The fields below are guarded by budget.mu.
-	held      int64
-	connected bool // it belongs to an open connection
+	held       int64
+	connected  bool  // it belongs to an open connection
+	connection int64 // the part of held that the connection holds until Disconnect
 }
 
 // Begin begins a message of the given size, or of at most this size if it is not known.
@@ -90,8 +91,11 @@
 func (l *Lease) Take(n int64) error { return l.TakeContext(context.Background(), n) }
 
 // TakeContext is like Take, but waits only until ctx ends, and then returns its error.
-func (l *Lease) TakeContext(ctx context.Context, n int64) error {
-	freed, err := l.tryTake(n)
+func (l *Lease) TakeContext(ctx context.Context, n int64) error { return l.take(ctx, n, 0) }
+
+// take takes n bytes for a message that will take further bytes later.
+func (l *Lease) take(ctx context.Context, n, later int64) error {
+	freed, err := l.tryTake(n, later)
 	if freed == nil {
 		return err
 	}
@@ -110,7 +114,7 @@
 			return ctx.Err()
 		}
 		again.Stop()
-		if freed, err = l.tryTake(n); freed == nil {
+		if freed, err = l.tryTake(n, later); freed == nil {
 			return err
 		}
 	}
@@ -118,10 +122,11 @@
 
 // tryTake takes n bytes if it can, and turns others away if the budget is short. If bytes
 // may become free soon, it returns a channel that is closed when some are given back.
-func (l *Lease) tryTake(n int64) (freed <-chan struct{}, err error) {
+func (l *Lease) tryTake(n, later int64) (freed <-chan struct{}, err error) {
 	b := l.budget
 	b.mu.Lock()
-	if !l.leaving.Load() && b.room(l, n) {
+	small := l.held-l.connection+n+later <= smallBytes
+	if !l.leaving.Load() && b.room(n, small) {
 		b.add(l, n)
 		b.mu.Unlock()
 		return nil, nil
@@ -129,7 +134,7 @@
 	var chosen []*Lease
 	coming := false
 	if !l.leaving.Load() {
-		chosen, coming = b.relieve(l, n)
+		chosen, coming = b.relieve(l, n, small)
 	}
 	turnedAway := l.leaving.Load()
 	if !turnedAway && (coming || b.mayFind(l)) {
@@ -181,19 +186,44 @@
 // Charge adds n bytes that are held already, also beyond the budget. If the budget is
 // short, it turns others away.
 func (l *Lease) Charge(n int64) {
-	b := l.budget
-	b.mu.Lock()
-	b.add(l, n)
-	var chosen []*Lease
-	if over := b.used - b.total + b.reserve; over > 0 {
-		chosen, _ = b.relieve(l, over)
-	}
-	b.mu.Unlock()
+	l.budget.mu.Lock()
+	chosen := l.budget.charge(l, n)
+	l.budget.mu.Unlock()
 	for _, other := range chosen {
 		other.turnAway()
 	}
 }
 
+// TakeForConnection takes n bytes for the connection, until Disconnect. later is what its
+// request will take in service: only a request that is small with both may use the reserve.
+// It waits as Take does.
+func (l *Lease) TakeForConnection(n, later int64) error {
+	if l == nil {
+		return nil
+	}
+	if err := l.take(context.Background(), n, later); err != nil {
+		return err
+	}
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.connection += n
+	return nil
+}
+
+// Linger ends the messages of the connection, which waits for its peer to close. It holds at
+// most n bytes from now on.
+func (l *Lease) Linger(n int64) {
+	if l == nil {
+		return
+	}
+	l.setStage(Closing, 0)
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	more := max(0, l.connection-n)
+	l.connection -= more
+	l.budget.giveBack(l, more)
+}
+
 // GiveBack gives n bytes back.
 func (l *Lease) GiveBack(n int64) {
 	if l == nil || n == 0 {
@@ -204,14 +234,15 @@
 	l.budget.giveBack(l, n)
 }
 
-// Disconnect ends the connection of the lease. What it holds is given back by those who
-// have taken it.
+// Disconnect ends the connection of the lease and gives back what the connection holds.
+// What its messages hold is given back by those who have taken it.
 func (l *Lease) Disconnect() {
 	if l == nil {
 		return
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
-	l.connected = false
-	l.budget.giveBack(l, 0)
+	connection := l.connection
+	l.connected, l.connection = false, 0
+	l.budget.giveBack(l, connection)
 }
--- a/memory/victims.go
+++ b/memory/victims.go
@@ -85,6 +85,12 @@
 	}
 }
 
+// hasJustBegun reports whether a small request has begun to arrive within arrivalTime. It is
+// about to be complete, and turning it away would free little.
+func (h *holder) hasJustBegun() bool {
+	return h.stage == Receiving && h.age < arrivalTime && h.held <= smallBytes/2
+}
+
 // mayGiveWay reports whether the holder may be turned away so that another connection can be
 // accepted. A request that has just begun to arrive may not, since the new connection may be
 // without one.
@@ -153,7 +159,8 @@
 func compareWithinRank(r rank, x, y *holder) int {
 	switch r {
 	case rankArriving:
-		return cmp.Compare(y.timeToEnd(), x.timeToEnd()) // the least complete and slowest first
+		// The least complete and slowest first, and of those that are complete the largest.
+		return cmp.Or(cmp.Compare(y.timeToEnd(), x.timeToEnd()), cmp.Compare(y.held, x.held))
 	case rankAbandoned, rankKept:
 		return cmp.Compare(y.idlePerRequest(), x.idlePerRequest())
 	case rankNew:
@@ -183,7 +190,7 @@
 	var candidates []int
 	for i := range holders {
 		byAddress[holders[i].address] += holders[i].held
-		if holders[i].held > 0 && holders[i].mayBeTurnedAway() {
+		if h := &holders[i]; h.held > 0 && h.mayBeTurnedAway() && !h.hasJustBegun() {
 			candidates = append(candidates, i)
 		}
 	}
