httpconn: answers that end with their connection have room before they are read

What callers saw: while a few large answers without a length arrived, the process took several times its memory and would have ended: 372 to 622 MB of 128 with 80 callers and 13 servers.

Cause: an answer that has neither a length nor chunks was read by the HTTP library into a buffer that doubles as it grows, up to the largest size of an answer, and was charged to the budget of bytes only when it was complete.

Change: it is collected in pieces from the pool, each of which has room in the budget before it is read, as those of chunked answers.

TestResponseHasRoomBeforeItIsRead failed for this kind of answer before.

--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -16,9 +16,9 @@
 // body has arrived.
 const maxTrustedLength = 64 << 10
 
-// readSizedBody reads a body that is chunked or has a length. It holds what has arrived, or
-// what it has taken room for, and not what was announced.
-func readSizedBody(r *bufio.Reader, resp *fasthttp.Response, length int, options Options) error {
+// readMessageBody reads a body that has a length, is chunked, or ends with the connection. It
+// holds what has arrived, or what it has taken room for, and not what was announced.
+func readMessageBody(r *bufio.Reader, resp *fasthttp.Response, length int, options Options) error {
 	if length > options.MaxResponseBytes {
 		return fasthttp.ErrBodyTooLarge
 	}
@@ -36,9 +36,12 @@
 	var body memory.Collector
 	defer body.Release()
 	var err error
-	if length == chunkedLength {
+	switch length {
+	case chunkedLength:
 		err = readChunks(r, &body, options)
-	} else {
+	case identityLength:
+		err = readToEnd(r, &body, options)
+	default:
 		err = body.ReadN(r, length)
 	}
 	if err != nil {
@@ -47,6 +50,24 @@
 	return moveBody(resp, &body, options)
 }
 
+// readToEnd reads until the peer closes the connection.
+func readToEnd(r *bufio.Reader, body *memory.Collector, options Options) error {
+	for {
+		if err := options.room.cover(body.Len() + memory.MaxReadBytes); err != nil {
+			return err
+		}
+		err := body.ReadSome(r)
+		switch {
+		case body.Len() > options.MaxResponseBytes:
+			return fasthttp.ErrBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
 // readWholeBody reads a body into one buffer of its size.
 func readWholeBody(r *bufio.Reader, resp *fasthttp.Response, length int) error {
 	body := make([]byte, length)
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -178,10 +178,7 @@
 	if length == identityLength && !options.AllowCloseDelimitedBodies {
 		return errors.Wrap(ErrTruncated, "the body has neither a length nor chunks")
 	}
-	if length == identityLength {
-		return resp.ReadBody(r, options.MaxResponseBytes)
-	}
-	if err := readSizedBody(r, resp, length, options); err != nil {
+	if err := readMessageBody(r, resp, length, options); err != nil {
 		return err
 	}
 	if length == chunkedLength {
--- a/httpconn/room_test.go
+++ b/httpconn/room_test.go
@@ -21,14 +21,16 @@
 	const bodyBytes = 300 << 10
 	body := strings.Repeat("x", bodyBytes)
 	responses := map[string]string{
-		"length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, body),
-		"chunks": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", bodyBytes, body),
+		"length":                fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, body),
+		"end of the connection": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
+		"chunks":                fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", bodyBytes, body),
 	}
 	for name, raw := range responses {
 		budget := memory.NewBudget(1<<20, time.Now, nil)
 		pool := NewPool(Options{Budget: budget})
 		read := func(ctx context.Context) error {
 			options := DefaultOptions()
+			options.AllowCloseDelimitedBodies = true
 			options.room = pool.newRoom(ctx)
 			defer options.room.release()
 			r, resp := bufio.NewReaderSize(strings.NewReader(raw), bufferBytes), &fasthttp.Response{}
--- a/memory/collector.go
+++ b/memory/collector.go
@@ -17,11 +17,9 @@
 // ReadN reads n bytes. It returns io.ErrUnexpectedEOF if there are fewer.
 func (c *Collector) ReadN(r io.Reader, n int) error {
 	for n > 0 {
-		room := c.room()
-		read, err := r.Read(room[len(room):min(cap(room), len(room)+n)])
-		c.pieces[len(c.pieces)-1] = room[:len(room)+read]
-		c.size += read
-		n -= read
+		before := c.size
+		err := c.ReadSome(io.LimitReader(r, int64(n)))
+		n -= c.size - before
 		switch {
 		case n == 0:
 			return nil
@@ -34,6 +32,18 @@
 	return nil
 }
 
+// MaxReadBytes is the most that one call of ReadSome reads.
+const MaxReadBytes = largePieceBytes
+
+// ReadSome reads what one call of r.Read returns, at most MaxReadBytes, and returns its error.
+func (c *Collector) ReadSome(r io.Reader) error {
+	room := c.room()
+	n, err := r.Read(room[len(room):cap(room)])
+	c.pieces[len(c.pieces)-1] = room[:len(room)+n]
+	c.size += n
+	return err
+}
+
 // room returns the last piece, which is not full.
 func (c *Collector) room() []byte {
 	n := len(c.pieces)
