forward: messages between VMs have room in the budget, and bodies are not copied

What callers saw: with whole bodies of legal size at once at three VMs of the native way, each process took up to 219 MB of 128 and would have ended.

Cause: a VM that forwards a request copied its body twice (joined, then sealed) beside the pieces that the budget counts, and its owner's VM read the message of any number of VMs whole and copied the reply twice. Nothing of that was in the budget.

Change: a message is its head and the pieces of the body, authenticated and written as they are; a reply the same. The receiver takes room for a message before it reads it. Without room it authenticates the message without holding it, and replies that it was not run, so the entry VM may send the request elsewhere. Replies that arrive have room as answers of servers do.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -170,9 +170,10 @@
 	limits := &d.settings.Limits
 	pool := httpconn.DefaultOptions()
 	pool.MaxResponseBytes = limits.ResponseBytes + maxEnvelopeBytes
+	pool.Budget = d.budget
 	d.forwardClient = forward.NewClient(d.self.ID, d.secret(), d.links, d.owner, pool)
 	d.forwardServer = forward.NewServer(d.self.ID, d.secret(), d.links, d.fleet, d.owner, d.forwardClient,
-		forward.Options{MaxMessageBytes: limits.BodyBytes + maxEnvelopeBytes, IdleTimeout: forwardIdleTimeout}, d.log.Part("forward"))
+		forward.Options{MaxMessageBytes: limits.BodyBytes + maxEnvelopeBytes, IdleTimeout: forwardIdleTimeout, Budget: d.budget}, d.log.Part("forward"))
 	d.forwardServer.SetExchangeRelay(owner.NewRelay(d.follower, d.fleet, d.upstream, time.Now))
 	d.dispatcher = entry.NewDispatcher(entry.Dependencies{
 		ConfigSource: d.follower, Membership: entryMembership{d}, Tokens: d.tokens, Claims: claimAdapter{d.claims, d.log.Part("claim")},
--- a/forward/client.go
+++ b/forward/client.go
@@ -54,12 +54,12 @@
 	defer req.Body.Release()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	message, err := seal(c.secret, nil, newRequestEnvelope(c.self, owner, req, time.Now(), relayed), req.Body.Bytes())
+	head, err := sealHead(c.secret, nil, newRequestEnvelope(c.self, owner, req, time.Now(), relayed), req.Body)
 	if err != nil {
 		return request.Rejected(request.ReasonInternal)
 	}
 	var reply resultEnvelope
-	body, progress, err := c.post(ctx, to, forwardPath, message, &reply)
+	body, progress, err := c.post(ctx, to, forwardPath, head, req.Body, &reply)
 	if err != nil {
 		return request.Result{Outcome: request.Classify(progress, false), Reason: reasonOf(err)}
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -88,12 +88,12 @@
 		return upstream.Exchange{Result: request.Rejected(request.ReasonCanceled)}, false // the request has ended
 	}
 	defer req.Body.Release()
-	message, err := seal(c.secret, exchangeMACContext, newExchangeEnvelope(c.self, relay.ID, req, time.Now()), req.Body.Bytes())
+	head, err := sealHead(c.secret, exchangeMACContext, newExchangeEnvelope(c.self, relay.ID, req, time.Now()), req.Body)
 	if err != nil {
 		return upstream.Exchange{Result: request.Rejected(request.ReasonInternal)}, false
 	}
 	var reply exchangeResultEnvelope
-	body, progress, err := c.post(ctx, relay, exchangePath, message, &reply)
+	body, progress, err := c.post(ctx, relay, exchangePath, head, req.Body, &reply)
 	if err != nil {
 		return upstream.Exchange{Result: request.Result{Outcome: request.Classify(progress, false), Reason: reasonOf(err)}}, false
 	}
@@ -146,18 +146,21 @@
 
 func (s *Server) handleExchange(ctx *fasthttp.RequestCtx) {
 	var envelope exchangeEnvelope
-	message, body, ok := s.accept(ctx, exchangeMACContext, &envelope)
+	m, ok := s.accept(ctx, exchangeMACContext, &envelope)
 	if !ok {
 		return
 	}
 	var e upstream.Exchange
 	ran := false
-	if envelope.To == s.self {
-		e, ran = s.relayExchange(ctx, &envelope, body)
-	} else {
+	switch {
+	case m.refused:
+		e.Result = refusedForRoom()
+	case envelope.To == s.self:
+		e, ran = s.relayExchange(ctx, &envelope, m.body)
+	default:
 		e.Result = request.Rejected(request.ReasonNotOwner)
 	}
-	s.reply(ctx, message, newExchangeResultEnvelope(&e, ran), e.Result.Body)
+	s.reply(ctx, m, newExchangeResultEnvelope(&e, ran), e.Result.Body)
 }
 
 // relayExchange passes the exchange to the relay. It cancels the exchange if the
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -32,6 +32,12 @@
 
 // startVM starts a forward server on a loopback address and returns its VM.
 func startVM(t *testing.T, id vm.ID, list *staticMembers, runner Runner) vm.VM {
+	t.Helper()
+	return startVMWith(t, id, list, runner, nil)
+}
+
+// startVMWith is startVM with a budget of bytes.
+func startVMWith(t *testing.T, id vm.ID, list *staticMembers, runner Runner, budget *memory.Budget) vm.VM {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,7 +46,7 @@
 	links := &link.Links{}
 	client := NewClient(id, testSecret, links, runner, httpconn.DefaultOptions())
 	s := NewServer(id, testSecret, links, list, runner, client,
-		Options{MaxMessageBytes: 1 << 20, IdleTimeout: time.Minute}, logging.Discard().Part("forward"))
+		Options{MaxMessageBytes: 1 << 20, IdleTimeout: time.Minute, Budget: budget}, logging.Discard().Part("forward"))
 	if relay, ok := runner.(ExchangeRelay); ok {
 		s.SetExchangeRelay(relay)
 	}
--- a/forward/message.go
+++ b/forward/message.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"crypto/hmac"
 	"encoding/binary"
 	"encoding/json"
+	"io"
 	"time"
 
 	"almondstile/contract"
@@ -64,25 +66,29 @@
 	ServiceState     []byte                `json:"service_state,omitempty"`
 }
 
-// seal encodes a message as MAC (32 bytes), length of the envelope (4 bytes,
-// big-endian), envelope (JSON), body. The MAC covers macContext, the envelope and
-// the body. In a request, macContext is the kind of the message: nil for a
-// forwarded request, exchangeMACContext for an exchange. In a reply, it is the MAC
-// of the request, so that the reply is valid only for this request.
-func seal(secret link.Secret, macContext []byte, envelope any, body []byte) ([]byte, error) {
+// sealHead encodes what stands before the body of a message: MAC (32 bytes), length of the
+// envelope (4 bytes, big-endian), envelope (JSON). The body follows unchanged, so that it is
+// not copied. The MAC covers macContext, the envelope and the body. In a request, macContext
+// is the kind of the message: nil for a forwarded request, exchangeMACContext for an
+// exchange. In a reply, it is the MAC of the request, so that the reply is valid only for
+// this request.
+func sealHead(secret link.Secret, macContext []byte, envelope any, body *memory.Body) ([]byte, error) {
 	encoded, err := json.Marshal(envelope)
 	if err != nil {
 		return nil, errors.Wrap(err, "encoding the message envelope")
 	}
-	message := make([]byte, 0, macBytes+lengthBytes+len(encoded)+len(body))
-	message = append(message, secret.MAC(macContext, encoded, body)...)
-	message = binary.BigEndian.AppendUint32(message, uint32(len(encoded)))
-	message = append(message, encoded...)
-	return append(message, body...), nil
+	mac, err := secret.MACOfStream(body.NewReader(), body.Len(), macContext, encoded)
+	if err != nil {
+		return nil, errors.Wrap(err, "authenticating the message")
+	}
+	head := make([]byte, 0, macBytes+lengthBytes+len(encoded))
+	head = append(head, mac...)
+	head = binary.BigEndian.AppendUint32(head, uint32(len(encoded)))
+	return append(head, encoded...), nil
 }
 
-// open authenticates and decodes a message that seal encoded. The returned body
-// is a slice of message. Errors are marked with ErrInvalidMessage.
+// open authenticates and decodes a message. The returned body is a slice of message. Errors
+// are marked with ErrInvalidMessage.
 func open(secret link.Secret, macContext, message []byte, envelope any) (body []byte, err error) {
 	if len(message) < macBytes+lengthBytes {
 		return nil, errors.Wrap(ErrInvalidMessage, "the message is shorter than its MAC and length field")
@@ -103,6 +109,34 @@
 	return body, nil
 }
 
+// skip authenticates a message of the given size like open, and decodes its envelope, but
+// does not hold its body.
+func skip(secret link.Secret, macContext []byte, message io.Reader, size, maxEnvelopeBytes int, envelope any) (mac []byte, err error) {
+	var head [macBytes + lengthBytes]byte
+	if _, err := io.ReadFull(message, head[:]); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "reading the MAC"), ErrInvalidMessage)
+	}
+	encodedSize := int64(binary.BigEndian.Uint32(head[macBytes:]))
+	if encodedSize > int64(min(size-len(head), maxEnvelopeBytes)) {
+		return nil, errors.Wrap(ErrInvalidMessage, "the envelope length exceeds the message or its limit")
+	}
+	encoded := make([]byte, encodedSize)
+	if _, err := io.ReadFull(message, encoded); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "reading the envelope"), ErrInvalidMessage)
+	}
+	mac, err = secret.MACOfStream(message, size-len(head)-len(encoded), macContext, encoded)
+	switch {
+	case err != nil:
+		return nil, errors.Mark(errors.Wrap(err, "reading the body"), ErrInvalidMessage)
+	case !hmac.Equal(mac, head[:macBytes]):
+		return nil, errors.Wrap(ErrInvalidMessage, "the MAC does not match")
+	}
+	if err := json.Unmarshal(encoded, envelope); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decoding the message envelope"), ErrInvalidMessage)
+	}
+	return mac, nil
+}
+
 // acceptableAge reports whether the sent time is less than maxMessageAge before
 // or after now.
 func acceptableAge(sentMillis int64, now time.Time) bool {
--- a/forward/sender.go
+++ b/forward/sender.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"time"
 
 	"almondstile/httpconn"
 	"almondstile/link"
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/vm"
 
@@ -25,20 +28,20 @@
 // true, it closes every idle connection.
 func (s *sender) CloseIdle(all bool) { s.pool.CloseIdle(all) }
 
-// post sends a sealed message to a VM, decodes the sealed reply into reply and
-// returns the reply's body. It records the success or failure in links.
-func (s *sender) post(ctx context.Context, to vm.VM, path string, message []byte, reply any) (body []byte, progress request.Progress, err error) {
+// post sends a sealed message, of a head and a body, to a VM, decodes the sealed reply into
+// reply and returns the reply's body. It records the success or failure in links.
+func (s *sender) post(ctx context.Context, to vm.VM, path string, head []byte, message *memory.Body, reply any) (body []byte, progress request.Progress, err error) {
 	httpReq, httpResp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(httpReq)
 	defer fasthttp.ReleaseResponse(httpResp)
 	httpReq.Header.SetMethod(fasthttp.MethodPost)
 	httpReq.SetRequestURI(path)
 	httpReq.Header.SetHost(to.ForwardAddress)
-	httpReq.SetBodyRaw(message)
+	httpReq.SetBodyStream(io.MultiReader(bytes.NewReader(head), message.NewReader()), len(head)+message.Len())
 	progress, err = s.pool.Do(ctx, to.ForwardAddress, httpconn.Call{
 		Request: httpReq, Response: httpResp,
 		Verify: func(resp *fasthttp.Response) error {
-			body, err = s.decode(message[:macBytes], resp, reply)
+			body, err = s.decode(head[:macBytes], resp, reply)
 			return err
 		},
 	})
--- a/forward/server.go
+++ b/forward/server.go
@@ -1,13 +1,16 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"time"
 
 	"almondstile/inbound"
 	"almondstile/link"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/shard"
 	"almondstile/vm"
@@ -32,6 +35,7 @@
 	members       Members
 	runner        Runner
 	client        *Client
+	options       Options
 	exchangeRelay ExchangeRelay // nil if this VM does not accept exchange messages
 	log           logging.Logger
 	server        *inbound.Server
@@ -49,16 +53,34 @@
 	// longer than the idle timeout of the clients' pools, so that the clients
 	// close first.
 	IdleTimeout time.Duration
+	// Budget bounds the bytes of all messages and replies. It may be nil. The server then
+	// has one of defaultBudgetBytes.
+	Budget *memory.Budget
 }
 
+const (
+	// defaultBudgetBytes is the budget of a server that is given none.
+	defaultBudgetBytes = 256 << 20
+	// prefetchedBodyBytes is what the HTTP library reads of a message before the server does.
+	prefetchedBodyBytes = 1
+	// maxEnvelopeBytes bounds the envelope of a message for which there is no room.
+	maxEnvelopeBytes = 256 << 10
+	// refusedRetryAfter is the Retry-After time of a request for which there is no room.
+	refusedRetryAfter = time.Second
+)
+
 // NewServer returns a server that passes requests for this VM's backend servers
 // to runner. It relays requests for other owners through client, unless they
 // were relayed before.
 func NewServer(self vm.ID, secret link.Secret, links *link.Links, members Members, runner Runner, client *Client, options Options, log logging.Logger) *Server {
-	s := &Server{self: self, secret: secret, links: links, members: members, runner: runner, client: client, log: log}
+	s := &Server{self: self, secret: secret, links: links, members: members, runner: runner, client: client, options: options, log: log}
+	if s.options.Budget == nil {
+		s.options.Budget = memory.NewBudget(defaultBudgetBytes, time.Now, nil)
+	}
 	s.server = inbound.NewServer(&fasthttp.Server{
 		Handler:               s.handle,
-		MaxRequestBodySize:    options.MaxMessageBytes,
+		StreamRequestBody:     true,
+		MaxRequestBodySize:    prefetchedBodyBytes,
 		IdleTimeout:           options.IdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
@@ -96,43 +118,120 @@
 
 func (s *Server) handleForward(ctx *fasthttp.RequestCtx) {
 	var envelope requestEnvelope
-	message, body, ok := s.accept(ctx, nil, &envelope)
+	m, ok := s.accept(ctx, nil, &envelope)
 	if !ok {
 		return
 	}
-	result := s.run(ctx, &envelope, envelope.toRequest(time.Now(), body))
-	s.reply(ctx, message, newResultEnvelope(&result), result.Body)
+	result := refusedForRoom()
+	if !m.refused {
+		result = s.run(ctx, &envelope, envelope.toRequest(time.Now(), m.body))
+	}
+	s.reply(ctx, m, newResultEnvelope(&result), result.Body)
+}
+
+// refusedForRoom is the result of a message for which there is no room.
+func refusedForRoom() request.Result {
+	result := request.Rejected(request.ReasonOverloaded)
+	result.RetryAfter = refusedRetryAfter
+	return result
+}
+
+// message is an authentic message of another VM, and what this VM holds for it.
+type message struct {
+	mac, body []byte
+	// refused says that there was no room for the body, which was not kept.
+	refused bool
+	lease   *memory.Lease
+	held    int64
+}
+
+// hold adds bytes that are held for the reply.
+func (m *message) hold(n int) {
+	m.lease.Charge(int64(n))
+	m.held += int64(n)
 }
 
-// accept opens the message in the request's body. If the message is invalid, too
+// Close gives back what is held. It implements io.Closer.
+func (m *message) Close() error {
+	m.lease.GiveBack(m.held)
+	m.held = 0
+	return nil
+}
+
+// accept receives the message in the request's body. If the message is invalid, too
 // old or a duplicate, accept sets the response's status (403, or 409 for a
-// duplicate) and returns false.
-func (s *Server) accept(ctx *fasthttp.RequestCtx, macContext []byte, envelope interface{ sender() (vm.ID, int64) }) (message, body []byte, ok bool) {
+// duplicate) and returns false. If there is no room for it, it is refused, but
+// authenticated, so that the reply is believed. The caller has to reply to an accepted
+// message.
+func (s *Server) accept(ctx *fasthttp.RequestCtx, macContext []byte, envelope interface{ sender() (vm.ID, int64) }) (m *message, ok bool) {
+	m = &message{lease: s.options.Budget.Open("", func() {})}
+	defer func() {
+		if !ok {
+			_ = m.Close()
+		}
+	}()
+	err := s.receive(ctx, m, macContext, envelope)
 	now := time.Now()
-	message = ctx.Request.SwapBody(nil)
-	body, err := open(s.secret, macContext, message, envelope)
 	from, sentMillis := envelope.sender()
 	if err != nil || !acceptableAge(sentMillis, now) {
 		s.log.WithError(err).WithField("remote", ctx.RemoteAddr()).Warn("Rejected a message from another VM: it is invalid or too old.")
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
-		return nil, nil, false
+		return m, false
 	}
 	s.links.RecordMessage(from, now)
-	if s.isDuplicate(message[:macBytes], now) {
+	if s.isDuplicate(m.mac, now) {
 		ctx.SetStatusCode(fasthttp.StatusConflict)
-		return nil, nil, false
+		return m, false
+	}
+	if m.refused {
+		s.log.WithField("from", from).WithField("bytes", ctx.Request.Header.ContentLength()).
+			Info("Refused a message from another VM, because the budget of bytes is short.")
+	}
+	return m, true
+}
+
+// receive reads and authenticates a message. It takes room for it first.
+func (s *Server) receive(ctx *fasthttp.RequestCtx, m *message, macContext []byte, envelope any) (err error) {
+	size := ctx.Request.Header.ContentLength()
+	if size < macBytes+lengthBytes || size > s.options.MaxMessageBytes {
+		ctx.SetConnectionClose()
+		return errors.Wrapf(ErrInvalidMessage, "a length of %d bytes", size)
+	}
+	m.lease.Begin(memory.Serving, 0) // is never turned away: its sender waits for it
+	room := int64(size) + memory.RequestBytes(0)
+	if m.lease.Take(room) != nil {
+		m.refused = true
+		m.mac, err = skip(s.secret, macContext, ctx.RequestBodyStream(), size, maxEnvelopeBytes, envelope)
+		return err
+	}
+	m.held = room
+	received := make([]byte, size)
+	if _, err := io.ReadFull(ctx.RequestBodyStream(), received); err != nil {
+		return errors.Mark(errors.Wrap(err, "reading the message"), ErrInvalidMessage)
 	}
-	return message, body, true
+	m.mac = received[:macBytes]
+	m.body, err = open(s.secret, macContext, received, envelope)
+	return err
 }
 
-// reply writes the sealed reply to the message.
-func (s *Server) reply(ctx *fasthttp.RequestCtx, message []byte, envelope any, body []byte) {
-	sealed, err := seal(s.secret, message[:macBytes], envelope, body)
+// reply writes the sealed reply to the message. What the message holds is given back when
+// it is written.
+func (s *Server) reply(ctx *fasthttp.RequestCtx, m *message, envelope any, body []byte) {
+	m.hold(cap(body))
+	sealed := memory.BodyOf(body)
+	head, err := sealHead(s.secret, m.mac, envelope, sealed)
 	if err != nil {
+		_ = m.Close()
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetBody(sealed)
+	ctx.SetBodyStream(&replyReader{io.MultiReader(bytes.NewReader(head), sealed.NewReader()), m}, len(head)+len(body))
+}
+
+// replyReader reads a reply. The HTTP library closes it when it is written.
+type replyReader struct {
+	io.Reader
+	io.Closer
 }
 
 // isDuplicate reports whether a message with this MAC was received before, and
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -10,6 +11,9 @@
 	"testing"
 	"time"
 
+	"almondstile/contract"
+	"almondstile/standin/backendsim"
+
 	"github.com/sourcegraph/conc"
 )
 
@@ -46,8 +50,9 @@
 func (v *entryVM) checkCrowd(t *testing.T) {
 	t.Helper()
 	if peak := v.peakMemory(t); v.process.Ended() || peak > crowdMemoryMB*1_000_000 {
-		t.Errorf("ended %v; the process has taken up to %d MB, want at most %d MB", v.process.Ended(), peak/1_000_000, crowdMemoryMB)
+		t.Errorf("%s: ended %v; the process has taken up to %d MB, want at most %d MB", v.id, v.process.Ended(), peak/1_000_000, crowdMemoryMB)
 	}
+	t.Logf("%s has taken up to %d MB", v.id, v.peakMemory(t)/1_000_000)
 	if g := get("http://"+v.callersAddress+"/stock", ""); g.status == 0 || g.outcome == "" {
 		t.Errorf("an ordinary request got %s", g)
 	}
@@ -93,3 +98,54 @@
 
 // Guards against memory that grows with the number of bodies that stop short of their end.
 func TestCrowdOfBodiesOnAVMThatOwnsServers(t *testing.T) { sendCrowd(t, crowdBodyBytes-1) }
+
+const (
+	// crowdVisits is how often each caller comes to a fleet.
+	crowdVisits = 6
+	// crowdSlowFactor makes a server take about a second for a request.
+	crowdSlowFactor = 300
+)
+
+// startCrowdFleet starts three VMs with the limits of crowdSettings, which own slow servers,
+// and issues keys.
+func startCrowdFleet(t *testing.T) *workflow {
+	t.Helper()
+	w := &workflow{startFleetWith(t, crowdSettings), make(map[contract.TeamID]string), make(map[contract.TeamID]string)}
+	firstConfiguration(t, w)
+	keyIssue(t, w)
+	callersGetResponses(t, w)
+	for id := range w.Servers.Servers() {
+		if err := w.Servers.SetMode(id, backendsim.Mode{SlowFactor: crowdSlowFactor}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return w
+}
+
+// Guards against memory that grows with the copies of bodies at the VM that accepts them and
+// at those that own the servers.
+func TestCrowdOfWholeBodiesOnVMsThatForward(t *testing.T) {
+	w := startCrowdFleet(t)
+	body := bytes.Repeat([]byte("x"), crowdBodyBytes)
+	var wg conc.WaitGroup
+	for i := range crowdCallers * len(w.vms) {
+		wg.Go(func() {
+			for range crowdVisits {
+				nc, err := net.DialTimeout("tcp", w.vms[i%len(w.vms)].callersAddress, crowdSendTime)
+				if err != nil {
+					continue // the queue of connections to accept is full
+				}
+				_ = nc.SetDeadline(time.Now().Add(crowdSendTime))
+				_, _ = fmt.Fprintf(nc, "POST /loans/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+					w.credentials["glencoe-hire"], len(body))
+				_, _ = nc.Write(body) // an error means that it was turned away
+				_, _ = io.ReadFull(nc, make([]byte, 1))
+				_ = nc.Close()
+			}
+		})
+	}
+	wg.Wait()
+	for _, v := range w.vms {
+		v.checkCrowd(t)
+	}
+}
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -66,11 +66,18 @@
 // ready. The fleet has no configuration yet. All of it stops at the end of the
 // test.
 func startFleet(t *testing.T) *testFleet {
+	t.Helper()
+	return startFleetWith(t, "")
+}
+
+// startFleetWith is startFleet with further settings, in TOML, of each VM.
+func startFleetWith(t *testing.T, settings string) *testFleet {
 	t.Helper()
 	f := newFleet(t)
 	var listed []store.ListedVM
 	for n := range vmCount {
 		v := f.newVM(t, n)
+		writeFile(t, v.settingsPath, f.settingsText(v)+settings)
 		f.vms = append(f.vms, v)
 		listed = append(listed, store.ListedVM{ID: v.id})
 	}
--- a/link/auth.go
+++ b/link/auth.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
+	"hash"
+	"io"
 	"strings"
 
 	"almondstile/vm"
@@ -33,16 +35,39 @@
 // length (8 bytes, little endian), so that different lists of parts never have
 // the same MAC input.
 func (s Secret) MAC(parts ...[]byte) []byte {
+	return s.macOf(parts).Sum(nil)
+}
+
+// macOf returns the HMAC of the parts so far.
+func (s Secret) macOf(parts [][]byte) hash.Hash {
 	mac := hmac.New(sha256.New, s)
 	for _, part := range parts {
-		var size [8]byte
-		for i, n := 0, len(part); i < len(size); i, n = i+1, n>>8 {
-			size[i] = byte(n)
-		}
-		mac.Write(size[:])
+		writePartSize(mac, len(part))
 		mac.Write(part)
 	}
-	return mac.Sum(nil)
+	return mac
+}
+
+// MACOfStream is like MAC for a last part of the given size, which it reads piece by piece.
+// It returns io.ErrUnexpectedEOF if that is shorter.
+func (s Secret) MACOfStream(last io.Reader, size int, parts ...[]byte) ([]byte, error) {
+	mac := s.macOf(parts)
+	writePartSize(mac, size)
+	if _, err := io.CopyN(mac, last, int64(size)); errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return nil, err
+	}
+	return mac.Sum(nil), nil
+}
+
+// writePartSize writes the size of a part, so that no two lists of parts are the same bytes.
+func writePartSize(mac hash.Hash, n int) {
+	var size [8]byte
+	for i := range size {
+		size[i] = byte(n >> (8 * i))
+	}
+	mac.Write(size[:])
 }
 
 // Verify reports whether mac is the MAC of the parts. The comparison takes
