operator: bodies are read for operators only, and connections are bounded

What callers saw: 200 connections to the operators' listener, without a token, that sent a body of 1 MiB but for its last byte made the process take 234 MB of 128.

Cause: the HTTP library read each body whole before the token was checked, and nothing bounded the number of connections.

Change: the body is read by the handlers that need it, after the token, up to its limit of 1 MiB. The listener is an inbound.Server as that of callers: at most 128 connections, which the budget covers, and those that do not get on give way to new ones.

Evidence: TestCrowdAtTheOperatorsListener, 234 MB at and 24 MB now; TestBodiesOverTheLimit checks the limit and the order of the checks.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -18,6 +18,7 @@
 	"almondstile/configstore"
 	"almondstile/contract"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/operator"
 	"almondstile/settings"
 
@@ -300,7 +301,7 @@
 	planner := &memoryPlanner{}
 	server := operator.NewServer(planner, alwaysReadyFleet{}, nil, metrics.NewRegistry(), []settings.Operator{
 		{Name: "ann", Role: settings.RoleOperator, TokenSHA256: contract.HashSecret("secret-token")},
-	}, logging.Discard().Part("operator"))
+	}, memory.NewBudget(64<<20, time.Now, nil), logging.Discard().Part("operator"))
 	var wg conc.WaitGroup
 	wg.Go(func() {
 		if err := server.Serve(listener); err != nil {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -14,7 +14,7 @@
 // buildOperators creates the server of the operators' API.
 func (d *Daemon) buildOperators() {
 	d.operators = operator.NewServer(d.planner, statusView{d}, d.fleet, d.metrics.Registry(),
-		d.settings.Security.Operators, d.log.Part("operator"))
+		d.settings.Security.Operators, d.budget, d.log.Part("operator"))
 }
 
 // statusView implements operator.Fleet on the daemon.
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -149,3 +149,38 @@
 		v.checkCrowd(t)
 	}
 }
+
+// Guards against memory that grows with the bodies that callers without a token send to the
+// operators' listener, and against a VM that counts as not ready beside them.
+func TestCrowdAtTheOperatorsListener(t *testing.T) {
+	const callers, bodyBytes = 200, 1 << 20
+	f := startFleetWith(t, crowdSettings)
+	v := f.vms[0]
+	body := bytes.Repeat([]byte("x"), bodyBytes-1)
+	conns := make([]net.Conn, callers)
+	var wg conc.WaitGroup
+	for i := range conns {
+		nc, err := net.DialTimeout("tcp", v.operatorAddress, crowdSendTime)
+		if err != nil {
+			continue // the queue of connections to accept is full
+		}
+		conns[i] = nc
+		wg.Go(func() {
+			_ = nc.SetDeadline(time.Now().Add(crowdSendTime))
+			_, _ = fmt.Fprintf(nc, "POST /v1/plans HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+			_, _ = nc.Write(body) // an error means that it was turned away
+			_ = nc.SetReadDeadline(time.Now().Add(time.Second))
+			_, _ = nc.Read(make([]byte, 1)) // the VM reads the body meanwhile
+		})
+	}
+	wg.Wait()
+	if g := get("http://"+v.operatorAddress+"/ready", ""); g.status != 200 {
+		t.Errorf("beside the crowd, the readiness check got %s", g)
+	}
+	for _, nc := range conns {
+		if nc != nil {
+			_ = nc.Close()
+		}
+	}
+	v.checkCrowd(t)
+}
--- a/operator/discard.go
+++ b/operator/discard.go
@@ -60,8 +60,12 @@
 
 // discard handles POST /v1/vms/discard. Without Confirm it returns a preview.
 func (s *Server) discard(c fiber.Ctx) error {
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
 	var request DiscardRequest
-	if err := json.Unmarshal(c.Body(), &request); err != nil {
+	if err := json.Unmarshal(body, &request); err != nil {
 		return newAPIError(fiber.StatusBadRequest, CodeBadRequest, "the request cannot be read: "+err.Error())
 	}
 	reply, apiErr := previewDiscard(s.members, request.VMs, time.Now())
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -14,6 +14,7 @@
 	"almondstile/configstore"
 	"almondstile/contract"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/settings"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +56,7 @@
 	return NewServer(planner, fleet, &fakeMembers{}, registry, []settings.Operator{
 		{Name: "ann", Role: settings.RoleOperator, TokenSHA256: contract.HashSecret(operatorToken)},
 		{Name: "vic", Role: settings.RoleViewer, TokenSHA256: contract.HashSecret(viewerToken)},
-	}, logging.Discard().Part("operator"))
+	}, memory.NewBudget(64<<20, time.Now, nil), logging.Discard().Part("operator"))
 }
 
 // do sends a request to s and returns the response's status, error code and body.
@@ -79,6 +80,21 @@
 	return reply.StatusCode, failed.Error.Code, string(data)
 }
 
+// Guards against a body over the limit that is read whole, and against one of a caller
+// without a token that is read at all.
+func TestBodiesOverTheLimit(t *testing.T) {
+	s := newTestServer(&fakePlanner{}, &fakeFleet{}, metrics.NewRegistry())
+	body := strings.Repeat("x", maxBodyBytes+1)
+	for _, path := range []string{"/v1/plans", "/v1/vms/discard"} {
+		if status, code, text := do(t, s, "POST", path, operatorToken, "", body); status != 413 || code != CodeTooLarge {
+			t.Errorf("%s: %d %s (%s)", path, status, code, text)
+		}
+		if status, code, text := do(t, s, "POST", path, "", "", body); status != 401 || code != CodeUnauthorized {
+			t.Errorf("%s without a token: %d %s (%s)", path, status, code, text)
+		}
+	}
+}
+
 // Guards against paths that serve requests without a valid token or beyond the
 // operator's role. The hash of a token is not a valid token.
 func TestAuthorization(t *testing.T) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -4,15 +4,19 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"strings"
 	"time"
 
 	"almondstile/configstore"
 	"almondstile/contract"
+	"almondstile/inbound"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/settings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 	"github.com/rcrowley/go-metrics"
 )
@@ -26,6 +30,11 @@
 	requestTimeout = 15 * time.Second
 	readTimeout    = 10 * time.Second
 	idleTimeout    = 60 * time.Second
+	// maxConnections bounds the connections. Beyond it, those without a request and those
+	// whose requests do not get on are closed.
+	maxConnections = 128
+	// readBufferBytes bounds the head of a request.
+	readBufferBytes = 8 << 10
 )
 
 // Planner makes, reads and confirms plans. *configstore.Planner implements it.
@@ -54,17 +63,23 @@
 	registry  metrics.Registry
 	operators []settings.Operator
 	log       logging.Logger
+	server    *inbound.Server
 }
 
 // NewServer returns a server with all its routes. Serve starts it. The operators
-// are those whose tokens it accepts.
-func NewServer(planner Planner, fleet Fleet, members Members, registry metrics.Registry, operators []settings.Operator, log logging.Logger) *Server {
+// are those whose tokens it accepts. The budget covers its connections.
+func NewServer(planner Planner, fleet Fleet, members Members, registry metrics.Registry, operators []settings.Operator, budget *memory.Budget, log logging.Logger) *Server {
 	s := &Server{planner: planner, fleet: fleet, members: members, registry: registry, operators: operators, log: log}
 	s.app = fiber.New(fiber.Config{
 		AppName:   "almondstile",
 		BodyLimit: maxBodyBytes,
 		// Plans keep strings of the request, so fiber must not reuse its buffers.
-		Immutable:    true,
+		Immutable: true,
+		// The body of a request is read only after its operator is known.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               readBufferBytes,
+
 		ReadTimeout:  readTimeout,
 		WriteTimeout: requestTimeout,
 		IdleTimeout:  idleTimeout,
@@ -78,17 +93,39 @@
 	s.app.Get("/v1/plans/:id", s.authenticate, s.getPlan)
 	s.app.Post("/v1/plans/:id/confirm", s.authenticate, requireOperator, s.confirm)
 	s.app.Post("/v1/vms/discard", s.authenticate, requireOperator, s.discard)
+	s.app.Handler() // completes the routes
+	s.server = inbound.NewServer(s.app.Server(), inbound.Options{
+		Budget: budget, ConnectionBytes: memory.ConnectionBytes(readBufferBytes), MaxConnections: maxConnections,
+	}, log)
 	return s
 }
 
 // Serve accepts connections on listener until Shutdown is called.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	return errors.Wrap(s.server.Serve(listener), "serving operators' requests")
 }
 
 // Shutdown stops accepting connections and waits for requests in flight, at most
 // until the context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.app.ShutdownWithContext(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrap(s.server.Shutdown(ctx), "shutting down the server for operators")
+}
+
+// readBody reads the body of a request.
+func readBody(c fiber.Ctx) ([]byte, error) {
+	stream := c.Request().BodyStream()
+	if stream == nil {
+		return bytes.Clone(c.Body()), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, maxBodyBytes+1))
+	switch {
+	case err != nil:
+		return nil, newAPIError(fiber.StatusBadRequest, CodeBadRequest, "the request did not arrive whole")
+	case len(body) > maxBodyBytes:
+		return nil, newAPIError(fiber.StatusRequestEntityTooLarge, CodeTooLarge, "the request is larger than the limit")
+	}
+	return body, nil
+}
 
 // ReadyBody is the JSON body of responses to GET /ready. Reason says why the VM
 // is not ready.
@@ -117,7 +154,11 @@
 // plan handles POST /v1/plans. The body is an intent in JSON if the content type
 // is JSON, and in TOML otherwise. The intent's author is the request's operator.
 func (s *Server) plan(c fiber.Ctx) error {
-	intent, err := parseIntent(c.Get(fiber.HeaderContentType), bytes.Clone(c.Body()))
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	intent, err := parseIntent(c.Get(fiber.HeaderContentType), body)
 	if err != nil {
 		return planError(err)
 	}
