hosted: connections to the listeners for readiness and metrics are bounded

What callers saw: 700 connections to the listener of the readiness check, half of them with a body that stops short of its end, made the process take 374 MB of 128 and 718 descriptors of 600. A stop waited without a bound for connections that had begun a request there.

Cause: the listeners had neither a bound on connections nor one on bodies below the 4 MiB of the HTTP library, and their shutdown no time limit.

Change: both are an inbound.Server with at most 64 connections, covered by the budget, and bodies up to 1 KiB. They stop within 100 ms, after the callers have been answered.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -177,10 +177,10 @@
 	if v.callerListener, err = net.Listen("tcp4", v.settings.CallersAddress); err != nil {
 		return errors.Wrapf(err, "listening for callers on %s", v.settings.CallersAddress)
 	}
-	if v.readyServer, err = newStatusServer(v.settings.ReadyAddress, v.isReady, v.metrics, v.guard, v.log.Part("status")); err != nil {
+	if v.readyServer, err = newStatusServer(v.settings.ReadyAddress, v.isReady, v.metrics, v.guard, v.budget, v.log.Part("status")); err != nil {
 		return err
 	}
-	v.metricsServer, err = newStatusServer(v.settings.MetricsAddress, v.isReady, v.metrics, v.guard, v.log.Part("status"))
+	v.metricsServer, err = newStatusServer(v.settings.MetricsAddress, v.isReady, v.metrics, v.guard, v.budget, v.log.Part("status"))
 	return err
 }
 
--- a/hosted/ready.go
+++ b/hosted/ready.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 	"time"
@@ -8,6 +9,7 @@
 	"almondstile/guard"
 	"almondstile/inbound"
 	"almondstile/logging"
+	"almondstile/memory"
 	"almondstile/request"
 	"almondstile/telemetry"
 
@@ -22,22 +24,38 @@
 	metricsPath = "/metrics"
 )
 
+// Limits of a statusServer. Its requests have small heads and no body.
+const (
+	// maxStatusConnections bounds the connections. Beyond it, those without a request and
+	// those whose requests do not get on are closed.
+	maxStatusConnections  = 64
+	statusReadBufferBytes = 8 << 10
+	maxStatusBodyBytes    = 1 << 10
+	// statusReadTimeout bounds the arrival of a request, and statusIdleTimeout how long an
+	// idle connection is kept.
+	statusReadTimeout = 5 * time.Second
+	statusIdleTimeout = 1 * time.Minute
+	// statusStopTime bounds how long a planned stop waits for responses to status requests.
+	statusStopTime = 100 * time.Millisecond
+)
+
 // statusServer is an HTTP server for the load balancer's readiness checks and for
 // the metrics as text.
 type statusServer struct {
 	listener net.Listener
-	http     *fasthttp.Server
+	server   *inbound.Server
+	log      logging.Logger
 	stopping atomic.Bool // reports not ready from the start of the shutdown on
 }
 
-// newStatusServer opens a listener on the address. The caller runs http on it.
-func newStatusServer(address string, ready func() (bool, request.Reason), m *telemetry.Metrics, g *guard.Guard, log logging.Logger) (*statusServer, error) {
+// newStatusServer opens a listener on the address. The caller runs serve. The budget covers
+// the connections.
+func newStatusServer(address string, ready func() (bool, request.Reason), m *telemetry.Metrics, g *guard.Guard, budget *memory.Budget, log logging.Logger) (*statusServer, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for readiness and metrics on %s", address)
 	}
-	s := &statusServer{listener: inbound.NewListener(listener, log)}
-	s.http = &fasthttp.Server{NoDefaultServerHeader: true, ReadTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	s := &statusServer{listener: listener, log: log}
 	handle := func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case readyPath:
@@ -48,14 +66,32 @@
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
 	}
-	s.http.Handler = func(ctx *fasthttp.RequestCtx) {
+	handleGuarded := func(ctx *fasthttp.RequestCtx) {
 		if g.Handle("status", "", func() { handle(ctx) }) {
 			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		}
 	}
+	s.server = inbound.NewServer(&fasthttp.Server{
+		Handler: handleGuarded, NoDefaultServerHeader: true, ReadTimeout: statusReadTimeout, IdleTimeout: statusIdleTimeout,
+		ReadBufferSize: statusReadBufferBytes, MaxRequestBodySize: maxStatusBodyBytes, Logger: logging.DiscardPrintf{},
+	}, inbound.Options{
+		Budget: budget, ConnectionBytes: memory.ConnectionBytes(statusReadBufferBytes), MaxConnections: maxStatusConnections,
+	}, log)
 	return s, nil
 }
 
+// serve serves requests until stop.
+func (s *statusServer) serve() error { return s.server.Serve(s.listener) }
+
+// stop closes the listener and the connections.
+func (s *statusServer) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), statusStopTime)
+	defer cancel()
+	if err := s.server.Shutdown(ctx); err != nil {
+		s.log.WithError(err).Info("Status requests are cut, because the VM stops.")
+	}
+}
+
 // writeReady responds with 200 if the VM is ready, and otherwise with 503 and the
 // reason.
 func (s *statusServer) writeReady(ctx *fasthttp.RequestCtx, ready func() (bool, request.Reason)) {
--- a/hosted/run.go
+++ b/hosted/run.go
@@ -84,8 +84,8 @@
 	if v.rollouts != nil {
 		wg.Go(func() { v.rollouts.run(background) })
 	}
-	v.serve(&wg, stop, "readiness", func() error { return v.readyServer.http.Serve(v.readyServer.listener) })
-	v.serve(&wg, stop, "metrics", func() error { return v.metricsServer.http.Serve(v.metricsServer.listener) })
+	v.serve(&wg, stop, "readiness", v.readyServer.serve)
+	v.serve(&wg, stop, "metrics", v.metricsServer.serve)
 	v.serve(&wg, stop, "callers", func() error { return v.front.Serve(v.callerListener) })
 	log.WithField("vm", v.settings.Self.ID).WithField("zone", v.settings.Self.Zone).
 		WithField("incarnation", v.settings.Self.Incarnation).WithField("callers", v.settings.CallersAddress).
@@ -98,13 +98,13 @@
 		failure = errTaskFailed
 	}
 	log.Info("Stopping: not ready from now on.")
-	err := errors.CombineErrors(failure, v.shutdown())
+	v.shutdown()
 	cancel()
 	v.dispatcher.Close()
 	v.upstream.CloseIdle(true)
 	wg.Wait()
 	log.Info("Stopped.")
-	return err
+	return failure
 }
 
 // serve runs a listener in the background and logs an error with which it ends before
@@ -118,8 +118,8 @@
 }
 
 // shutdown stops the listeners and lets requests in flight finish within the
-// shutdown timeout. It returns errors of the listeners for readiness and metrics.
-func (v *Process) shutdown() error {
+// shutdown timeout.
+func (v *Process) shutdown() {
 	grace := v.settings.ShutdownTimeout
 	timeout := grace - min(time.Duration(stopMarginShare*float64(grace)), maxStopMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -134,7 +134,8 @@
 	if err != nil {
 		v.log.Part("vm").WithError(err).Warn("Requests are cut at the stop limit.")
 	}
-	return errors.CombineErrors(v.metricsServer.http.Shutdown(), v.readyServer.http.Shutdown())
+	v.metricsServer.stop()
+	v.readyServer.stop()
 }
 
 // waitFor returns when done is closed, the limit has passed or ctx ends.
