logging: queued lines are bounded in bytes

What could happen: while the output of a VM is not read, up to 2,048 lines wait for it, and a line contains the ID of its request, which callers choose: with IDs of 30 KB, 62 MB of a process that may take 184.

Cause: the queue was bounded in lines only.

Change: lines that wait take at most 1 MiB together; further ones are dropped and counted, as beyond the number of lines.

Evidence: TestBoundedHoldsFewBytesOfABlockedOutput held all 2,048 lines before. It was found by reading; no crowd has shown it.

--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -13,6 +13,8 @@
 	// maxQueuedLines is the maximum number of lines that wait for a slow output.
 	// Further lines are dropped and counted.
 	maxQueuedLines = 2048
+	// maxQueuedBytes is the maximum size of these lines together.
+	maxQueuedBytes = 1 << 20
 	// droppedReportInterval is the time between two lines that report the number of
 	// dropped lines.
 	droppedReportInterval = 1 * time.Second
@@ -31,6 +33,7 @@
 	closed             bool
 	currentSecond      int64
 	acceptedThisSecond int
+	queuedBytes        int
 	dropped            int
 }
 
@@ -49,13 +52,14 @@
 	if now := time.Now().Unix(); now != b.currentSecond {
 		b.currentSecond, b.acceptedThisSecond = now, 0
 	}
-	if b.closed || b.acceptedThisSecond >= b.maxLinesPerSecond {
+	if b.closed || b.acceptedThisSecond >= b.maxLinesPerSecond || b.queuedBytes+len(line) > maxQueuedBytes {
 		b.dropped++
 		return len(line), nil
 	}
 	select {
 	case b.lines <- append([]byte(nil), line...):
 		b.acceptedThisSecond++
+		b.queuedBytes += len(line)
 	default:
 		b.dropped++
 	}
@@ -88,12 +92,20 @@
 			}
 			// A failed write is ignored, because there is no other place to report it.
 			_, _ = b.output.Write(line)
+			b.written(len(line))
 		case <-ticker.C:
 			b.reportDropped()
 		}
 	}
 }
 
+// written records that a queued line of the given size has been written.
+func (b *BoundedWriter) written(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.queuedBytes -= n
+}
+
 // reportDropped writes the number of lines that were dropped since its last call, if
 // there are any.
 func (b *BoundedWriter) reportDropped() {
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -40,3 +40,25 @@
 		t.Errorf("%d lines were written, want at least %d", n, maxQueuedLines)
 	}
 }
+
+// Guards against memory that grows with the length of lines, which may contain what callers
+// send, such as the ID of a request.
+func TestBoundedHoldsFewBytesOfABlockedOutput(t *testing.T) {
+	const lineBytes = 30 << 10
+	out := &blockedWriter{release: make(chan struct{})}
+	b := NewBounded(out, 10*maxQueuedLines)
+	line := []byte(strings.Repeat("x", lineBytes-1) + "\n")
+	for range maxQueuedLines {
+		if _, err := b.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(out.release)
+	b.Close()
+	if n := out.out.Len(); n > maxQueuedBytes+lineBytes {
+		t.Errorf("%d bytes were held, want at most %d", n, maxQueuedBytes)
+	}
+	if !strings.Contains(out.out.String(), `"dropped":`) {
+		t.Error("the number of dropped lines was not reported")
+	}
+}
