daemon: the control listener survives a shortage of descriptors

What happened: after a crowd of callers had used up the descriptors for a moment, a VM of the native way never accepted a connection of another VM again. It went on as if it were alone, until a restart.

Cause: the control listener ended for good at the first connection that it could not accept.

Change: it accepts through inbound.Listener, which tries again, as the other listeners do.

Evidence: TestCrowdThatUsesUpDescriptors failed before, "after the crowd, the control listener does not answer", and passes.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"almondstile/inbound"
 	"almondstile/vm"
 	"almondstile/wait"
 
@@ -76,7 +77,9 @@
 // serve starts the goroutines of all components except followVMList. They run
 // until ctx ends or their listener is closed.
 func (d *Daemon) serve(ctx context.Context, wg *conc.WaitGroup) {
-	wg.Go(func() { d.control.Serve(ctx, d.sockets.control) })
+	// The listener tries again after a shortage of descriptors.
+	control := inbound.NewListener(d.sockets.control, d.log.Part("control"))
+	wg.Go(func() { d.control.Serve(ctx, control) })
 	wg.Go(func() { d.follower.Run(ctx) })
 	wg.Go(func() {
 		defer close(d.membershipEnded)
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -8,12 +8,15 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"almondstile/bench/fleet"
 	"almondstile/contract"
 	"almondstile/standin/backendsim"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 )
 
@@ -184,3 +187,56 @@
 	}
 	v.checkCrowd(t)
 }
+
+// Guards against a VM that never accepts a connection of another VM again because a crowd of
+// callers used up its descriptors for a moment.
+func TestCrowdThatUsesUpDescriptors(t *testing.T) {
+	const descriptors, callers = 120, 300
+	f := newFleet(t)
+	v := f.newVM(t, 0)
+	process, err := fleet.StartProcess(v.logPath, vmLimits, "sh", "-c",
+		fmt.Sprintf("ulimit -n %d && exec %s serve --settings %s", descriptors, binary, v.settingsPath))
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.process = process
+	t.Cleanup(process.Kill)
+	ready := func() (string, bool) {
+		g := get("http://"+v.operatorAddress+"/ready", "")
+		return g.String(), g.status == 200
+	}
+	await(t, "the VM is ready", ready)
+	// An unauthenticated call ends with a closed connection.
+	controlAnswers := func() bool {
+		nc, err := net.DialTimeout("tcp", v.controlAddress, crowdSendTime)
+		if err != nil {
+			return false
+		}
+		defer nc.Close()
+		_ = nc.SetDeadline(time.Now().Add(crowdSendTime))
+		_, _ = fmt.Fprint(nc, `{"jsonrpc":"2.0","id":1,"method":"link.heartbeat","params":{}}`)
+		_, err = io.Copy(io.Discard, nc)
+		return err == nil || errors.Is(err, syscall.ECONNRESET)
+	}
+	if !controlAnswers() {
+		t.Fatal("in calm, the control listener does not answer")
+	}
+	var conns []net.Conn
+	for range callers {
+		nc, err := net.DialTimeout("tcp", v.callersAddress, time.Second)
+		if err != nil {
+			break // the queue of connections to accept is full
+		}
+		_, _ = fmt.Fprint(nc, "GET /stock HTTP/1.1\r\nHost: h\r\n") // not complete
+		conns = append(conns, nc)
+	}
+	controlAnswers() // needs a descriptor
+	for _, nc := range conns {
+		_ = nc.Close()
+	}
+	await(t, "the VM is ready after the crowd", ready)
+	if !controlAnswers() {
+		t.Error("after the crowd, the control listener does not answer")
+	}
+	v.checkCrowd(t)
+}
