daemon: callers' connections stay within the descriptors and the memory of the process

What happened: beside a crowd of callers, a VM of the native way had no descriptor left for connections of other VMs and of operators.

Cause: callers could have 4,096 connections, whatever the process may open and hold. Only the hosted way bounded them.

Change: both ways use inbound.MaxConnections, two fifths of the descriptors that the system allows, and memory.MaxConnections.

Evidence: TestCrowdThatUsesUpDescriptors now also asks the control listener beside the crowd.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"almondstile/entry/httpfront"
 	"almondstile/forward"
 	"almondstile/httpconn"
+	"almondstile/inbound"
 	"almondstile/link"
 	"almondstile/logging"
 	"almondstile/membership"
@@ -180,12 +181,13 @@
 		Forwarder: d.forwardClient, Links: d.links, Observer: decisionCounter{d.metrics}, Clock: time.Now,
 		Limits: entry.Limits{MaxInFlight: limits.Requests, MaxInFlightPerTeam: limits.RequestsPerTeam},
 	})
+	maxConnections := min(limits.Connections, inbound.MaxConnections(0), memory.MaxConnections(int64(limits.MemoryBytes), limits.HeaderBytes))
 	d.front = httpfront.New(d.dispatcher, httpfront.Options{
 		Budget: d.budget,
 		Limits: func() contract.CallerLimits {
 			return contract.CallerLimits{HeaderTimeout: limits.HeaderTimeout()}
 		},
-		MaxHeaderBytes: limits.HeaderBytes, MaxBodyBytes: limits.BodyBytes, MaxConnections: limits.Connections,
+		MaxHeaderBytes: limits.HeaderBytes, MaxBodyBytes: limits.BodyBytes, MaxConnections: maxConnections,
 		ReadTimeout: limits.ReadTimeout(), WriteTimeout: limits.WriteTimeout(), IdleTimeout: limits.IdleTimeout(),
 	}, d.log.Part("callers"))
 }
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -1,11 +1,10 @@
 package hosted
 
 import (
-	"math"
-	"syscall"
 	"time"
 
 	"almondstile/catalog"
+	"almondstile/inbound"
 	"almondstile/memory"
 	"almondstile/retry"
 	"almondstile/rollout"
@@ -73,29 +72,11 @@
 	return catalog.DefaultMaxChangeDelay
 }
 
-const (
-	// callerDescriptorShare is the share of the descriptors that callers' connections may
-	// use. Each of them may have a request in service, which uses a connection to a server.
-	// The others are for other VMs, the store and files.
-	callerDescriptorShare = 0.4
-	// defaultMaxDescriptors applies if the system does not say how many are allowed.
-	defaultMaxDescriptors = 1024
-)
-
 // maxCallerConnections returns how many connections of callers the VM serves at a time.
 // Further ones are rejected, so that the VM keeps descriptors for its own connections, and
 // memory.
 func (s *Settings) maxCallerConnections() int {
-	limit := defaultMaxDescriptors
-	var rlimit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &rlimit) == nil {
-		limit = int(min(rlimit.Cur, math.MaxInt32))
-	}
-	if s.MaxDescriptors > 0 {
-		limit = min(limit, s.MaxDescriptors)
-	}
-	byMemory := memory.MaxConnections(s.memoryBytes(), maxHeaderBytes)
-	return max(1, min(int(callerDescriptorShare*float64(limit)), byMemory))
+	return min(inbound.MaxConnections(s.MaxDescriptors), memory.MaxConnections(s.memoryBytes(), maxHeaderBytes))
 }
 
 // Reload applies the settings that can change while the process runs: the seeds.
--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -230,7 +230,9 @@
 		_, _ = fmt.Fprint(nc, "GET /stock HTTP/1.1\r\nHost: h\r\n") // not complete
 		conns = append(conns, nc)
 	}
-	controlAnswers() // needs a descriptor
+	if !controlAnswers() { // needs a descriptor
+		t.Error("beside the crowd, the control listener does not answer")
+	}
 	for _, nc := range conns {
 		_ = nc.Close()
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -97,7 +97,9 @@
 	HeaderBytes   int `toml:"header_bytes" json:"header_bytes"`     // 16384
 	BodyBytes     int `toml:"body_bytes" json:"body_bytes"`         // 1 MiB
 	ResponseBytes int `toml:"response_bytes" json:"response_bytes"` // 4 MiB
-	Connections   int `toml:"connections" json:"connections"`       // 4096
+	// Connections is the highest number of callers' connections, 4096 by default. The process
+	// uses fewer if its descriptors or its memory do not bear as many.
+	Connections int `toml:"connections" json:"connections"`
 	// MemoryBytes is the memory that the process may use, 512 MB by default. The bytes of
 	// requests and answers are bounded by a part of it.
 	MemoryBytes int `toml:"memory_bytes" json:"memory_bytes"`
