httpconn, descriptors: idle connections to servers are bounded in total

What callers saw: after requests to 120 servers a process had 829 descriptors open of 600, and 32 KiB for each of them beside the budget. Where the system allows no more, the next connection to a server, the store or a caller fails.

Cause: idle connections were bounded for each server (6), not in total.

The shares of descriptors are in a package of their own, for both ways.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,11 +9,11 @@
 	"almondstile/claim"
 	"almondstile/configstore"
 	"almondstile/contract"
+	"almondstile/descriptors"
 	"almondstile/entry"
 	"almondstile/entry/httpfront"
 	"almondstile/forward"
 	"almondstile/httpconn"
-	"almondstile/inbound"
 	"almondstile/link"
 	"almondstile/logging"
 	"almondstile/membership"
@@ -144,9 +144,8 @@
 	memoryBytes := int64(d.settings.Limits.MemoryBytes)
 	memory.LimitRuntime(memoryBytes)
 	d.budget = memory.NewBudget(memory.BudgetBytes(memoryBytes), time.Now, d.metrics)
-	pool := httpconn.DefaultOptions()
+	pool := d.poolOptions()
 	pool.MaxResponseBytes = d.settings.Limits.ResponseBytes
-	pool.Budget = d.budget
 	d.upstream = upstream.NewClient(pool)
 	pool.MaxResponseBytes += maxEnvelopeBytes
 	d.relays = forward.NewExchangeClient(d.self.ID, d.secret(), d.links, pool)
@@ -158,6 +157,14 @@
 	})
 }
 
+// poolOptions returns the options of the pools of connections to servers and other VMs.
+func (d *Daemon) poolOptions() httpconn.Options {
+	options := httpconn.DefaultOptions()
+	options.Budget = d.budget
+	options.MaxIdle = min(descriptors.ForIdleConnections(descriptors.Limit(0)), memory.MaxIdleConnections(int64(d.settings.Limits.MemoryBytes), httpconn.BufferBytes))
+	return options
+}
+
 // buildQuota creates the team token buckets, their client and the claims.
 func (d *Daemon) buildQuota(p Platform) {
 	d.buckets = quota.NewHomes(d.fleet, d.follower, d.caller, time.Now)
@@ -169,9 +176,8 @@
 // front end, the dispatcher, and the client and server for forwarding between VMs.
 func (d *Daemon) buildRequestPath() {
 	limits := &d.settings.Limits
-	pool := httpconn.DefaultOptions()
+	pool := d.poolOptions()
 	pool.MaxResponseBytes = limits.ResponseBytes + maxEnvelopeBytes
-	pool.Budget = d.budget
 	d.forwardClient = forward.NewClient(d.self.ID, d.secret(), d.links, d.owner, pool)
 	d.forwardServer = forward.NewServer(d.self.ID, d.secret(), d.links, d.fleet, d.owner, d.forwardClient,
 		forward.Options{MaxMessageBytes: limits.BodyBytes + maxEnvelopeBytes, IdleTimeout: forwardIdleTimeout, Budget: d.budget}, d.log.Part("forward"))
@@ -181,7 +187,7 @@
 		Forwarder: d.forwardClient, Links: d.links, Observer: decisionCounter{d.metrics}, Clock: time.Now,
 		Limits: entry.Limits{MaxInFlight: limits.Requests, MaxInFlightPerTeam: limits.RequestsPerTeam},
 	})
-	maxConnections := min(limits.Connections, inbound.MaxConnections(0), memory.MaxConnections(int64(limits.MemoryBytes), limits.HeaderBytes))
+	maxConnections := min(limits.Connections, descriptors.ForCallers(descriptors.Limit(0)), memory.MaxConnections(int64(limits.MemoryBytes), limits.HeaderBytes))
 	d.front = httpfront.New(d.dispatcher, httpfront.Options{
 		Budget: d.budget,
 		Limits: func() contract.CallerLimits {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -78,9 +78,10 @@
 )
 
 // serverConnectionOptions returns the options of connections to backend servers.
-func serverConnectionOptions(budget *memory.Budget) httpconn.Options {
+func serverConnectionOptions(s *Settings, budget *memory.Budget) httpconn.Options {
 	options := httpconn.DefaultOptions()
 	options.Budget = budget
+	options.MaxIdle = s.maxIdleServerConnections()
 	options.IdleTimeout, options.IdleTimeoutWithoutKeepAlive = serverIdleTimeout, unannouncedServerIdleTimeout
 	options.MaxIdlePerAddress = maxIdleConnectionsPerServer
 	options.ConnectTimeout = serverConnectTimeout
@@ -122,7 +123,7 @@
 		roster:  fleet.NewRoster(now, s.Self),
 	}
 	v.budget = v.newBudget()
-	v.upstream = upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions(v.budget))
+	v.upstream = upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions(s, v.budget))
 	v.guard = guard.New(log.Part("guard"), v.metrics)
 	v.catalog.Observer = copyAges{v.metrics}
 	v.catalog.Rollouts = s.Rollout.Enabled()
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -4,7 +4,8 @@
 	"time"
 
 	"almondstile/catalog"
-	"almondstile/inbound"
+	"almondstile/descriptors"
+	"almondstile/httpconn"
 	"almondstile/memory"
 	"almondstile/retry"
 	"almondstile/rollout"
@@ -76,7 +77,12 @@
 // Further ones are rejected, so that the VM keeps descriptors for its own connections, and
 // memory.
 func (s *Settings) maxCallerConnections() int {
-	return min(inbound.MaxConnections(s.MaxDescriptors), memory.MaxConnections(s.memoryBytes(), maxHeaderBytes))
+	return min(descriptors.ForCallers(descriptors.Limit(s.MaxDescriptors)), memory.MaxConnections(s.memoryBytes(), maxHeaderBytes))
+}
+
+// maxIdleServerConnections returns how many idle connections to servers the VM keeps.
+func (s *Settings) maxIdleServerConnections() int {
+	return min(descriptors.ForIdleConnections(descriptors.Limit(s.MaxDescriptors)), memory.MaxIdleConnections(s.memoryBytes(), httpconn.BufferBytes))
 }
 
 // Reload applies the settings that can change while the process runs: the seeds.
--- a/httpconn/exchange.go
+++ b/httpconn/exchange.go
@@ -59,6 +59,9 @@
 // header of a response must fit into the read buffer.
 const bufferBytes = 16 << 10
 
+// BufferBytes is what the buffers of a connection take.
+const BufferBytes = 2 * bufferBytes
+
 // readBudget returns the largest number of bytes of one response, with its head, its
 // trailer and the sizes of its chunks.
 func (o Options) readBudget() int { return 2*o.MaxResponseBytes + 4*bufferBytes }
--- a/httpconn/pool.go
+++ b/httpconn/pool.go
@@ -42,6 +42,8 @@
 	// MaxIdlePerAddress is the highest number of unused connections kept for one
 	// address.
 	MaxIdlePerAddress int
+	// MaxIdle, if not 0, is the highest number of unused connections kept for all addresses.
+	MaxIdle int
 	// MaxResponseBytes is the largest accepted response body, in bytes.
 	MaxResponseBytes int
 	// AllowCloseDelimitedBodies accepts response bodies that have neither a length nor
@@ -94,8 +96,9 @@
 // Pool sends HTTP/1.1 requests and keeps idle connections for reuse. The idle
 // connections are sharded by address. A Pool is safe for concurrent use.
 type Pool struct {
-	options Options
-	idle    shard.Map[string, []*conn]
+	options   Options
+	idle      shard.Map[string, []*conn]
+	idleCount atomic.Int64 // of unused connections
 	// beyondBudget is set while a response may exceed the budget.
 	beyondBudget atomic.Bool
 }
@@ -207,6 +210,7 @@
 			if requestID == "" || list[i].carried.find(requestID) == nil {
 				taken = list[i]
 				list = slices.Delete(list, i, i+1)
+				p.idleCount.Add(-1)
 				break
 			}
 		}
@@ -229,15 +233,15 @@
 }
 
 // release returns the connection to the pool. It closes the connection instead if
-// reuse is false or the pool already holds MaxIdlePerAddress for the address.
+// reuse is false or the pool already holds MaxIdlePerAddress for the address, or MaxIdle.
 func (p *Pool) release(address string, c *conn, reuse bool) {
 	if reuse {
 		c.idleSince = time.Now()
 		p.idle.Update(address, func(list []*conn, _ bool) ([]*conn, bool) {
-			if reuse = len(list) < p.options.MaxIdlePerAddress; reuse {
+			if reuse = len(list) < p.options.MaxIdlePerAddress && p.countIdle(); reuse {
 				list = append(list, c)
 			}
-			return list, true
+			return list, len(list) > 0
 		})
 	}
 	if !reuse {
@@ -245,6 +249,15 @@
 	}
 }
 
+// countIdle counts a further unused connection, unless there are MaxIdle.
+func (p *Pool) countIdle() bool {
+	if n := p.idleCount.Add(1); p.options.MaxIdle > 0 && n > int64(p.options.MaxIdle) {
+		p.idleCount.Add(-1)
+		return false
+	}
+	return true
+}
+
 // CloseIdle closes the idle connections whose idle timeout has passed, or all idle
 // connections if all is true. The pool has no background task, so its user must
 // call CloseIdle periodically.
@@ -269,6 +282,7 @@
 		for _, c := range list {
 			if all || time.Since(c.idleSince) >= c.idleTimeout {
 				removed = append(removed, c)
+				p.idleCount.Add(-1)
 			} else {
 				kept = append(kept, c)
 			}
--- a/httpconn/pool_test.go
+++ b/httpconn/pool_test.go
@@ -239,3 +239,37 @@
 		t.Fatalf("got progress %d, error %v; want Written, ErrCanceled", progress, err)
 	}
 }
+
+// Guards against idle connections to many servers that use up descriptors, and against a
+// count of them that is wrong after they were used or closed.
+func TestIdleConnectionsOfAllAddressesAreBounded(t *testing.T) {
+	const addresses, maxIdle = 4, 2
+	options := DefaultOptions()
+	options.MaxIdle = maxIdle
+	p := NewPool(options)
+	for round := range 3 {
+		for range addresses {
+			address, _ := startScriptedServer(t, func(int64) []byte { return []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
+			for range 2 {
+				var req fasthttp.Request
+				var resp fasthttp.Response
+				req.SetRequestURI("http://" + address + "/")
+				if _, err := p.Do(context.Background(), address, Call{Request: &req, Response: &resp}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		idle := 0
+		p.idle.Range(func(_ string, list []*conn) bool {
+			idle += len(list)
+			return true
+		})
+		if idle != maxIdle || p.idleCount.Load() != maxIdle {
+			t.Errorf("round %d: %d connections are idle, %d counted, want %d", round, idle, p.idleCount.Load(), maxIdle)
+		}
+		p.CloseIdle(true)
+		if n := p.idleCount.Load(); n != 0 {
+			t.Errorf("round %d: %d connections counted after all were closed", round, n)
+		}
+	}
+}
--- a/memory/process.go
+++ b/memory/process.go
@@ -6,6 +6,7 @@
 //   - programBytes, which the Go runtime does not count,
 //   - the process's own state, such as its copy of the configuration,
 //   - the budget, which covers all that is held for callers,
+//   - idle connections to servers and other VMs,
 //   - garbage, and what is allocated while the runtime collects it.
 //
 // The limit of the runtime leaves room for the last two.
@@ -20,6 +21,9 @@
 	// connectionShare is the part of a process's memory that connections without requests
 	// may take. The budget counts it, too.
 	connectionShare = 0.25
+	// idleShare is the part of a process's memory that the buffers of a pool's idle
+	// connections to servers or VMs may take. It is not in the budget.
+	idleShare = 0.04
 	// DefaultProcessBytes is the memory of a process whose settings name none.
 	DefaultProcessBytes = 512_000_000
 )
@@ -61,6 +65,12 @@
 	return max(1, int(connectionShare*float64(process)/float64(ConnectionBytes(readBufferBytes))))
 }
 
+// MaxIdleConnections returns how many idle connections a pool may keep in a process that may
+// use the given memory, if each has buffers of the given size.
+func MaxIdleConnections(process int64, bufferBytes int) int {
+	return max(1, int(idleShare*float64(process)/float64(bufferBytes)))
+}
+
 // LimitRuntime makes the Go runtime collect garbage in time to stay within the memory of
 // the process. A lower limit that is in force stays.
 func LimitRuntime(process int64) {
