inbound: bytes that are read ahead are in the budget

What could happen: bytes that callers send behind running requests took up to 24 MiB beside the budget, whatever the memory of the process.

Cause: they had a bound of their own that does not follow from the machine.

Change: the buffers take bytes of their connection's lease; without room no more is read ahead until the request is served. The old bound stays as well.

Evidence: TestBytesReadAheadAreInTheBudget fails before (nothing counted).

--- a/inbound/limits_test.go
+++ b/inbound/limits_test.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -8,6 +9,8 @@
 
 	"almondstile/logging"
 	"almondstile/memory"
+
+	"github.com/sourcegraph/conc"
 )
 
 // wokenConn counts how often its reader is woken.
@@ -136,3 +139,44 @@
 		}
 	}
 }
+
+// Guards against bytes behind a running request that are held beside the budget, or that are
+// not given back.
+func TestBytesReadAheadAreInTheBudget(t *testing.T) {
+	l := newLimitedListener(t, 1)
+	for _, full := range []bool{false, true} {
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		nc, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := nc.(*Conn)
+		if full {
+			c.lease.Charge(l.options.Budget.Total())
+		}
+		used := l.options.Budget.Used()
+		var watch conc.WaitGroup
+		stop := c.WatchHangup(watch.Go, func() {})
+		const sent = minAheadBytes + 1 // needs the buffer to grow
+		if _, err := client.Write(make([]byte, sent)); err != nil {
+			t.Fatal(err)
+		}
+		held := func() int64 { return l.options.Budget.Used() - used }
+		for limit := time.Now().Add(5 * time.Second); !full && held() < sent && time.Now().Before(limit); {
+			time.Sleep(time.Millisecond)
+		}
+		stop()
+		if got := held(); full && got != 0 || !full && got < sent {
+			t.Errorf("full %v: the budget counts %d bytes of %d", full, got, sent)
+		}
+		if _, err := io.ReadFull(c, make([]byte, sent)); err != nil || held() != 0 {
+			t.Errorf("full %v: %v, %d bytes are left after the read", full, err, held())
+		}
+		c.lease.GiveBack(used)
+		_ = c.Close()
+	}
+}
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -164,18 +164,6 @@
 	return nil
 }
 
-// reserveAhead takes n bytes out of maxTotalAheadBytes and reports whether so many are
-// left.
-func (l *Listener) reserveAhead(n int) bool {
-	if l.aheadBytes.Add(int64(n)) <= maxTotalAheadBytes {
-		return true
-	}
-	l.aheadBytes.Add(int64(-n))
-	return false
-}
-
-func (l *Listener) releaseAhead(n int) { l.aheadBytes.Add(int64(-n)) }
-
 // remove forgets a connection that is closed.
 func (l *Listener) remove(id connID) {
 	l.conns.Delete(id)
--- a/inbound/watch.go
+++ b/inbound/watch.go
@@ -138,7 +138,7 @@
 // growAhead doubles the buffer, if the bounds allow that.
 func (c *Conn) growAhead() bool {
 	size := max(2*cap(c.ahead), minAheadBytes)
-	if size > maxAheadBytes || !c.listener.reserveAhead(size-cap(c.ahead)) {
+	if size > maxAheadBytes || !c.reserveAhead(size-cap(c.ahead)) {
 		return false
 	}
 	grown := make([]byte, len(c.ahead), size)
@@ -173,6 +173,17 @@
 
 // releaseAhead releases the buffer. The caller holds c.mu.
 func (c *Conn) releaseAhead() {
-	c.listener.releaseAhead(cap(c.ahead))
+	c.listener.aheadBytes.Add(int64(-cap(c.ahead)))
+	c.lease.GiveBack(int64(cap(c.ahead)))
 	c.ahead = nil
 }
+
+// reserveAhead takes n bytes out of maxTotalAheadBytes and of the budget, and reports whether
+// so many are left in both.
+func (c *Conn) reserveAhead(n int) bool {
+	if c.listener.aheadBytes.Add(int64(n)) <= maxTotalAheadBytes && c.lease.TakeAtOnce(int64(n)) {
+		return true
+	}
+	c.listener.aheadBytes.Add(int64(-n))
+	return false
+}
--- a/memory/lease.go
+++ b/memory/lease.go
@@ -120,6 +120,22 @@
 	}
 }
 
+// TakeAtOnce takes n bytes if there is room for them, without turning others away and without
+// a wait, and reports whether it did. A nil Lease has room for all.
+func (l *Lease) TakeAtOnce(n int64) bool {
+	if l == nil {
+		return true
+	}
+	b := l.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.leaving.Load() || !b.room(n, false) {
+		return false
+	}
+	b.add(l, n)
+	return true
+}
+
 // tryTake takes n bytes if it can, and turns others away if the budget is short. If bytes
 // may become free soon, it returns a channel that is closed when some are given back.
 func (l *Lease) tryTake(n, later int64) (freed <-chan struct{}, err error) {
