memory, inbound: a connection gives way for its own listener only, and leaves nothing behind

Found by reading the change again; no caller has seen it.

- The order of giving way went over all connections of the process, so a new caller could close a connection of an operator or of the readiness check, which made no room for it.
Leases of connections belong to a group now, that of their listener.
- A connection that was closed between the first bytes of a request and the server's notice of them could take bytes for its head after it had given all back: they were lost to the budget for good.
Such a take is refused.
- A lease could be turned away before its connection knew it.
It takes part from Connect on, when the connection is registered.
No test shows this one.

TestConnectionsGiveWayOnce covers the first two: it fails with either taken out.

--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -173,7 +173,7 @@
 	if l.options.MaxConnections == 0 || l.count.Load() <= int64(l.options.MaxConnections) {
 		return
 	}
-	l.options.Budget.TurnOneAway(added.lease)
+	l.options.Budget.TurnOneAway(l, added.lease)
 }
 
 // acceptedConnections returns the highest number of connections that are open at a time: a
@@ -196,7 +196,7 @@
 	again := time.NewTicker(makeRoomInterval)
 	defer again.Stop()
 	for l.count.Load() >= most {
-		l.options.Budget.TurnOneAway(nil)
+		l.options.Budget.TurnOneAway(l, nil)
 		select {
 		case <-l.roomMade:
 		case <-again.C:
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -85,10 +85,11 @@
 	c := &Conn{Conn: nc, listener: l, id: connID(strconv.FormatInt(l.accepted.Add(1), 36))}
 	if l.options.Budget != nil {
 		address, _, _ := net.SplitHostPort(nc.RemoteAddr().String()) // "" stands for all others
-		c.lease = l.options.Budget.Connect(address, l.options.ConnectionBytes, c.turnAway)
+		c.lease = l.options.Budget.Open(address, c.turnAway)
 	}
 	l.conns.Store(c.id, c)
 	l.count.Add(1)
+	c.lease.Connect(l, l.options.ConnectionBytes) // it may be turned away from now on
 	l.makeRoom(c)
 	if l.closing.Err() != nil {
 		c.closeIfUnused() // CloseUnused may have missed it
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -91,22 +91,6 @@
 	return l
 }
 
-// Connect returns a lease for a connection from the address that was just accepted and takes
-// the given bytes. It may be turned away also without a message, until Disconnect. If the
-// budget is short, others are turned away. turnAway is as for Open.
-func (b *Budget) Connect(address string, bytes int64, turnAway func()) *Lease {
-	l := b.Open(address, turnAway)
-	l.stage.Store(int32(Waiting))
-	b.mu.Lock()
-	l.connected, l.connection = true, bytes
-	chosen := b.charge(l, bytes)
-	b.mu.Unlock()
-	for _, other := range chosen {
-		other.turnAway()
-	}
-	return l
-}
-
 // charge adds bytes to the lease, also beyond the budget. If the budget is short, it marks
 // others and returns them. The caller holds b.mu, and calls turnAway of the returned ones
 // without it.
@@ -118,11 +102,12 @@
 	return chosen
 }
 
-// TurnOneAway turns away the connection that gives way first, so that another one can be
-// accepted, but not the given one. It returns false if there is none that may be.
-func (b *Budget) TurnOneAway(but *Lease) bool {
+// TurnOneAway turns away the open connection of the group that gives way first, so that
+// another one can be accepted, but not the given one. It returns false if there is none that
+// may be.
+func (b *Budget) TurnOneAway(group Group, but *Lease) bool {
 	b.mu.Lock()
-	first := b.firstToGiveWay(but)
+	first := b.firstToGiveWay(group, but)
 	if first != nil {
 		b.markLeaving(first)
 	}
@@ -134,14 +119,17 @@
 	return true
 }
 
-// firstToGiveWay returns the open connection that gives way first, or nil if there is none
-// that may be turned away. The caller holds b.mu.
-func (b *Budget) firstToGiveWay(but *Lease) *Lease {
+// firstToGiveWay returns the open connection of the group that gives way first, or nil if
+// there is none that may be turned away. The caller holds b.mu.
+func (b *Budget) firstToGiveWay(group Group, but *Lease) *Lease {
 	now := b.clock()
 	var leases []*Lease
 	var holders []holder
 	for l := range b.holding {
-		if h := l.describe(now); l != but && !l.leaving.Load() && h.mayGiveWay() {
+		if l == but || l.group != group || l.leaving.Load() {
+			continue
+		}
+		if h := l.describe(now); h.mayGiveWay() {
 			leases = append(leases, l)
 			holders = append(holders, h)
 		}
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -137,16 +137,19 @@
 func TestConnectionsGiveWayOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newTestBudget()
+		listeners := []Group{"callers", "operators"}
 		turnedAway := make(map[int]int)
 		var leases []*Lease
 		for i := range rapid.IntRange(1, 20).Draw(t, "connections") {
-			leases = append(leases, b.Connect(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address"), 0, func() { turnedAway[i]++ }))
+			l := b.Open(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address"), func() { turnedAway[i]++ })
+			l.Connect(listeners[rapid.IntRange(0, 1).Draw(t, "listener")], 10)
+			leases = append(leases, l)
 		}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			b.now = b.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(leases)-1).Draw(t, "connection")
 			l, before := leases[i], turnedAway[i]
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				l.Begin(Receiving, 100)
 			case 1:
@@ -158,16 +161,27 @@
 			case 2:
 				l.Wait()
 			case 3:
-				b.TurnOneAway(l)
+				b.TurnOneAway(l.group, l)
 				if turnedAway[i] != before {
 					t.Fatal("the connection that was excepted was turned away")
 				}
 			case 4:
 				serving := Stage(l.stage.Load()) == Serving
-				b.TurnOneAway(nil)
-				if serving && turnedAway[i] != before {
-					t.Fatalf("connection %d was turned away while its request may be running", i)
+				group := listeners[rapid.IntRange(0, 1).Draw(t, "full listener")]
+				b.TurnOneAway(group, nil)
+				if turnedAway[i] != before && (serving || l.group != group) {
+					t.Fatalf("connection %d of %v was turned away for one of %v; serving: %v", i, l.group, group, serving)
 				}
+			case 5:
+				if err := l.TakeForConnection(10, 0); (err == nil) == l.TurnedAway() {
+					t.Fatalf("connection %d, turned away %v, got %v", i, l.TurnedAway(), err)
+				}
+			case 6:
+				l.Disconnect()
+				if err := l.TakeForConnection(10, 0); !errors.Is(err, ErrTurnedAway) {
+					t.Fatalf("a closed connection got %v", err)
+				}
+				l.Connect(l.group, 10)
 			}
 		}
 		for i, l := range leases {
--- a/memory/lease.go
+++ b/memory/lease.go
@@ -29,9 +29,31 @@
 	// The fields below are guarded by budget.mu.
 	held       int64
 	connected  bool  // it belongs to an open connection
+	group      Group // of the connection
 	connection int64 // the part of held that the connection holds until Disconnect
 }
 
+// Group identifies connections whose number is bounded together, such as those of one
+// listener.
+type Group any
+
+// Connect says that the lease belongs to a connection of the group that was just accepted,
+// and takes bytes for it, also beyond the budget. The lease may be turned away also without a
+// message from now on, until Disconnect. If the budget is short, others are turned away.
+func (l *Lease) Connect(group Group, bytes int64) {
+	if l == nil {
+		return
+	}
+	l.setStage(Waiting, 0)
+	l.budget.mu.Lock()
+	l.connected, l.group, l.connection = true, group, bytes
+	chosen := l.budget.charge(l, bytes)
+	l.budget.mu.Unlock()
+	for _, other := range chosen {
+		other.turnAway()
+	}
+}
+
 // Begin begins a message of the given size, or of at most this size if it is not known.
 func (l *Lease) Begin(stage Stage, size int64) {
 	if l == nil {
@@ -212,7 +234,7 @@
 
 // TakeForConnection takes n bytes for the connection, until Disconnect. later is what its
 // request will take in service: only a request that is small with both may use the reserve.
-// It waits as Take does.
+// It waits as Take does. It returns ErrTurnedAway after Disconnect.
 func (l *Lease) TakeForConnection(n, later int64) error {
 	if l == nil {
 		return nil
@@ -222,6 +244,10 @@
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
+	if !l.connected { // Disconnect would not give the bytes back
+		l.budget.giveBack(l, n)
+		return ErrTurnedAway
+	}
 	l.connection += n
 	return nil
 }
