httpconn: a complete answer is not held back for its second copy

Found by reading: a chunked answer, or one without a length, that had arrived whole waited for room for the copy in which its pieces are joined, until its deadline if the budget stayed short. The copy is charged instead, beyond the budget if need be; it lasts as long as the join.

--- a/httpconn/body.go
+++ b/httpconn/body.go
@@ -47,7 +47,8 @@
 	if err != nil {
 		return err
 	}
-	return moveBody(resp, &body, options)
+	moveBody(resp, &body, options)
+	return nil
 }
 
 // readToEnd reads until the peer closes the connection.
@@ -80,13 +81,10 @@
 	return nil
 }
 
-// moveBody moves the collected bytes to the response. It takes room for both copies.
-func moveBody(resp *fasthttp.Response, body *memory.Collector, options Options) error {
-	if err := options.room.cover(options.room.atMost(2 * body.Len())); err != nil {
-		return err
-	}
+// moveBody moves the collected bytes to the response.
+func moveBody(resp *fasthttp.Response, body *memory.Collector, options Options) {
+	options.room.charge(body.Len()) // there are two copies for a moment
 	resp.SwapBody(body.MoveTo(resp.SwapBody(nil)))
-	return nil
 }
 
 // readChunks reads the chunks of a body up to its trailer.
--- a/httpconn/room.go
+++ b/httpconn/room.go
@@ -68,12 +68,14 @@
 	return nil
 }
 
-// atMost returns size, or the most that one response can have room for.
-func (r *room) atMost(size int) int {
-	if r == nil {
-		return size
+// charge adds bytes that a complete response takes, also beyond the budget: it is not held
+// back for them.
+func (r *room) charge(n int) {
+	if r == nil || r.lease == nil {
+		return // the response is small
 	}
-	return min(size, int(r.budget.Largest()))
+	r.lease.Charge(int64(n))
+	r.held += n
 }
 
 // mayExceed reports whether this response may exceed the budget.
