integration: kept connections of a crowd on the native way

The native way shares the front for callers, but no crowd had shown there that idle connections give way.

--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -242,3 +242,28 @@
 	}
 	v.checkCrowd(t)
 }
+
+// Guards against callers of the native way who get no answer because a crowd keeps all
+// connections that the VM may have, after one ordinary request on each.
+func TestCrowdOfKeptConnectionsOnAVMThatOwnsServers(t *testing.T) {
+	const connections, callers = 100, 300
+	f := newFleet(t)
+	v := f.newVM(t, 0)
+	writeFile(t, v.settingsPath, f.settingsText(v)+crowdSettings+fmt.Sprintf("connections = %d\n", connections))
+	f.startVM(t, v)
+	await(t, "the VM is ready", func() (string, bool) {
+		g := get("http://"+v.operatorAddress+"/ready", "")
+		return g.String(), g.status == 200
+	})
+	for range callers {
+		nc, err := net.DialTimeout("tcp", v.callersAddress, crowdSendTime)
+		if err != nil {
+			continue // the queue of connections to accept is full
+		}
+		defer nc.Close()
+		_ = nc.SetDeadline(time.Now().Add(crowdSendTime))
+		_, _ = fmt.Fprint(nc, "GET /stock HTTP/1.1\r\nHost: h\r\n\r\n") // an error means that it was turned away
+		_, _ = nc.Read(make([]byte, 4<<10))
+	}
+	v.checkCrowd(t)
+}
