--- a/integration/crowd_test.go
+++ b/integration/crowd_test.go
@@ -105,6 +105,8 @@
 const (
 	// crowdVisits is how often each caller comes to a fleet.
 	crowdVisits = 6
+	// crowdMaxVisits bounds how often a caller comes who comes again and again.
+	crowdMaxVisits = 1000
 	// crowdSlowFactor makes a server take about a second for a request.
 	crowdSlowFactor = 300
 )
@@ -267,3 +269,56 @@
 	}
 	v.checkCrowd(t)
 }
+
+// crowdMixTime is how long a crowd of several kinds comes again and again.
+const crowdMixTime = 10 * time.Second
+
+// Guards against parts of the memory of a VM of the native way that are bounded one by one but
+// exceed it together, and against callers who get no answer beside such a crowd.
+func TestCrowdOfAllKindsOnAVMThatOwnsServers(t *testing.T) {
+	const callers = 400
+	f := newFleet(t)
+	v := f.newVM(t, 0)
+	writeFile(t, v.settingsPath, f.settingsText(v)+crowdSettings+"connections = 300\n")
+	f.startVM(t, v)
+	await(t, "the VM is ready", func() (string, bool) {
+		g := get("http://"+v.operatorAddress+"/ready", "")
+		return g.String(), g.status == 200
+	})
+	body := bytes.Repeat([]byte("x"), crowdBodyBytes)
+	head := "POST /stock HTTP/1.1\r\nHost: h\r\n"
+	announced := fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, len(body))
+	kinds := [][]string{
+		{head + "X-Field: " + strings.Repeat("x", 1<<20)},
+		{strings.Repeat("\r\n", 1<<20)},
+		{announced, string(body[1:])},
+		{announced, string(body)},
+		{announced, "x"},
+		{head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1<<17)},
+		{head + "X-Field: " + strings.Repeat("x", 15<<10) + "\r\nContent-Length: 0\r\n\r\n"},
+		{head + "Content-Length: 0\r\n\r\n"},
+		{""},
+	}
+	end := time.Now().Add(crowdMixTime)
+	var wg conc.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; n < crowdMaxVisits && time.Now().Before(end); n++ {
+				nc, err := net.DialTimeout("tcp", v.callersAddress, time.Second)
+				if err != nil {
+					continue // the queue of connections to accept is full
+				}
+				_ = nc.SetDeadline(end)
+				for _, part := range kinds[(i+n)%len(kinds)] {
+					_, _ = io.WriteString(nc, part) // an error means that it was turned away
+				}
+				_, _ = io.Copy(io.Discard, nc) // until the VM closes or the crowd ends
+				_ = nc.Close()
+			}
+		})
+	}
+	time.Sleep(crowdMixTime / 2)
+	v.checkCrowd(t)
+	wg.Wait()
+	v.checkCrowd(t)
+}
