--- a/catalog/reader_test.go
+++ b/catalog/reader_test.go
@@ -119,6 +119,24 @@
 	return observer
 }
 
+// Guards against a fleet that floods the store: whatever the store answers, and however
+// fast, a VM's calls stay within its share of the platform's 2,000 reads a second over 36
+// VMs, of which each of two tables gets half.
+func TestReaderPausesAfterEveryAnswer(t *testing.T) {
+	const callsPerSecond, duration = 2000 / 36 / 2, time.Second
+	for name, newStore := range answerCases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newTestCatalog()
+			s := newStore(c)
+			readFor(t, c, s, duration)
+			if bound := int(callsPerSecond * duration.Seconds()); s.calls > bound {
+				t.Errorf("%d calls in %s, want at most %d", s.calls, duration, bound)
+			}
+		})
+	}
+}
+
 // Guards against metrics that show the same for a store that went back to an older copy,
 // one without history and one that lags behind.
 func TestResultsOfCallsTellTheStoresFaultsApart(t *testing.T) {
