catalog: each answer of the store is followed by a pause

Cause: the reader took any call without an error for progress and called again at once; only a failed call, or one with rows, was followed by a pause. A store that has no history, lags, has gone back, or does not wait is read without end.

Now the pace of a reader follows from what came of the call (catalog/pace.go): a step takes 100 ms at least, a call that brought nothing new without waiting for it is followed by a delay that grows to half of the wait for changes, and delays are spread. A call that waited as asked is still followed by the next one at once, so a change is read as soon as before.

--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -44,10 +44,6 @@
 }
 
 const (
-	// batchPause is the pause after a call that returned changes, so that changes
-	// in quick succession are read with one call. It is short compared with the
-	// 2 s in which a change has to be in force.
-	batchPause = 100 * time.Millisecond
 	// callMargin is the time that a call may take in addition to the wait that it
 	// asks for. After that the call fails. It is the whole timeout of a read of a
 	// table, which asks for no wait.
@@ -56,10 +52,6 @@
 	// read checks its rank and the age of its copy again.
 	minCheckInterval = 10 * time.Millisecond
 	maxCheckInterval = 250 * time.Millisecond
-	// initialRetryDelay is the delay after the first failed call. It doubles with
-	// each further failure, up to maxRetryDelay.
-	initialRetryDelay = 250 * time.Millisecond
-	maxRetryDelay     = 1500 * time.Millisecond
 )
 
 // Reader reads tables from the store into the catalog while its role and the age of
@@ -82,7 +74,7 @@
 func (r *Reader) Run(ctx context.Context, t Table) {
 	failures := 0
 	started := time.Now()
-	schedule := newReadSchedule(r.Times)
+	schedule, pace := newReadSchedule(r.Times), newPace(r.Times)
 	for ctx.Err() == nil {
 		if r.Wanted != nil && !r.Wanted(t) {
 			wait.For(ctx, maxCheckInterval)
@@ -97,8 +89,12 @@
 			wait.For(ctx, min(max(limit-age, minCheckInterval), maxCheckInterval))
 			continue
 		}
-		err := errReadPanicked
-		r.Guard.Task("read_"+t.String(), func() { err = r.readOnce(ctx, t) })
+		began := time.Now()
+		result, err := ResultFailed, errReadPanicked
+		r.Guard.Task("read_"+t.String(), func() { result, err = r.readOnce(ctx, t) })
+		if ctx.Err() != nil {
+			return
+		}
 		if err == nil {
 			if failures > 0 {
 				r.Log.WithField("table", t.String()).WithField("failures", failures).Info("The store can be read again.")
@@ -108,57 +104,49 @@
 				r.Log.WithField("table", t.String()).WithField("age_ms", age.Milliseconds()).WithField("rank", rank).
 					WithField("for_ms", substitutePeriod.Milliseconds()).Info("The copy was old. This VM follows the store itself for a while.")
 			}
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		failures++
-		if failures == 1 {
+		} else if failures++; failures == 1 {
 			r.Log.WithField("table", t.String()).WithError(err).
 				WithField("age_ms", r.Catalog.Age(t).Milliseconds()).Warn("The store cannot be read; retrying.")
 		}
-		wait.For(ctx, retryDelay(failures))
+		wait.For(ctx, pace.pauseAfter(result, time.Since(began), rand.Float64()))
 	}
 }
 
-// retryDelay returns the delay before the next call. It is random, between 0.5 and
-// 1.5 times the nominal delay, so that VMs whose calls fail at the same moment
-// don't retry at the same moment.
-func retryDelay(failures int) time.Duration {
-	delay := min(initialRetryDelay<<min(failures-1, 4), maxRetryDelay)
-	return delay/2 + rand.N(delay)
-}
-
-// readOnce updates the table's copy with one successful call to the store. It
-// waits for changes since the copy's version. If there is no copy, or the store no
-// longer has the changes since its version, it reads the whole table.
-func (r *Reader) readOnce(ctx context.Context, t Table) error {
-	version, _ := r.Catalog.VersionAsOf(t)
-	if version > 0 {
-		changes, err := r.waitForChanges(ctx, t, version)
-		if err == nil {
-			r.Catalog.recordCall(t, CallChanges, r.Catalog.Apply(t, changes))
-			if len(changes.Rows) > 0 {
-				wait.For(ctx, batchPause)
-			}
-			return nil
+// readOnce makes one step to update the table's copy: a call to the store that waits for
+// changes since the copy's version. If there is no copy, or the store no longer has the
+// changes since its version, it reads the whole table. It returns what came of the last
+// call, and its error if that failed.
+func (r *Reader) readOnce(ctx context.Context, t Table) (Result, error) {
+	if version, _ := r.Catalog.VersionAsOf(t); version > 0 {
+		result, err := r.waitForChanges(ctx, t, version)
+		if result != ResultHistoryLost {
+			return result, err
 		}
-		r.Catalog.recordCall(t, CallChanges, resultOf(err))
-		if !errors.Is(err, ErrHistoryLost) {
-			return err
-		}
-		r.Log.WithField("table", t.String()).WithField("version", version).Warn("The store no longer has the changes since this version; reading the whole table.")
+		r.Log.WithField("table", t.String()).WithField("version", version).
+			Warn("The store no longer has the changes since this version; reading the whole table.")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
 	changes, err := r.Store.Read(ctx, t)
-	if err != nil {
-		r.Catalog.recordCall(t, CallTable, resultOf(err))
-		return err
+	return r.conclude(t, CallTable, changes, err)
+}
+
+// waitForChanges waits for changes since a version, with a timeout, and applies them.
+func (r *Reader) waitForChanges(ctx context.Context, t Table, version uint64) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Times.longPollWait+callMargin)
+	defer cancel()
+	changes, err := r.Store.WaitForChanges(ctx, t, version, r.Times.longPollWait)
+	return r.conclude(t, CallChanges, changes, err)
+}
+
+// conclude applies the answer to a call, or takes its error, and counts the result.
+func (r *Reader) conclude(t Table, kind CallKind, changes Changes, err error) (Result, error) {
+	result := resultOf(err)
+	if err == nil {
+		result = r.Catalog.Apply(t, changes)
 	}
-	r.Catalog.recordCall(t, CallTable, r.Catalog.Apply(t, changes))
-	return nil
+	r.Catalog.recordCall(t, kind, result)
+	return result, err
 }
 
 // resultOf returns the result of a call that failed.
@@ -172,10 +160,3 @@
 		return ResultFailed
 	}
 }
-
-// waitForChanges calls the store's WaitForChanges with a timeout.
-func (r *Reader) waitForChanges(ctx context.Context, t Table, version uint64) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.Times.longPollWait+callMargin)
-	defer cancel()
-	return r.Store.WaitForChanges(ctx, t, version, r.Times.longPollWait)
-}
