--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/history"
 	"almondstile/logging"
 	"almondstile/rollout"
 	"almondstile/zone"
@@ -33,8 +34,8 @@
 	ColdFor time.Duration
 	// ColdUntil is the local time (package boottime) until which the server is
 	// treated as cold. The catalog sets it to the time of decoding plus ColdFor.
-	ColdUntil  time.Duration
-	rowVersion uint64
+	ColdUntil time.Duration
+	row       history.Position
 }
 
 // OperatorRow is a decoded row of OperatorTable. Exactly one field is set.
@@ -96,6 +97,8 @@
 	CopyAge(t Table, age time.Duration)
 	// StoreCall records a call to the store and what came of it.
 	StoreCall(t Table, kind CallKind, result Result)
+	// NewEra records the era of a copy when a new one has begun.
+	NewEra(t Table, era history.Era)
 }
 
 // Catalog holds one VM's copies of the store's tables and the View decoded from
@@ -116,19 +119,20 @@
 	// update.
 	Rollouts bool
 	tables   [tableCount]tableCopy
-	answers  [tableCount]answerLog
-	view     atomic.Pointer[View]
+	// unusedAnswers and wholeReads bound the log lines about answers that were not used
+	// and about reads of the whole table.
+	unusedAnswers, wholeReads [tableCount]answerLog
+	view                      atomic.Pointer[View]
 	// rebuildMu serializes rebuildView and guards the fields below.
 	rebuildMu sync.Mutex
 	// registrations holds decoded rows by row key; nil stands for an invalid row.
 	registrations map[string]*Registration
-	// seenVersions holds two kinds of entries: by row key, the row version that was
-	// decoded last; by table name and row key, the invalid row version that was
+	// seenRows holds two kinds of entries: by row key, the position of the row that was
+	// decoded last; by table name and row key, that of the invalid row that was
 	// logged last.
-	seenVersions map[string]uint64
-	// configurationRowVersion is the version of the row that held the
-	// configuration decoded last.
-	configurationRowVersion uint64
+	seenRows map[string]history.Position
+	// configurationRow is the position of the row that held the configuration decoded last.
+	configurationRow history.Position
 	// orders holds the orders of roll-outs by row version, with the time of the store's
 	// clock at which each was written.
 	orders map[uint64]time.Duration
@@ -140,7 +144,7 @@
 	c := &Catalog{
 		decoder: decoder, log: log, clock: clock, fromStore: make(chan struct{}, 1),
 		registrations: make(map[string]*Registration),
-		seenVersions:  make(map[string]uint64),
+		seenRows:      make(map[string]history.Position),
 		orders:        make(map[uint64]time.Duration),
 	}
 	c.tables[ServerTable].rowsExpire = true
@@ -163,17 +167,30 @@
 // View returns the newest view. Before the first table is loaded it is empty.
 func (c *Catalog) View() *View { return c.view.Load() }
 
-// Apply updates the copy of a table with a response of the store and rebuilds
-// the view if a row changed. A response that is older than the copy is ignored. It
-// returns what came of the response.
-func (c *Catalog) Apply(t Table, ch Changes) Result {
-	c.StoreClock.Observe(c.clock(), ch.AsOf)
+// BeginCall returns a call to the store about a table, which starts now.
+func (c *Catalog) BeginCall(t Table) Call { return c.tables[t].beginCall(c.clock()) }
+
+// Apply updates the copy of a table with the store's answer to a call and rebuilds the
+// view if a row changed. An answer that is older than the copy is ignored. It returns what
+// came of the answer.
+func (c *Catalog) Apply(t Table, call Call, ch Changes) Result {
 	c.observeAge(t)
-	result := c.tables[t].apply(ch)
+	before, _ := c.PositionAsOf(t)
+	result := c.tables[t].apply(c.clock(), call, ch)
 	switch result {
-	case ResultOlder, ResultContradictory:
+	case ResultOlder:
+		c.logUnusedAnswer(t, ch, result)
+		return result // its time may be that of a state that lags behind
+	case ResultNewEra:
 		c.logUnusedAnswer(t, ch, result)
-	case ResultChanged:
+	}
+	if position, _ := c.PositionAsOf(t); before.Version > 0 && position.Era != before.Era {
+		c.StoreClock.Restart(call.start, ch.AsOf, 0)
+		c.recordNewEra(t, before, position, FromStore)
+	} else {
+		c.StoreClock.Observe(c.clock(), ch.AsOf)
+	}
+	if result == ResultChanged {
 		c.rebuildView(FromStore)
 		select {
 		case c.fromStore <- struct{}{}:
@@ -185,13 +202,48 @@
 
 // Merge updates the copy of a table with a delta from another VM and rebuilds the
 // view if a row changed, which it reports. A delta that is older than the copy is
-// ignored.
-func (c *Catalog) Merge(t Table, d Delta) (changed bool) {
+// ignored. newEra reports whether a new era of the store's history began with it.
+func (c *Catalog) Merge(t Table, d Delta) (changed, newEra bool) {
 	c.observeAge(t)
-	if changed = c.tables[t].merge(d); changed {
+	before, _ := c.PositionAsOf(t)
+	changed, newEra = c.tables[t].merge(d)
+	if newEra {
+		c.recordNewEra(t, before, d.Position, FromVM)
+	}
+	if changed {
 		c.rebuildView(FromVM)
 	}
-	return changed
+	return changed, newEra
+}
+
+// recordNewEra logs that the store went back to an older copy. If this VM has read that in
+// the store, the copies of the other tables have to be read again too.
+func (c *Catalog) recordNewEra(t Table, before, after history.Position, source Source) {
+	c.log.WithField("table", t.String()).WithField("source", source).
+		WithField("era", after.Era.String()).WithField("version", after.Version).
+		WithField("era_before", before.Era.String()).WithField("version_before", before.Version).
+		Warn("The store went back to an older copy. The table was read again.")
+	if c.Observer != nil {
+		c.Observer.NewEra(t, after.Era)
+	}
+	if source != FromStore {
+		return
+	}
+	for _, other := range c.Tables() {
+		if other != t {
+			c.tables[other].recordLaterEra(c.clock(), after.Era)
+		}
+	}
+}
+
+// Era returns the latest era of the copies.
+func (c *Catalog) Era() (latest history.Era) {
+	for _, t := range c.Tables() {
+		if position, _ := c.PositionAsOf(t); position.Era.Compare(latest) > 0 {
+			latest = position.Era
+		}
+	}
+	return latest
 }
 
 // observeAge records the age of a copy that is about to be updated.
@@ -201,37 +253,24 @@
 	}
 }
 
-// RecordPeerVersion records that another VM's copy of the table has the given
-// version and was current at asOf, a time of the store's clock. If this VM's copy
-// has the same version, it is current as of then too. RecordPeerVersion reports
+// RecordPeerPosition records that another VM's copy of the table has the given
+// position and was current at asOf, a time of the store's clock. If this VM's copy
+// has the same position, it is current as of then too. RecordPeerPosition reports
 // whether this VM's copy is older than the other VM's, or missing.
-func (c *Catalog) RecordPeerVersion(t Table, version uint64, asOf time.Duration) (behind bool) {
-	tc := &c.tables[t]
-	tc.mu.Lock()
-	defer tc.mu.Unlock()
-	if !tc.loaded || version > tc.version {
-		return version > 0
-	}
-	if version == tc.version {
-		tc.advanceAsOf(asOf)
-	}
-	return false
+func (c *Catalog) RecordPeerPosition(t Table, peer history.Position, asOf time.Duration) (behind bool) {
+	return c.tables[t].recordPeer(peer, asOf)
 }
 
-// DeltaSince returns the rows of a table's copy that changed after a version and
+// DeltaSince returns the rows of a table's copy that changed after a position and
 // the keys of all its rows.
-func (c *Catalog) DeltaSince(t Table, version uint64) Delta { return c.tables[t].deltaSince(version) }
+func (c *Catalog) DeltaSince(t Table, after history.Position) Delta {
+	return c.tables[t].deltaSince(after)
+}
 
-// VersionAsOf returns the version of a table's copy and the time of the store's
+// PositionAsOf returns the position of a table's copy and the time of the store's
 // clock as of which the copy is current. Both are 0 before the table is loaded.
-func (c *Catalog) VersionAsOf(t Table) (version uint64, asOf time.Duration) {
-	tc := &c.tables[t]
-	tc.mu.Lock()
-	defer tc.mu.Unlock()
-	if !tc.loaded {
-		return 0, 0
-	}
-	return tc.version, tc.asOf
+func (c *Catalog) PositionAsOf(t Table) (history.Position, time.Duration) {
+	return c.tables[t].positionAsOf()
 }
 
 // neverLoadedAge is the age reported for a table that was never loaded.
@@ -240,25 +279,32 @@
 // Age returns the time since the table's copy was last known to be current, or
 // 24 hours (neverLoadedAge) if there is no copy.
 func (c *Catalog) Age(t Table) time.Duration {
-	version, asOf := c.VersionAsOf(t)
+	position, asOf := c.PositionAsOf(t)
 	store, known := c.StoreClock.At(c.clock())
-	if version == 0 || !known {
+	if position.Version == 0 || !known {
 		return neverLoadedAge
 	}
-	return store - asOf
+	return max(store-asOf, 0)
 }
 
 // Loaded reports whether there is a copy of the table.
 func (c *Catalog) Loaded(t Table) bool {
-	version, _ := c.VersionAsOf(t)
-	return version > 0
+	position, _ := c.PositionAsOf(t)
+	return position.Version > 0
 }
 
-// DeleteExpired deletes registrations that were retained after an outage of the
-// store and were not written again in time. It must be called regularly.
+// DeleteExpired deletes rows that were retained after an outage of the store, or after it
+// went back, and were not written again in time. It must be called regularly.
 func (c *Catalog) DeleteExpired() {
 	store, known := c.StoreClock.At(c.clock())
-	if known && c.tables[ServerTable].deleteExpired(store) {
+	if !known {
+		return
+	}
+	deleted := false
+	for _, t := range c.Tables() {
+		deleted = c.tables[t].deleteExpired(store) || deleted
+	}
+	if deleted {
 		c.rebuildView(FromExpiry)
 	}
 }
@@ -314,8 +360,8 @@
 	for key := range c.registrations {
 		if !present[key] {
 			delete(c.registrations, key)
-			delete(c.seenVersions, key)
-			delete(c.seenVersions, ServerTable.String()+key)
+			delete(c.seenRows, key)
+			delete(c.seenRows, ServerTable.String()+key)
 		}
 	}
 }
@@ -323,7 +369,7 @@
 // addOperatorRow applies a row of OperatorTable to a view under construction. It
 // keeps the view's configuration if the row holds an older one.
 func (c *Catalog) addOperatorRow(v *View, row Row, source Source) {
-	if c.seenVersions[row.Key] == row.Version && c.configurationRowVersion == row.Version {
+	if c.seenRows[row.Key] == row.position() && c.configurationRow == row.position() {
 		return // this configuration was decoded before
 	}
 	decoded, err := c.decoder.DecodeOperator(row)
@@ -340,7 +386,7 @@
 	if decoded.Configuration == nil {
 		return
 	}
-	c.seenVersions[row.Key], c.configurationRowVersion = row.Version, row.Version
+	c.seenRows[row.Key], c.configurationRow = row.position(), row.position()
 	if v.Index != nil && decoded.Configuration.Version < v.Index.Version() {
 		c.log.WithField("version", decoded.Configuration.Version).
 			WithField("in_force", v.Index.Version()).Warn("A configuration older than the one in force is ignored.")
@@ -355,19 +401,19 @@
 // row. It returns nil if the row is invalid. It logs the change unless this is the first
 // time that rows are decoded.
 func (c *Catalog) decodeRegistration(row Row, source Source, first bool) *Registration {
-	if r, ok := c.registrations[row.Key]; ok && r != nil && r.rowVersion == row.Version {
+	if r, ok := c.registrations[row.Key]; ok && r != nil && r.row == row.position() {
 		return r
-	} else if ok && r == nil && c.seenVersions[row.Key] == row.Version {
+	} else if ok && r == nil && c.seenRows[row.Key] == row.position() {
 		return nil
 	}
 	r, err := c.decoder.DecodeServer(row)
-	c.seenVersions[row.Key] = row.Version
+	c.seenRows[row.Key] = row.position()
 	if err != nil {
 		c.registrations[row.Key] = nil
 		c.logInvalidRow(ServerTable, row, err)
 		return nil
 	}
-	r.rowVersion = row.Version
+	r.row = row.position()
 	r.ColdUntil = c.clock() + r.ColdFor
 	c.registrations[row.Key] = &r
 	if first {
@@ -381,12 +427,12 @@
 
 // logInvalidRow logs a row that cannot be decoded, once for each version of the row.
 func (c *Catalog) logInvalidRow(t Table, row Row, err error) {
-	if c.seenVersions[t.String()+row.Key] == row.Version {
+	if c.seenRows[t.String()+row.Key] == row.position() {
 		return // this version was logged already
 	}
-	c.seenVersions[t.String()+row.Key] = row.Version
+	c.seenRows[t.String()+row.Key] = row.position()
 	c.log.WithError(err).WithField("table", t.String()).WithField("key", row.Key).Warn("A row cannot be decoded and is skipped.")
 }
 
 // RowVersion returns the store's version at which the registration's row was written.
-func (r *Registration) RowVersion() uint64 { return r.rowVersion }
+func (r *Registration) RowVersion() uint64 { return r.row.Version }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/history"
 	"almondstile/logging"
 	"almondstile/rollout"
 	"almondstile/zone"
@@ -57,6 +58,11 @@
 	return c
 }
 
+// Apply applies the store's answer to a call that starts now.
+func (c *testCatalog) Apply(t Table, ch Changes) Result {
+	return c.Catalog.Apply(t, c.BeginCall(t), ch)
+}
+
 func (c *testCatalog) storeNow() time.Duration { return c.now - storeClockLag }
 
 func configuration(version uint64) []byte {
@@ -73,7 +79,7 @@
 	c := newTestCatalog()
 	c.Apply(OperatorTable, Changes{Rows: []Row{{Key: "config", Value: configuration(7), Version: 50}}, Version: 50, AsOf: c.storeNow()})
 	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{{Key: "config", Value: configuration(6), Version: 40}}, Version: 40, AsOf: c.storeNow()})
-	c.Merge(OperatorTable, Delta{Rows: []Row{{Key: "config", Value: configuration(5), Version: 30}}, Keys: []string{"config"}, Version: 30})
+	c.Merge(OperatorTable, Delta{Rows: []Row{{Key: "config", Value: configuration(5), Version: 30}}, Keys: []string{"config"}, Position: history.Position{Version: 30}})
 	c.Apply(OperatorTable, Changes{Rows: []Row{{Key: "config", Value: configuration(6), Version: 60}}, Version: 60, AsOf: c.storeNow()})
 	if got := c.View().Index.Version(); got != 7 {
 		t.Errorf("version %d is in force, want 7", got)
@@ -93,16 +99,16 @@
 		t.Errorf("after a stale response the age is %s, want 3s", got)
 	}
 	c.StoreClock.Observe(c.now, asOf) // a message that was sent 3 s ago
-	c.RecordPeerVersion(OperatorTable, 50, asOf)
+	c.RecordPeerPosition(OperatorTable, history.Position{Version: 50}, asOf)
 	if got := c.Age(OperatorTable); got != 3*time.Second {
 		t.Errorf("after a delayed message the age is %s, want 3s", got)
 	}
-	c.RecordPeerVersion(OperatorTable, 50, c.storeNow())
+	c.RecordPeerPosition(OperatorTable, history.Position{Version: 50}, c.storeNow())
 	if got := c.Age(OperatorTable); got != 0 {
 		t.Errorf("after a peer reported the same version as current the age is %s, want 0", got)
 	}
-	if !c.RecordPeerVersion(OperatorTable, 51, c.storeNow()) {
-		t.Error("RecordPeerVersion does not report that a peer's copy is newer")
+	if !c.RecordPeerPosition(OperatorTable, history.Position{Version: 51}, c.storeNow()) {
+		t.Error("RecordPeerPosition does not report that a peer's copy is newer")
 	}
 }
 
@@ -152,9 +158,9 @@
 	a, b := newTestCatalog(), newTestCatalog()
 	rows := []Row{{Key: "x", Value: []byte("ok"), Version: 2}, {Key: "y", Value: []byte("ok"), Version: 3}}
 	a.Apply(ServerTable, Changes{FullTable: true, Version: 3, AsOf: a.storeNow(), Rows: rows})
-	b.Merge(ServerTable, a.DeltaSince(ServerTable, 0))
+	b.Merge(ServerTable, a.DeltaSince(ServerTable, history.Position{Version: 0}))
 	a.Apply(ServerTable, Changes{Version: 4, AsOf: a.storeNow(), Rows: []Row{{Key: "x", Version: 4, Removed: true}}})
-	d := a.DeltaSince(ServerTable, 3)
+	d := a.DeltaSince(ServerTable, history.Position{Version: 3})
 	if len(d.Rows) != 0 {
 		t.Errorf("the delta holds %d rows that did not change", len(d.Rows))
 	}
@@ -216,7 +222,7 @@
 		old := fmt.Sprintf("server-%d", i-5)
 		c.Apply(ServerTable, Changes{Version: version, AsOf: c.storeNow(), Rows: []Row{{Key: old, Version: version, Removed: true}}})
 	}
-	if n := len(c.registrations) + len(c.seenVersions); n > 30 {
+	if n := len(c.registrations) + len(c.seenRows); n > 30 {
 		t.Errorf("%d entries are kept for %d servers", n, len(c.View().Servers))
 	}
 }
--- a/catalog/clock.go
+++ b/catalog/clock.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// Restart replaces the estimate, because the store has gone back to an older copy and its
+// clock may have as well. The store's time was read at the local time or later, by a VM
+// that is hops VMs away from the store.
+func (c *StoreClock) Restart(local, store time.Duration, hops int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offset, c.updatedAt, c.observed = local-store, local, true
+	c.hops, c.sourceAt = hops, local
+	c.contradiction = contradiction{}
+}
+
 func (c *StoreClock) observe(local, store time.Duration, hops int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/catalog/pace.go
+++ b/catalog/pace.go
@@ -43,7 +43,7 @@
 	case result == ResultFailed || result == ResultOverloaded || result == ResultHistoryLost:
 		p.failures++
 		pause = spread(grow(p.failures, maxRetryDelay), random)
-	case result == ResultChanged:
+	case result == ResultChanged || result == ResultOvertaken:
 		p.failures, p.idle = 0, 0
 		pause = max(batchPause, pause)
 	case result == ResultUnchanged && took >= time.Duration(waitedShare*float64(p.wait)):
--- a/catalog/propagation_test.go
+++ b/catalog/propagation_test.go
@@ -1,9 +1,12 @@
 package catalog
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"almondstile/contract"
 )
 
 const (
@@ -24,10 +27,15 @@
 // propagation simulates VMs that keep copies of a store's table current, by calls to
 // the store and by messages among each other, while the store turns some VMs away.
 type propagation struct {
-	rng     *rand.Rand
-	now     time.Duration
-	version uint64
-	// writtenAt holds the time of each version.
+	rng *rand.Rand
+	now time.Duration
+	storeState
+	// era is the number of the store's history, stated if statesEra is set.
+	era       uint64
+	statesEra bool
+	// configuration is the operator's newest configuration.
+	configuration uint64
+	// writtenAt holds the time of each configuration that the store has not lost.
 	writtenAt map[uint64]time.Duration
 	vms       []*simulatedVM
 	// actions holds what happens at later times.
@@ -35,6 +43,12 @@
 	calls   int // that reached the store
 }
 
+// storeState is the state of the simulated store.
+type storeState struct {
+	version uint64
+	row     Row // holds the configuration
+}
+
 type simulatedAction struct {
 	at time.Duration
 	do func()
@@ -44,6 +58,7 @@
 	*Catalog
 	zone, rank    int
 	schedule      readSchedule
+	pace          pace
 	nextCheck     time.Duration
 	calling       bool
 	nextHeartbeat time.Duration
@@ -63,9 +78,10 @@
 			zone:     i / vmsPerZone,
 			rank:     min(i%vmsPerZone, relaysPerZone),
 			schedule: newReadSchedule(NewReadTimes(maxChangeDelay)),
+			pace:     newPace(NewReadTimes(maxChangeDelay)),
 		}
 		v.schedule.spread = time.Duration(p.rng.Float64() * float64(v.schedule.times.otherReaderSpread))
-		v.Apply(OperatorTable, p.changes(0))
+		v.Apply(OperatorTable, v.BeginCall(OperatorTable), p.wholeTable())
 		p.vms = append(p.vms, v)
 	}
 	return p
@@ -75,26 +91,55 @@
 	p.actions = append(p.actions, simulatedAction{p.now + d, do})
 }
 
-// retryDelay replaces the function of the same name, with a seeded delay.
-func (p *propagation) retryDelay() time.Duration {
-	return initialRetryDelay/2 + time.Duration(p.rng.Int64N(int64(initialRetryDelay)))
-}
-
 // write changes the configuration in the store.
 func (p *propagation) write() {
 	p.version++
-	p.writtenAt[p.version] = p.now
+	p.configuration++
+	p.row = Row{Key: "config", Value: configuration(p.configuration), Version: p.version}
+	p.writtenAt[p.configuration] = p.now
+}
+
+// restore makes the store go back to an earlier state. Of the configurations, the newest
+// one of that state is left.
+func (p *propagation) restore(s storeState) {
+	var left contract.Configuration
+	if err := json.Unmarshal(s.row.Value, &left); err != nil {
+		panic(err)
+	}
+	for c := range p.writtenAt {
+		if c > left.Version {
+			delete(p.writtenAt, c)
+		}
+	}
+	p.storeState = s
+	p.era++
+}
+
+// answer returns the store's response without rows.
+func (p *propagation) answer() Changes {
+	ch := Changes{Version: p.version, AsOf: p.now}
+	if p.statesEra {
+		ch.Era = p.era
+	}
+	return ch
 }
 
 // changes returns the store's response to a call for the changes after a version.
 func (p *propagation) changes(after uint64) Changes {
-	ch := Changes{Version: p.version, AsOf: p.now}
-	if p.version > after {
-		ch.Rows = []Row{{Key: "config", Value: configuration(p.version), Version: p.version}}
+	ch := p.answer()
+	if p.row.Version > after {
+		ch.Rows = []Row{p.row}
 	}
 	return ch
 }
 
+// wholeTable returns the store's response to a read of the table.
+func (p *propagation) wholeTable() Changes {
+	ch := p.answer()
+	ch.FullTable, ch.Rows = true, []Row{p.row}
+	return ch
+}
+
 // read lets the VM call the store when its schedule requires it.
 func (p *propagation) read(v *simulatedVM) {
 	if v.calling || p.now < v.nextCheck {
@@ -112,40 +157,63 @@
 		if v.silent {
 			wait = v.schedule.times.longPollWait + callMargin
 		}
-		p.after(wait, func() { v.calling, v.nextCheck = false, p.now+p.retryDelay() })
+		p.after(wait, func() { p.conclude(v, ResultFailed, wait) })
 		return
 	}
-	after, _ := v.VersionAsOf(OperatorTable)
+	p.poll(v, p.now, v.BeginCall(OperatorTable))
 	p.calls++
-	p.poll(v, after, p.now+v.schedule.times.longPollWait)
 }
 
-// poll waits at the store for a change after the version, or for the end of the call.
-func (p *propagation) poll(v *simulatedVM, after uint64, end time.Duration) {
+// conclude ends a step of the VM's reader that took a time.
+func (p *propagation) conclude(v *simulatedVM, result Result, took time.Duration) {
+	v.calling, v.nextCheck = false, p.now+v.pace.pauseAfter(result, took, p.rng.Float64())
+	if result != ResultFailed {
+		v.schedule.recordRead(p.now+storeClockLag, v.rank, len(p.vms)/simulatedZones, p.rng.Float64())
+	}
+	if result == ResultChanged {
+		p.after(announceDelay, func() { p.announce(v) })
+	}
+}
+
+// poll waits at the store for a change since a call that began at a time, or for the end
+// of the call.
+func (p *propagation) poll(v *simulatedVM, began time.Duration, call Call) {
+	after, end := call.known.Version, began+v.schedule.times.longPollWait
 	if p.now < v.turnedAwayUntil && v.silent {
-		p.after(end+callMargin-p.now, func() { v.calling, v.nextCheck = false, p.now+p.retryDelay() })
+		p.after(end+callMargin-p.now, func() { p.conclude(v, ResultFailed, p.now-began) })
 		return
 	}
 	if p.now < v.turnedAwayUntil {
-		v.calling, v.nextCheck = false, p.now+p.retryDelay()
+		p.conclude(v, ResultFailed, p.now-began)
 		return
 	}
-	if p.version == after && p.now < end {
-		p.after(simulationStep, func() { p.poll(v, after, end) })
+	if after > p.version {
+		p.after(callDelay, func() { p.readWhole(v, began) })
+		return
+	}
+	if p.row.Version <= after && p.now < end {
+		p.after(simulationStep, func() { p.poll(v, began, call) })
 		return
 	}
 	ch := p.changes(after)
 	p.after(callDelay, func() {
-		v.Apply(OperatorTable, ch)
-		v.schedule.recordRead(p.now+storeClockLag, v.rank, len(p.vms)/simulatedZones, p.rng.Float64())
-		v.calling = false
-		if len(ch.Rows) > 0 {
-			v.nextCheck = p.now + batchPause
-			p.after(announceDelay, func() { p.announce(v) })
+		result := v.Apply(OperatorTable, call, ch)
+		if result == ResultNewEra {
+			p.readWhole(v, began)
+			return
 		}
+		p.conclude(v, result, p.now-began)
 	})
 }
 
+// readWhole reads the whole table, in a step of the VM's reader that began at a time.
+func (p *propagation) readWhole(v *simulatedVM, began time.Duration) {
+	call := v.BeginCall(OperatorTable)
+	p.calls++
+	ch := p.wholeTable()
+	p.after(callDelay, func() { p.conclude(v, v.Apply(OperatorTable, call, ch), p.now-began) })
+}
+
 // announce sends the version of the VM's copy: a relay to its zone and to a relay of
 // the other zone, any other VM to the relays of its zone.
 func (p *propagation) announce(v *simulatedVM) {
@@ -155,9 +223,9 @@
 		if to == v || !(inZone && (relay || toRelay) || !inZone && relay && to.rank == v.rank) || p.rng.Float64() < lossRate {
 			continue
 		}
-		version, asOf := v.VersionAsOf(OperatorTable)
+		position, asOf := v.PositionAsOf(OperatorTable)
 		p.after(simulationStep, func() {
-			if to.RecordPeerVersion(OperatorTable, version, asOf) {
+			if to.RecordPeerPosition(OperatorTable, position, asOf) {
 				p.pull(to, v)
 			}
 		})
@@ -166,10 +234,10 @@
 
 // pull brings the rows of another VM's copy to the VM.
 func (p *propagation) pull(to, from *simulatedVM) {
-	version, _ := to.VersionAsOf(OperatorTable)
-	d := from.DeltaSince(OperatorTable, version)
+	position, _ := to.PositionAsOf(OperatorTable)
+	d := from.DeltaSince(OperatorTable, position)
 	p.after(pullDelay, func() {
-		if to.Merge(OperatorTable, d) && to.rank < relaysPerZone {
+		if changed, _ := to.Merge(OperatorTable, d); changed && to.rank < relaysPerZone {
 			p.after(announceDelay, func() { p.announce(to) })
 		}
 	})
@@ -236,10 +304,12 @@
 		}
 		v.seen = inForce
 		served := v.turnedAwayUntil == 0 || p.now > v.turnedAwayUntil+contactTime
-		if next, ok := p.writtenAt[inForce+1]; ok && served && p.now-next > maxChangeDelay {
-			t.Errorf("at %s VM %d (zone %d, rank %d) still has version %d, whose successor was written %s ago",
-				p.now, i, v.zone, v.rank, inForce, p.now-next)
-			return false
+		for newer, at := range p.writtenAt {
+			if served && newer > inForce && p.now-at > maxChangeDelay {
+				t.Errorf("at %s VM %d (zone %d, rank %d) still has version %d, and version %d was written %s ago",
+					p.now, i, v.zone, v.rank, inForce, newer, p.now-at)
+				return false
+			}
 		}
 	}
 	return true
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -7,6 +7,7 @@
 
 	"almondstile/boottime"
 	"almondstile/guard"
+	"almondstile/history"
 	"almondstile/logging"
 	"almondstile/wait"
 
@@ -117,38 +118,50 @@
 // changes since its version, it reads the whole table. It returns what came of the last
 // call, and its error if that failed.
 func (r *Reader) readOnce(ctx context.Context, t Table) (Result, error) {
-	if version, _ := r.Catalog.VersionAsOf(t); version > 0 {
-		result, err := r.waitForChanges(ctx, t, version)
-		if result != ResultHistoryLost {
+	if position, _ := r.Catalog.PositionAsOf(t); position.Version > 0 {
+		result, err := r.waitForChanges(ctx, t, position.Version)
+		if result != ResultHistoryLost && result != ResultNewEra {
 			return result, err
 		}
-		r.Log.WithField("table", t.String()).WithField("version", version).
-			Warn("The store no longer has the changes since this version; reading the whole table.")
+		r.logWholeRead(t, position, result)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
+	call := r.Catalog.BeginCall(t)
 	changes, err := r.Store.Read(ctx, t)
-	return r.conclude(t, CallTable, changes, err)
+	return r.conclude(t, CallTable, call, changes, err)
 }
 
 // waitForChanges waits for changes since a version, with a timeout, and applies them.
 func (r *Reader) waitForChanges(ctx context.Context, t Table, version uint64) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Times.longPollWait+callMargin)
 	defer cancel()
+	call := r.Catalog.BeginCall(t)
 	changes, err := r.Store.WaitForChanges(ctx, t, version, r.Times.longPollWait)
-	return r.conclude(t, CallChanges, changes, err)
+	return r.conclude(t, CallChanges, call, changes, err)
 }
 
 // conclude applies the answer to a call, or takes its error, and counts the result.
-func (r *Reader) conclude(t Table, kind CallKind, changes Changes, err error) (Result, error) {
+func (r *Reader) conclude(t Table, kind CallKind, call Call, changes Changes, err error) (Result, error) {
 	result := resultOf(err)
 	if err == nil {
-		result = r.Catalog.Apply(t, changes)
+		result = r.Catalog.Apply(t, call, changes)
 	}
 	r.Catalog.recordCall(t, kind, result)
 	return result, err
 }
 
+// logWholeRead logs why the whole table is read.
+func (r *Reader) logWholeRead(t Table, position history.Position, result Result) {
+	withheld, due := r.Catalog.wholeReads[t].due(time.Now())
+	if !due {
+		return
+	}
+	r.Log.WithField("table", t.String()).WithField("result", result).WithField("era", position.Era.String()).
+		WithField("version", position.Version).WithField("withheld", withheld).
+		Warn("The store no longer has the changes since this version; reading the whole table.")
+}
+
 // resultOf returns the result of a call that failed.
 func resultOf(err error) Result {
 	switch {
--- a/catalog/reader_test.go
+++ b/catalog/reader_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"almondstile/history"
+
 	"github.com/cockroachdb/errors"
 )
 
@@ -42,6 +44,12 @@
 
 func (o *callCounts) CopyAge(Table, time.Duration) {}
 
+func (o *callCounts) NewEra(Table, history.Era) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.counts["new_era"]++
+}
+
 func (o *callCounts) StoreCall(_ Table, kind CallKind, result Result) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -145,7 +153,7 @@
 // one without history and one that lags behind.
 func TestResultsOfCallsTellTheStoresFaultsApart(t *testing.T) {
 	for name, want := range map[string]string{
-		"went back to an older copy": "table." + string(ResultContradictory),
+		"went back to an older copy": "new_era",
 		"keeps no history":           "table." + string(ResultUnchanged),
 		"lags behind":                "table." + string(ResultOlder),
 		"is overloaded":              "changes." + string(ResultOverloaded),
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -1,8 +1,11 @@
 package catalog
 
 import (
+	"bytes"
 	"sync"
 	"time"
+
+	"almondstile/history"
 )
 
 // Table identifies one of the store's tables that VMs copy.
@@ -37,8 +40,17 @@
 	Version uint64
 	// Removed is set if the row was removed. Value is not used then.
 	Removed bool
+	// era is the era of the store's history in which a copy took the row over.
+	era history.Era
 }
 
+// position identifies what the row holds: a row that the store lost and one that has been
+// written since may have the same version.
+func (r Row) position() history.Position { return history.Position{Era: r.era, Version: r.Version} }
+
+// sameWrite reports whether two rows with the same key are what one write left.
+func (r Row) sameWrite(o Row) bool { return r.Version == o.Version && bytes.Equal(r.Value, o.Value) }
+
 // Changes are the rows that the store returns: those that changed after a version
 // that the caller gave, or the whole table.
 type Changes struct {
@@ -53,14 +65,25 @@
 	AsOf time.Duration
 }
 
+// Call is a call to the store that is in progress.
+type Call struct {
+	// known is the position of the copy at the start. The store's answers are linearizable,
+	// so an answer from the same era has no lower version.
+	known history.Position
+	// start is the local time of the start.
+	start time.Duration
+}
+
 // Delta is what a VM sends to another VM whose copy of a table is older.
 type Delta struct {
-	// Rows are the rows that changed after the other VM's version.
-	Rows []Row
+	// FullTable says that Rows is the whole table. Otherwise Rows are the rows that changed
+	// after the other VM's version, whose copy is of the same era.
+	FullTable bool
+	Rows      []Row
 	// Keys are the keys of all rows of the table. The receiver removes all other rows.
 	Keys []string
-	// Version is the version of the sender's copy.
-	Version uint64
+	// Position is that of the sender's copy.
+	Position history.Position
 	// AsOf is the time of the store's clock as of which the sender's copy is current.
 	AsOf time.Duration
 }
@@ -71,30 +94,42 @@
 	outageThreshold = 2500 * time.Millisecond
 	// removalGrace is how long after an outage removed registrations stay in use.
 	// Registrations expire while the store is unavailable. Servers that still run
-	// write them again within 2 s.
+	// write them again within 2 s. After the store went back it applies to the rows that
+	// the older copy lacks, which their writers write again.
 	removalGrace = 2200 * time.Millisecond
+	// maxContradiction is how long all answers may have lower versions at earlier times
+	// than the copy until it counts as outdated: the store's clock went back too.
+	maxContradiction = 3 * time.Second
 )
 
-// tableCopy is one VM's copy of a table. Its methods lock mu, except advanceAsOf,
-// put, remove and removeMissing, whose callers hold it.
+// tableCopy is one VM's copy of a table. Its methods lock mu, except those
+// whose comments say that the caller holds it.
 type tableCopy struct {
 	mu sync.Mutex
 	// rowsExpire says that the store removes rows whose writers cannot reach it, as
 	// it does with registrations of servers.
 	rowsExpire bool
 	rows       map[string]Row
-	version    uint64
+	position   history.Position
 	// asOf is the time of the store's clock as of which the copy is current.
 	asOf time.Duration
 	// asOfBefore is asOf before its last advance.
 	asOfBefore time.Duration
 	loaded     bool
+	// laterEra is the latest era that an answer about another table has shown, and
+	// laterEraAt the local time of that. If it is later than the copy's, the whole table
+	// must be read.
+	laterEra   history.Era
+	laterEraAt time.Duration
+	// olderSince is the local time since which all answers were older than the copy, 0 if
+	// the last one was not.
+	olderSince time.Duration
 	// outageEndedAt is the time of the store's clock at which the last outage that
 	// this VM detected had ended. It is valid if hadOutage is set.
 	outageEndedAt time.Duration
 	hadOutage     bool
 	// retained holds rows that were removed within removalGrace of the end of an
-	// outage. They stay in use for a limited time.
+	// outage, or that the store lost. They stay in use for a limited time.
 	retained map[string]retainedRow
 }
 
@@ -104,61 +139,183 @@
 	until time.Duration
 }
 
-// apply applies changes that the store returned for this version of the copy or an
-// older one. Changes that are older than the copy are ignored. It returns ResultOlder,
-// ResultContradictory, ResultChanged or ResultUnchanged.
-func (c *tableCopy) apply(ch Changes) Result {
+// beginCall returns a call that starts at a local time.
+func (c *tableCopy) beginCall(now time.Duration) Call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.loaded && ch.Version < c.version {
-		if ch.AsOf > c.asOf {
-			return ResultContradictory
-		}
-		return ResultOlder
+	return Call{known: c.position, start: now}
+}
+
+// apply applies the store's answer to a call: changes for this version of the copy or an
+// older one, or the whole table. Answers that are older than the copy are ignored. An
+// answer from a later era replaces the copy if it is the whole table; otherwise the result
+// is ResultNewEra. now is the local time.
+func (c *tableCopy) apply(now time.Duration, call Call, ch Changes) Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	era, result := c.eraOf(now, call, ch)
+	if result != "" {
+		return result
+	}
+	changed := true
+	switch {
+	case c.loaded && era != c.position.Era && !ch.FullTable:
+		return ResultNewEra
+	case c.loaded && era != c.position.Era:
+		c.replace(ch.Rows, era, ch.AsOf)
+	default:
+		changed = c.update(ch, era)
 	}
+	c.olderSince = 0
+	c.position, c.loaded = history.Position{Era: era, Version: ch.Version}, true
+	if changed {
+		return ResultChanged
+	}
+	return ResultUnchanged
+}
+
+// eraOf returns the era of an answer, or the result if the answer is not to be used. The
+// caller holds mu.
+func (c *tableCopy) eraOf(now time.Duration, call Call, ch Changes) (history.Era, Result) {
+	own := c.position.Era
+	switch {
+	case ch.Era == c.laterEra.Stated && c.laterEra.Compare(own) > 0 && call.start >= c.laterEraAt:
+		return c.laterEra, ""
+	case !c.loaded || ch.Era > own.Stated:
+		return history.Era{Stated: ch.Era}, ""
+	case ch.Era < own.Stated || call.known.Era != own || c.laterEra.Compare(own) > 0:
+		return own, ResultOlder // it was sent before the latest era began, as far as can be known
+	case ch.Version >= c.position.Version:
+		return own, ""
+	case ch.Version >= call.known.Version:
+		return own, ResultOvertaken
+	case ch.AsOf > c.asOf || c.olderSince > 0 && now-c.olderSince >= maxContradiction:
+		return own.Next(), ""
+	case c.olderSince == 0:
+		c.olderSince = now
+	}
+	return own, ResultOlder
+}
+
+// update applies an answer from the copy's era and reports whether any row changed. The
+// caller holds mu.
+func (c *tableCopy) update(ch Changes, era history.Era) (changed bool) {
 	c.advanceAsOf(ch.AsOf)
-	changed := !c.loaded
+	changed = !c.loaded
 	if ch.FullTable {
-		keys := make(map[string]bool, len(ch.Rows))
-		for _, row := range ch.Rows {
-			keys[row.Key] = true
-		}
-		changed = c.removeMissing(keys) || changed
+		changed = c.removeMissing(keysOf(ch.Rows)) || changed
 	}
 	for _, row := range ch.Rows {
+		row.era = era
 		changed = c.put(row) || changed
 	}
-	c.version, c.loaded = ch.Version, true
-	if changed {
-		return ResultChanged
+	return changed
+}
+
+// replace replaces the copy by the table of a later era. Rows that the table lacks are
+// retained for removalGrace. The caller holds mu.
+func (c *tableCopy) replace(rows []Row, era history.Era, asOf time.Duration) {
+	c.asOf, c.asOfBefore = asOf, asOf
+	c.outageEndedAt, c.hadOutage = asOf, true
+	c.olderSince = 0
+	old := c.rows
+	c.rows = make(map[string]Row, len(rows))
+	if c.retained == nil {
+		c.retained = make(map[string]retainedRow)
+	}
+	for _, row := range rows {
+		row.era = era
+		if before, ok := old[row.Key]; ok && before.sameWrite(row) {
+			row = before
+		}
+		c.rows[row.Key] = row
+		delete(c.retained, row.Key)
+	}
+	for key, row := range old {
+		if _, ok := c.rows[key]; !ok {
+			c.retained[key] = retainedRow{row: row, until: asOf + removalGrace}
+		}
 	}
-	return ResultUnchanged
 }
 
 // merge applies a delta from another VM. A delta that is older than the copy is
-// ignored. It reports whether any row changed.
-func (c *tableCopy) merge(d Delta) bool {
+// ignored, as is one from a later era that is not the whole table. It reports whether any
+// row changed and whether a new era began.
+func (c *tableCopy) merge(d Delta) (changed, newEra bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.loaded && d.Version < c.version {
-		return false
+	if c.loaded && (d.Position.Before(c.position) || d.Position.Era == c.position.Era && c.laterEra.Compare(c.position.Era) > 0) {
+		return false, false
+	}
+	if c.loaded && d.Position.Era != c.position.Era {
+		if !d.FullTable {
+			return false, false
+		}
+		c.replace(d.Rows, d.Position.Era, d.AsOf)
+		c.position = d.Position
+		return true, true
 	}
 	c.advanceAsOf(d.AsOf)
-	changed := !c.loaded
+	changed = !c.loaded
 	keys := make(map[string]bool, len(d.Keys))
 	for _, key := range d.Keys {
 		keys[key] = true
 	}
 	changed = c.removeMissing(keys) || changed
 	for _, row := range d.Rows {
+		row.era = d.Position.Era
 		changed = c.put(row) || changed
 	}
-	c.version, c.loaded = d.Version, true
-	return changed
+	c.position, c.loaded = d.Position, true
+	return changed, false
+}
+
+// keysOf returns the set of the rows' keys.
+func keysOf(rows []Row) map[string]bool {
+	keys := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		keys[row.Key] = true
+	}
+	return keys
 }
 
-// advanceAsOf records that the copy is current as of a time of the store's clock.
-// An advance of more than outageThreshold is recorded as the end of an outage.
+// recordPeer records that another VM's copy has the given position and was current at
+// asOf. It reports whether this copy is older, or missing.
+func (c *tableCopy) recordPeer(peer history.Position, asOf time.Duration) (behind bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded || c.position.Before(peer) {
+		return peer.Version > 0
+	}
+	if peer == c.position && c.laterEra.Compare(c.position.Era) <= 0 {
+		c.advanceAsOf(asOf)
+	}
+	return false
+}
+
+// recordLaterEra records that an answer about another table has shown a later era at a
+// local time.
+func (c *tableCopy) recordLaterEra(now time.Duration, era history.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era.Compare(c.laterEra) > 0 {
+		c.laterEra, c.laterEraAt = era, now
+	}
+}
+
+// positionAsOf returns the position of the copy and the time of the store's clock as of
+// which it is current. Both are 0 before the table is loaded.
+func (c *tableCopy) positionAsOf() (history.Position, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded {
+		return history.Position{}, 0
+	}
+	return c.position, c.asOf
+}
+
+// advanceAsOf records that the copy is current as of a time of the store's clock. The
+// caller holds mu. An advance of more than outageThreshold is recorded as the end of an outage.
 func (c *tableCopy) advanceAsOf(asOf time.Duration) {
 	if asOf <= c.asOf {
 		return
@@ -181,7 +338,8 @@
 	return c.asOf
 }
 
-// put stores or removes a row and reports whether that changed the copy.
+// put stores or removes a row and reports whether that changed the copy. The caller holds
+// mu.
 func (c *tableCopy) put(row Row) bool {
 	if row.Removed {
 		return c.remove(row.Key)
@@ -215,7 +373,7 @@
 }
 
 // removeMissing removes all rows whose keys are not in the set and reports whether
-// there were any.
+// there were any. The caller holds mu.
 func (c *tableCopy) removeMissing(keys map[string]bool) bool {
 	changed := false
 	for key := range c.rows {
@@ -241,15 +399,15 @@
 	return deleted
 }
 
-// deltaSince returns the rows that changed after a version and the keys of all
-// rows. Retained rows are not part of it.
-func (c *tableCopy) deltaSince(after uint64) Delta {
+// deltaSince returns the rows that changed after a position and the keys of all rows, or
+// all rows if the position is of another era. Retained rows are not part of it.
+func (c *tableCopy) deltaSince(after history.Position) Delta {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := Delta{Version: c.version, AsOf: c.asOf}
+	d := Delta{Position: c.position, AsOf: c.asOf, FullTable: after.Era != c.position.Era || after.Version == 0}
 	for key, row := range c.rows {
 		d.Keys = append(d.Keys, key)
-		if row.Version > after {
+		if d.FullTable || row.Version > after.Version {
 			d.Rows = append(d.Rows, row)
 		}
 	}
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -8,6 +8,7 @@
 	"almondstile/boottime"
 	"almondstile/catalog"
 	"almondstile/fleet"
+	"almondstile/history"
 	"almondstile/logging"
 	"almondstile/rollout"
 	"almondstile/tally"
@@ -44,7 +45,7 @@
 // Guards against a response to a pull that makes the VM panic.
 func FuzzPullResponse(f *testing.F) {
 	m, _ := fullMessage()
-	b, err := encode(pullResponse{StoreMillis: 1, Tables: []catalog.Delta{{Version: 3, Keys: []string{"a"}, Rows: []catalog.Row{{Key: "a", Version: 3}}}}, Members: m.Members,
+	b, err := encode(pullResponse{StoreMillis: 1, Tables: []catalog.Delta{{Position: history.Position{Version: 3}, Keys: []string{"a"}, Rows: []catalog.Row{{Key: "a", Version: 3}}}}, Members: m.Members,
 		Attempts: attemptWindows{CompleteForMillis: 5000, Services: []serviceWindow{{Subject: []byte("v12345678"), Slots: []slotCounts{{Age: 1, First: 2}}}}}})
 	if err != nil {
 		f.Fatal(err)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -5,6 +5,7 @@
 
 	"almondstile/catalog"
 	"almondstile/fleet"
+	"almondstile/history"
 	"almondstile/vm"
 	"almondstile/zone"
 
@@ -23,14 +24,25 @@
 // ErrMalformed marks the errors of messages that cannot be decoded.
 var ErrMalformed = errors.New("gossip: malformed message")
 
-// tableVersion is the version and as-of time of the sender's copy of a table.
+// tableVersion is the position and as-of time of the sender's copy of a table.
 type tableVersion struct {
-	_       struct{} `cbor:",toarray"`
-	Version uint64
+	_ struct{} `cbor:",toarray"`
+	// StatedEra and FoundEra are the copy's era of the store's history, and Version its
+	// version in it.
+	StatedEra, FoundEra uint64
+	Version             uint64
 	// AsOfMillis is the store's time, in milliseconds, at which the copy was current.
 	AsOfMillis int64
 }
 
+func (v tableVersion) position() history.Position {
+	return history.Position{Era: history.Era{Stated: v.StatedEra, Found: v.FoundEra}, Version: v.Version}
+}
+
+func toTableVersion(p history.Position, asOf time.Duration) tableVersion {
+	return tableVersion{StatedEra: p.Era.Stated, FoundEra: p.Era.Found, Version: p.Version, AsOfMillis: toMillis(asOf)}
+}
+
 // member describes a VM: the sender, or a VM that the sender introduces.
 type member struct {
 	_           struct{} `cbor:",toarray"`
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
 	"almondstile/boottime"
 	"almondstile/catalog"
+	"almondstile/history"
 	"almondstile/httpconn"
 
 	"github.com/cockroachdb/errors"
@@ -40,7 +42,7 @@
 		if t == catalog.RolloutTable && !ctx.QueryArgs().Has(t.String()) {
 			continue // the other VM's settings have no roll-outs, or not yet
 		}
-		after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek(t.String())), 10, 64)
+		after, err := positionArgument(ctx.QueryArgs(), t)
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusBadRequest)
 			return
@@ -62,19 +64,50 @@
 	ctx.SetBody(b)
 }
 
+// Suffixes of the arguments that hold the era of a copy. Without them it is the first era.
+const (
+	statedEraSuffix = "-stated-era"
+	foundEraSuffix  = "-found-era"
+)
+
+// positionArguments returns the arguments of a pull that hold the position of a copy.
+func positionArguments(t catalog.Table, p history.Position) string {
+	arguments := fmt.Sprintf("%s=%d&", t, p.Version)
+	if p.Era != (history.Era{}) {
+		arguments += fmt.Sprintf("%s%s=%d&%s%s=%d&", t, statedEraSuffix, p.Era.Stated, t, foundEraSuffix, p.Era.Found)
+	}
+	return arguments
+}
+
+// positionArgument returns the position of a copy from the arguments of a pull.
+func positionArgument(arguments *fasthttp.Args, t catalog.Table) (p history.Position, err error) {
+	for name, value := range map[string]*uint64{
+		t.String(): &p.Version, t.String() + statedEraSuffix: &p.Era.Stated, t.String() + foundEraSuffix: &p.Era.Found,
+	} {
+		if name != t.String() && !arguments.Has(name) {
+			continue
+		}
+		if *value, err = strconv.ParseUint(string(arguments.Peek(name)), 10, 64); err != nil {
+			return history.Position{}, errors.Wrapf(err, "the argument %s of a pull", name)
+		}
+	}
+	return p, nil
+}
+
 // pull fetches the rows of another VM's table copies that are newer than this VM's, the
 // VMs that it knows and, if withAttempts is set, the attempts of the last window, and
 // merges them.
 func (n *Node) pull(ctx context.Context, address string, withAttempts bool) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	started := boottime.Now()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	uri := copiesPath + "?"
 	for _, t := range n.deps.Catalog.Tables() {
-		version, _ := n.deps.Catalog.VersionAsOf(t)
-		uri += t.String() + "=" + strconv.FormatUint(version, 10) + "&"
+		position, _ := n.deps.Catalog.PositionAsOf(t)
+		uri += positionArguments(t, position)
 	}
 	if withAttempts {
 		uri += attemptsArgument + "=true&"
@@ -100,12 +133,16 @@
 	if withAttempts {
 		n.deps.Attempts.Adopt(time.Now(), response.Attempts.windows())
 	}
-	changed, tables := false, n.deps.Catalog.Tables()
+	changed, newEra, tables := false, false, n.deps.Catalog.Tables()
 	for i, d := range response.Tables {
-		if i < len(tables) && d.Version > 0 {
-			changed = n.deps.Catalog.Merge(tables[i], d) || changed
+		if i < len(tables) && d.Position.Version > 0 {
+			tableChanged, tableNewEra := n.deps.Catalog.Merge(tables[i], d)
+			changed, newEra = changed || tableChanged, newEra || tableNewEra
 		}
 	}
+	if newEra && response.StoreMillis > 0 {
+		n.deps.Catalog.StoreClock.Restart(started, fromMillis(response.StoreMillis), response.StoreHops+1)
+	}
 	if changed {
 		select {
 		case n.pulled <- struct{}{}:
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -115,14 +115,18 @@
 // From a VM that has run for longer it also pulls what this VM does not know because it
 // has just started.
 func (n *Node) pullIfNewer(ctx context.Context, wg *conc.WaitGroup, sender vm.VM, m message, bootTime time.Duration) {
-	if m.StoreMillis > 0 {
-		n.deps.Catalog.StoreClock.ObservePeer(bootTime, fromMillis(m.StoreMillis), m.StoreHops)
-	}
-	behind, tables := false, n.deps.Catalog.Tables()
+	behind, eraBefore, tables := false, false, n.deps.Catalog.Tables()
 	for i, peer := range m.Tables {
-		if i < len(tables) && n.deps.Catalog.RecordPeerVersion(tables[i], peer.Version, fromMillis(peer.AsOfMillis)) {
-			behind = true
+		if i >= len(tables) {
+			break
 		}
+		own, _ := n.deps.Catalog.PositionAsOf(tables[i])
+		eraBefore = eraBefore || peer.position().Era.Compare(own.Era) < 0
+		behind = n.deps.Catalog.RecordPeerPosition(tables[i], peer.position(), fromMillis(peer.AsOfMillis)) || behind
+	}
+	// The store's clock of an earlier era may not be that of this one.
+	if m.StoreMillis > 0 && !eraBefore {
+		n.deps.Catalog.StoreClock.ObservePeer(bootTime, fromMillis(m.StoreMillis), m.StoreHops)
 	}
 	justStarted := n.deps.Attempts.NeedsWindowsOf(time.Now(), fromMillis(m.UptimeMillis))
 	if !behind && !justStarted {
--- a/gossip/rollouts_test.go
+++ b/gossip/rollouts_test.go
@@ -22,7 +22,7 @@
 	n := listenNode(t, now, fleet.NewRoster(now, vm.VM{ID: id, Zone: "zone-a", Incarnation: "1", ControlAddress: "127.0.0.1:0"}))
 	n.deps.Catalog.Rollouts = rollouts
 	for _, table := range n.deps.Catalog.Tables() {
-		n.deps.Catalog.Apply(table, catalog.Changes{FullTable: true, Version: 5, AsOf: boottime.Now()})
+		n.deps.Catalog.Apply(table, n.deps.Catalog.BeginCall(table), catalog.Changes{FullTable: true, Version: 5, AsOf: boottime.Now()})
 	}
 	return n
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -164,8 +164,7 @@
 		m.StoreMillis, m.StoreHops = toMillis(storeTime), n.deps.Catalog.StoreClock.Hops(boottime.Now())
 	}
 	for _, t := range n.deps.Catalog.Tables() {
-		version, asOf := n.deps.Catalog.VersionAsOf(t)
-		m.Tables = append(m.Tables, tableVersion{Version: version, AsOfMillis: toMillis(asOf)})
+		m.Tables = append(m.Tables, toTableVersion(n.deps.Catalog.PositionAsOf(t)))
 	}
 	if m.Relay {
 		count, silent := roster.CountMembers(now)
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -13,6 +13,7 @@
 	"almondstile/fleet"
 	"almondstile/gossip"
 	"almondstile/guard"
+	"almondstile/history"
 	"almondstile/httpconn"
 	"almondstile/logging"
 	"almondstile/memory"
@@ -165,6 +166,13 @@
 	o.metrics.StoreCall(t.String(), string(kind), string(result))
 }
 
+// NewEra implements catalog.Observer.
+func (o catalogObserver) NewEra(t catalog.Table, era history.Era) {
+	o.metrics.Count("store_new_era." + t.String())
+	o.metrics.Gauge("store."+t.String()+".stated_era", int64(era.Stated))
+	o.metrics.Gauge("store."+t.String()+".found_era", int64(era.Found))
+}
+
 // notifyUrgent lets the gossip node send its counters at once. It does not block.
 func (v *Process) notifyUrgent() {
 	select {
--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -136,9 +136,9 @@
 	if !known {
 		return // nothing was read yet
 	}
-	ordersVersion, _ := k.catalog.VersionAsOf(catalog.OperatorTable)
+	orders, _ := k.catalog.PositionAsOf(catalog.OperatorTable)
 	k.rollouts.Sync(now, replica.Copies{
-		StoreNow: storeNow, StatesKnown: k.catalog.Loaded(catalog.RolloutTable), OrdersVersion: ordersVersion,
+		StoreNow: storeNow, StatesKnown: k.catalog.Loaded(catalog.RolloutTable), OrdersVersion: orders.Version,
 		Services: serviceStates(view),
 	})
 	k.synced, k.syncedAt = view, now
