callrate, platform: a VM keeps to its share of the calls to the store

Nothing related the calls of one VM to it: each caller had its own pause, 429 was a failure like any other, and a pause that some other caller forgets is a storm again. A call that would wait beyond its deadline is not made (ErrNotSent).

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondstile/boottime"
+	"almondstile/callrate"
 	"almondstile/catalog"
 	"almondstile/contract"
 	"almondstile/direct"
@@ -27,10 +28,21 @@
 	"github.com/cockroachdb/errors"
 )
 
+// CallLimiter decides when calls to the store may be made.
+type CallLimiter interface {
+	// Wait blocks until a call of the kind may be made. It returns an error if it may not be
+	// made before the context ends.
+	Wait(ctx context.Context, kind callrate.Kind) error
+	// RecordOverload records that the store rejected a call because of the rate of calls.
+	RecordOverload(kind callrate.Kind)
+}
+
 // Store is the part of the platform's store that a VM uses.
 type Store interface {
 	catalog.Store
 	RolloutStore
+	// LimitCalls makes all calls wait for the limiter.
+	LimitCalls(limiter CallLimiter)
 	// VMs returns the VMs that are announced in the store.
 	VMs(ctx context.Context) ([]vm.VM, error)
 	// Announce adds a VM to those that VMs returns. Announcing a VM again has no
@@ -123,6 +135,7 @@
 		catalog: catalog.New(p.Decoder, boottime.Now, log.Part("catalog")),
 		roster:  fleet.NewRoster(now, s.Self),
 	}
+	v.store.LimitCalls(callrate.NewShare(s.StoreLimits, v.roster.Size, boottime.Now))
 	v.budget = v.newBudget()
 	v.upstream = upstream.NewClientWithProtocol(p.ServerProtocol, serverConnectionOptions(s, v.budget))
 	v.guard = guard.New(log.Part("guard"), v.metrics)
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"almondstile/callrate"
 	"almondstile/catalog"
 	"almondstile/descriptors"
 	"almondstile/httpconn"
@@ -22,6 +23,8 @@
 	ReadyAddress   string
 	MetricsAddress string
 	StoreAddress   string
+	// StoreLimits are the calls that the store grants all VMs together.
+	StoreLimits callrate.Limits
 	// ShutdownTimeout is the time from the signal to stop until the process is killed.
 	ShutdownTimeout time.Duration
 	// MaxKeyWithdrawalTime is the time within which all VMs must reject a withdrawn
@@ -94,7 +97,7 @@
 	if next.CallersAddress != old.CallersAddress || next.ReadyAddress != old.ReadyAddress ||
 		next.StoreAddress != old.StoreAddress || next.Self.ControlAddress != old.Self.ControlAddress ||
 		next.Self.Zone != old.Self.Zone || next.RetryBudget != old.RetryBudget || next.MaxKeyWithdrawalTime != old.MaxKeyWithdrawalTime ||
-		next.Rollout != old.Rollout {
+		next.Rollout != old.Rollout || next.StoreLimits != old.StoreLimits {
 		log.Warn("Settings that need a restart have changed; the old ones stay in force.")
 	}
 	v.node.SetSeeds(next.Seeds)
