gossip: pulls that do not bring what was announced are followed by a pause

A VM pulls from each VM whose message announces a newer copy, as often as messages come, whether or not the pull brings that copy. Now a pull that does not bring what was announced is followed by a delay for that VM, which grows to 1.6 s; pulls from others go on.

TestPullsThatBringNothingAreFollowedByAPause failed with 500 pulls in 1 s, one for each message; bound 12, the regular messages of the other VM.

--- a/gossip/node.go
+++ b/gossip/node.go
@@ -94,6 +94,7 @@
 	listener  net.Listener
 	pool      *httpconn.Pool
 	pullSlots chan struct{}
+	pullPace  pullPace
 	// pulled holds a value if a pull brought rows that changed a table's copy.
 	pulled chan struct{}
 	// Only the goroutine that runs send uses the fields from here to lastRemoteSend.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -110,26 +110,18 @@
 	}
 }
 
-// pullIfNewer records the store time and the table versions of a message, and pulls
+// pullIfNewer records the store time and the table positions of a message, and pulls
 // the sender's table copies in the background if one of them is newer than this VM's.
 // From a VM that has run for longer it also pulls what this VM does not know because it
 // has just started.
 func (n *Node) pullIfNewer(ctx context.Context, wg *conc.WaitGroup, sender vm.VM, m message, bootTime time.Duration) {
-	behind, eraBefore, tables := false, false, n.deps.Catalog.Tables()
-	for i, peer := range m.Tables {
-		if i >= len(tables) {
-			break
-		}
-		own, _ := n.deps.Catalog.PositionAsOf(tables[i])
-		eraBefore = eraBefore || peer.position().Era.Compare(own.Era) < 0
-		behind = n.deps.Catalog.RecordPeerPosition(tables[i], peer.position(), fromMillis(peer.AsOfMillis)) || behind
-	}
-	// The store's clock of an earlier era may not be that of this one.
-	if m.StoreMillis > 0 && !eraBefore {
+	if m.StoreMillis > 0 && !n.ofEarlierEra(m) {
 		n.deps.Catalog.StoreClock.ObservePeer(bootTime, fromMillis(m.StoreMillis), m.StoreHops)
 	}
-	justStarted := n.deps.Attempts.NeedsWindowsOf(time.Now(), fromMillis(m.UptimeMillis))
-	if !behind && !justStarted {
+	uptime := fromMillis(m.UptimeMillis)
+	behind := n.isBehind(m)
+	justStarted := n.deps.Attempts.NeedsWindowsOf(time.Now(), uptime)
+	if !behind && !justStarted || !n.pullPace.allows(time.Now(), sender.ID) {
 		return
 	}
 	select {
@@ -144,5 +136,29 @@
 				n.deps.Log.WithError(err).WithField("vm", sender.ID).Warn("Pulling newer table copies from a VM failed.")
 			}
 		})
+		fruitful := !n.isBehind(m) && !(justStarted && n.deps.Attempts.NeedsWindowsOf(time.Now(), uptime))
+		n.pullPace.record(time.Now(), sender.ID, fruitful)
 	})
 }
+
+// ofEarlierEra reports whether the sender of a message has a copy from an earlier era of the
+// store's history. The store's clock may have changed since then.
+func (n *Node) ofEarlierEra(m message) bool {
+	tables := n.deps.Catalog.Tables()
+	for i, peer := range m.Tables[:min(len(m.Tables), len(tables))] {
+		if own, _ := n.deps.Catalog.PositionAsOf(tables[i]); peer.position().Era.Compare(own.Era) < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isBehind records the positions of the sender's table copies and reports whether one of
+// them is newer than this VM's.
+func (n *Node) isBehind(m message) (behind bool) {
+	tables := n.deps.Catalog.Tables()
+	for i, peer := range m.Tables[:min(len(m.Tables), len(tables))] {
+		behind = n.deps.Catalog.RecordPeerPosition(tables[i], peer.position(), fromMillis(peer.AsOfMillis)) || behind
+	}
+	return behind
+}
