hosted: VMs announce themselves again after the store went back

A VM writes its row once, at its start. Now a VM reads the list again in each new era of the store's history, spread over 2 s because all VMs learn of it at once, and writes its row if it is missing. The announcement has a file of its own; run.go keeps the rest.

TestVMsAreAnnouncedAgainAfterTheStoreWentBack failed after 30 s and passes.

--- a/hosted/run.go
+++ b/hosted/run.go
@@ -28,10 +28,6 @@
 	// canceled requests in the last sixth only.
 	stopMarginShare = 0.125
 	maxStopMargin   = 500 * time.Millisecond
-	// announceTimeout bounds one attempt to announce this VM or to read the list of
-	// VMs. announceRetryInterval is the pause before the next one.
-	announceTimeout       = 1 * time.Second
-	announceRetryInterval = 700 * time.Millisecond
 	// vmListTimeout bounds how long a VM waits for the store's list of VMs before it
 	// starts to read the tables.
 	vmListTimeout = 1 * time.Second
@@ -65,7 +61,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { v.node.Run(background) })
 	vmsKnown := make(chan struct{})
-	wg.Go(func() { v.announce(background, vmsKnown) })
+	wg.Go(func() { v.keepAnnounced(background, vmsKnown) })
 	for _, t := range v.catalog.Tables() {
 		reader := catalog.Reader{Catalog: v.catalog, Store: v.store, Role: v, Times: catalog.NewReadTimes(v.settings.MaxChangeDelay),
 			Guard: v.guard, Log: v.log.Part("store")}
@@ -149,57 +145,6 @@
 	}
 }
 
-// announce announces this VM in the store and reads the other VMs from it, and tries
-// again until both have succeeded. It closes vmsKnown when the other VMs are read.
-func (v *Process) announce(ctx context.Context, vmsKnown chan<- struct{}) {
-	vmsRead, announced := false, false
-	for ctx.Err() == nil && !(vmsRead && announced) {
-		if !vmsRead {
-			v.guard.Task("announce", func() { vmsRead = v.loadVMs(ctx, &announced) })
-			if vmsRead {
-				close(vmsKnown)
-			}
-		}
-		if !announced {
-			v.guard.Task("announce", func() { announced = v.announceOnce(ctx) })
-		}
-		if !(vmsRead && announced) {
-			wait.For(ctx, announceRetryInterval)
-		}
-	}
-}
-
-// loadVMs adds the VMs of the store to the roster and reports whether it could read
-// them. It sets *announced if this VM is among them with its current address.
-func (v *Process) loadVMs(ctx context.Context, announced *bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	vms, err := v.store.VMs(ctx)
-	if err != nil {
-		v.log.Part("vm").WithError(err).Warn("The other VMs cannot be read from the store.")
-		return false
-	}
-	for _, other := range vms {
-		if other.ID == v.settings.Self.ID && other.ControlAddress == v.settings.Self.ControlAddress {
-			*announced = true
-		}
-		v.roster.Learn(time.Now(), other)
-	}
-	return true
-}
-
-// announceOnce makes one attempt to announce this VM and reports whether it
-// succeeded.
-func (v *Process) announceOnce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	if err := v.store.Announce(ctx, v.settings.Self); err != nil {
-		v.log.Part("vm").WithError(err).Warn("This VM cannot be announced in the store.")
-		return false
-	}
-	return true
-}
-
 // sweep regularly deletes expired registrations, idle connections and expired state,
 // and applies the rate limits of a new configuration. It returns when ctx ends.
 func (v *Process) sweep(ctx context.Context) {
