catalog: a server that leaves stays so after the store went back

A copy of the store may be older than a server's statement that it leaves, or than the removal of its registration. A draining server's incarnation now stays draining in later eras. One whose registration had been removed is not used for 5 s after its row came back, unless it is written again: a row without a writer lapses by then.

Without the check TestDrainingServerStaysSoAfterTheStoreWentBack failed at its first two statements and TestServerThatLeftStaysSoAfterTheStoreWentBack in both cases.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -133,6 +133,8 @@
 	seenRows map[string]history.Position
 	// configurationRow is the position of the row that held the configuration decoded last.
 	configurationRow history.Position
+	// departures holds the servers that leave or have left lately, by row key.
+	departures map[string]departure
 	// orders holds the orders of roll-outs by row version, with the time of the store's
 	// clock at which each was written.
 	orders map[uint64]time.Duration
@@ -145,6 +147,7 @@
 		decoder: decoder, log: log, clock: clock, fromStore: make(chan struct{}, 1),
 		registrations: make(map[string]*Registration),
 		seenRows:      make(map[string]history.Position),
+		departures:    make(map[string]departure),
 		orders:        make(map[uint64]time.Duration),
 	}
 	c.tables[ServerTable].rowsExpire = true
@@ -300,11 +303,11 @@
 	if !known {
 		return
 	}
-	deleted := false
+	rebuild := c.endDistrust()
 	for _, t := range c.Tables() {
-		deleted = c.tables[t].deleteExpired(store) || deleted
+		rebuild = c.tables[t].deleteExpired(store) || rebuild
 	}
-	if deleted {
+	if rebuild {
 		c.rebuildView(FromExpiry)
 	}
 }
@@ -359,6 +362,9 @@
 	}
 	for key := range c.registrations {
 		if !present[key] {
+			if r := c.registrations[key]; r != nil {
+				c.recordDeparture(key, r)
+			}
 			delete(c.registrations, key)
 			delete(c.seenRows, key)
 			delete(c.seenRows, ServerTable.String()+key)
@@ -415,6 +421,7 @@
 	}
 	r.row = row.position()
 	r.ColdUntil = c.clock() + r.ColdFor
+	c.recordRegistration(row.Key, &r)
 	c.registrations[row.Key] = &r
 	if first {
 		return &r
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -17,7 +17,8 @@
 
 // testDecoder decodes a zone that is out from the row with key "out", and a
 // configuration in JSON from any other row of OperatorTable. In ServerTable a row
-// with the value "ok" is a valid registration and any other row is invalid.
+// with the value "ok" is a valid registration, "draining" one that drains, "restarted" one
+// of the server's next incarnation, and any other row is invalid.
 type testDecoder struct{}
 
 func (testDecoder) DecodeOperator(r Row) (OperatorRow, error) {
@@ -37,10 +38,17 @@
 }
 
 func (testDecoder) DecodeServer(r Row) (Registration, error) {
-	if string(r.Value) != "ok" {
+	registration := Registration{Service: "s", Server: contract.Server{ID: contract.ServerID(r.Key)}}
+	switch string(r.Value) {
+	case "ok":
+	case "draining":
+		registration.Draining = true
+	case "restarted":
+		registration.StartedAt = 1
+	default:
 		return Registration{}, ErrInvalidRow
 	}
-	return Registration{Service: "s", Server: contract.Server{ID: contract.ServerID(r.Key)}}, nil
+	return registration, nil
 }
 
 // testCatalog is a Catalog whose local clock is set by the test. The store's clock
