catalog: rows, eras and the view have files of their own

Moved without a change: what passes between a copy and its sources (rows.go), how a copy follows eras (eras.go), and the decoded view (view.go).

--- a/catalog/table.go
+++ b/catalog/table.go
@@ -1,93 +1,12 @@
 package catalog
 
 import (
-	"bytes"
 	"sync"
 	"time"
 
 	"almondstile/history"
 )
 
-// Table identifies one of the store's tables that VMs copy.
-type Table int
-
-// The tables that VMs copy.
-const (
-	// OperatorTable holds the configuration and the zones that are out.
-	OperatorTable Table = iota
-	// ServerTable holds the registrations of backend servers.
-	ServerTable
-	// RolloutTable holds the states of roll-outs, which VMs write. Only deployments with
-	// roll-outs have it.
-	RolloutTable
-	tableCount
-)
-
-// allTables lists all tables.
-var allTables = [tableCount]Table{OperatorTable, ServerTable, RolloutTable}
-
-// String returns the table's name, as used in log lines and in requests between
-// VMs.
-func (t Table) String() string {
-	return [...]string{"operator", "servers", "rollouts"}[t]
-}
-
-// Row is a row of a table, or the removal of a row.
-type Row struct {
-	Key   string
-	Value []byte
-	// Version is the store's version at which the row was written or removed.
-	Version uint64
-	// Removed is set if the row was removed. Value is not used then.
-	Removed bool
-	// era is the era of the store's history in which a copy took the row over.
-	era history.Era
-}
-
-// position identifies what the row holds: a row that the store lost and one that has been
-// written since may have the same version.
-func (r Row) position() history.Position { return history.Position{Era: r.era, Version: r.Version} }
-
-// sameWrite reports whether two rows with the same key are what one write left.
-func (r Row) sameWrite(o Row) bool { return r.Version == o.Version && bytes.Equal(r.Value, o.Value) }
-
-// Changes are the rows that the store returns: those that changed after a version
-// that the caller gave, or the whole table.
-type Changes struct {
-	// FullTable says that Rows is the whole table.
-	FullTable bool
-	Rows      []Row
-	// Version is the version of the table that results from the changes.
-	Version uint64
-	// Era is the number that the store gives its history, 0 if it gives none.
-	Era uint64
-	// AsOf is the time of the store's clock at which Version was current.
-	AsOf time.Duration
-}
-
-// Call is a call to the store that is in progress.
-type Call struct {
-	// known is the position of the copy at the start. The store's answers are linearizable,
-	// so an answer from the same era has no lower version.
-	known history.Position
-	// start is the local time of the start.
-	start time.Duration
-}
-
-// Delta is what a VM sends to another VM whose copy of a table is older.
-type Delta struct {
-	// FullTable says that Rows is the whole table. Otherwise Rows are the rows that changed
-	// after the other VM's version, whose copy is of the same era.
-	FullTable bool
-	Rows      []Row
-	// Keys are the keys of all rows of the table. The receiver removes all other rows.
-	Keys []string
-	// Position is that of the sender's copy.
-	Position history.Position
-	// AsOf is the time of the store's clock as of which the sender's copy is current.
-	AsOf time.Duration
-}
-
 const (
 	// outageThreshold is the length from which a gap between two updates from the
 	// store counts as an outage of the store. Updates normally come once a second.
@@ -97,9 +16,6 @@
 	// write them again within 2 s. After the store went back it applies to the rows that
 	// the older copy lacks, which their writers write again.
 	removalGrace = 2200 * time.Millisecond
-	// maxContradiction is how long all answers may have lower versions at earlier times
-	// than the copy until it counts as outdated: the store's clock went back too.
-	maxContradiction = 3 * time.Second
 )
 
 // tableCopy is one VM's copy of a table. Its methods lock mu, except those
@@ -174,29 +90,6 @@
 	return ResultUnchanged
 }
 
-// eraOf returns the era of an answer, or the result if the answer is not to be used. The
-// caller holds mu.
-func (c *tableCopy) eraOf(now time.Duration, call Call, ch Changes) (history.Era, Result) {
-	own := c.position.Era
-	switch {
-	case ch.Era == c.laterEra.Stated && c.laterEra.Compare(own) > 0 && call.start >= c.laterEraAt:
-		return c.laterEra, ""
-	case !c.loaded || ch.Era > own.Stated:
-		return history.Era{Stated: ch.Era}, ""
-	case ch.Era < own.Stated || call.known.Era != own || c.laterEra.Compare(own) > 0:
-		return own, ResultOlder // it was sent before the latest era began, as far as can be known
-	case ch.Version >= c.position.Version:
-		return own, ""
-	case ch.Version >= call.known.Version:
-		return own, ResultOvertaken
-	case ch.AsOf > c.asOf || c.olderSince > 0 && now-c.olderSince >= maxContradiction:
-		return own.Next(), ""
-	case c.olderSince == 0:
-		c.olderSince = now
-	}
-	return own, ResultOlder
-}
-
 // update applies an answer from the copy's era and reports whether any row changed. The
 // caller holds mu.
 func (c *tableCopy) update(ch Changes, era history.Era) (changed bool) {
@@ -212,32 +105,6 @@
 	return changed
 }
 
-// replace replaces the copy by the table of a later era. Rows that the table lacks are
-// retained for removalGrace. The caller holds mu.
-func (c *tableCopy) replace(rows []Row, era history.Era, asOf time.Duration) {
-	c.asOf, c.asOfBefore = asOf, asOf
-	c.outageEndedAt, c.hadOutage = asOf, true
-	c.olderSince = 0
-	old := c.rows
-	c.rows = make(map[string]Row, len(rows))
-	if c.retained == nil {
-		c.retained = make(map[string]retainedRow)
-	}
-	for _, row := range rows {
-		row.era = era
-		if before, ok := old[row.Key]; ok && before.sameWrite(row) {
-			row = before
-		}
-		c.rows[row.Key] = row
-		delete(c.retained, row.Key)
-	}
-	for key, row := range old {
-		if _, ok := c.rows[key]; !ok {
-			c.retained[key] = retainedRow{row: row, until: asOf + removalGrace}
-		}
-	}
-}
-
 // merge applies a delta from another VM. A delta that is older than the copy is
 // ignored, as is one from a later era that is not the whole table. It reports whether any
 // row changed and whether a new era began.
@@ -293,16 +160,6 @@
 	return false
 }
 
-// recordLaterEra records that an answer about another table has shown a later era at a
-// local time.
-func (c *tableCopy) recordLaterEra(now time.Duration, era history.Era) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if era.Compare(c.laterEra) > 0 {
-		c.laterEra, c.laterEraAt = era, now
-	}
-}
-
 // positionAsOf returns the position of the copy and the time of the store's clock as of
 // which it is current. Both are 0 before the table is loaded.
 func (c *tableCopy) positionAsOf() (history.Position, time.Duration) {
