--- a/standin/platformsim/platformsim.go
+++ b/standin/platformsim/platformsim.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// TableCopy is a copy of the table's rows and their versions.
+type TableCopy struct {
+	rows [rowShardCount]map[string]store.Item
+}
+
+// CopyTable returns a copy of the table as it is now.
+func (p *Platform) CopyTable() TableCopy { return TableCopy{p.rows.clone()} }
+
+// RestoreTable puts the table back to an earlier copy: all writes since are lost,
+// and their versions are given out again. Objects and the VM list stay.
+func (p *Platform) RestoreTable(c TableCopy) { p.rows.replace(c.rows) }
+
 // SetVMs replaces the platform's VM list. The old list is kept for
 // Faults.ListLagMillis.
 func (p *Platform) SetVMs(vms []store.ListedVM) { p.vmHistory.set(p.now(), vms) }
--- a/standin/platformsim/rows.go
+++ b/standin/platformsim/rows.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -134,6 +135,37 @@
 	}
 }
 
+// clone returns copies of the shards' rows. It locks all shards, so that no
+// transaction is in it halfway.
+func (r *rowTable) clone() (rows [rowShardCount]map[string]store.Item) {
+	defer r.lockAll()()
+	for i := range r.shards {
+		rows[i] = maps.Clone(r.shards[i].items)
+	}
+	return rows
+}
+
+// replace replaces all rows by those of an earlier clone.
+func (r *rowTable) replace(rows [rowShardCount]map[string]store.Item) {
+	defer r.lockAll()()
+	for i := range r.shards {
+		r.shards[i].items = maps.Clone(rows[i])
+	}
+}
+
+// lockAll locks all shards in the order of lockShards and returns the function
+// that unlocks them.
+func (r *rowTable) lockAll() (unlock func()) {
+	for i := range r.shards {
+		r.shards[i].mu.Lock()
+	}
+	return func() {
+		for i := range r.shards {
+			r.shards[i].mu.Unlock()
+		}
+	}
+}
+
 // validate returns errInvalid if the number of writes is not between 1 and
 // store.MaxTransactionWrites, or if two writes have the same key.
 func validate(writes []store.Write) error {
