membership: a leaving VM pauses between two attempts to leave

Seen: a stopping VM whose update of the member list keeps failing calls the table without a pause until its five seconds to leave are over. Cause: the failed update read the session, and the result of that read started the next update, so the rate was bounded by the round trip alone. A table that went back makes every update fail.

Evidence: TestLeavingVMPausesBetweenAttempts, before: 126 transactions and 260 reads in 5 s with round trips of about 20 ms, want at most 50 and 160. The next attempt now follows from a poll that is due leaveRetryPause later, whatever the table answers. A departure that lost a race is still tried ten times a second.

--- a/membership/change.go
+++ b/membership/change.go
@@ -23,6 +23,9 @@
 	// maxHandoverLists, so that VMs that join one after the other can get their
 	// roles by handover.
 	compactionThreshold = 3
+	// leaveRetryPause is the time between two attempts of a leaving VM to remove
+	// itself from the list.
+	leaveRetryPause = 100 * time.Millisecond
 	// staleSessionWaits is the age, in takeover waits, at which the unchanged
 	// session of a VM that is not in the list is deleted.
 	staleSessionWaits = 10
@@ -163,7 +166,8 @@
 
 // handleUpdateResult reads the list again after an update, whether the update
 // succeeded or not. A leaving VM whose update succeeded has left and reads
-// nothing.
+// nothing. One whose update failed tries again after leaveRetryPause: the list and
+// the session that it reads may make the update fail again.
 func (m *Member) handleUpdateResult(now time.Time, a Action, r Result) []Action {
 	if m.phase != leaving {
 		return m.start(nil, Action{Kind: ReadRoster, DecidedAt: now})
@@ -172,9 +176,9 @@
 		m.phase = gone
 		return nil
 	}
-	m.session.rowKnown = false
-	actions := m.start(nil, Action{Kind: ReadRoster, DecidedAt: now})
-	return m.start(actions, Action{Kind: ReadSession, DecidedAt: now})
+	m.session.rowKnown = false // the next poll reads it and then leaves
+	m.nextPoll = earlier(m.nextPoll, now.Add(leaveRetryPause))
+	return m.start(nil, Action{Kind: ReadRoster, DecidedAt: now})
 }
 
 // deletesSession reports whether the update of this action deletes the session
--- /dev/null
+++ b/membership/restore_test.go
@@ -0,0 +1,44 @@
+package membership
+
+import (
+	"testing"
+	"time"
+)
+
+// startSimulation returns a simulation in which the first running of size VMs have
+// joined.
+func startSimulation(seed uint64, size, running int) *simulation {
+	s := newSimulation(seed, size)
+	for _, v := range s.vms[:running] {
+		v.start()
+	}
+	s.run(12 * time.Second)
+	return s
+}
+
+// Guards against a leaving VM that tries to leave again at once, for as long as its
+// updates of the list fail because the table went back.
+func TestLeavingVMPausesBetweenAttempts(t *testing.T) {
+	t.Parallel()
+	s := startSimulation(1, 4, 3)
+	lost := s.platform.CopyTable()
+	s.vms[3].start()
+	s.run(10 * time.Second)
+	for _, v := range s.vms[1:] {
+		v.alive = false // no other VM writes the list
+	}
+	s.platform.RestoreTable(lost)
+	before := s.platform.Counters()
+	s.vms[0].member.Leave()
+	const seconds = 5
+	s.run(seconds * time.Second)
+	const attemptsPerSecond = int64(time.Second / leaveRetryPause)
+	after := s.platform.Counters()
+	if n := after.Transactions - before.Transactions; n > seconds*attemptsPerSecond {
+		t.Errorf("%d transactions in %d s, want at most %d", n, seconds, seconds*attemptsPerSecond)
+	}
+	// An attempt reads the version, the list and the session.
+	if n := after.Reads - before.Reads; n > seconds*(3*attemptsPerSecond+2) {
+		t.Errorf("%d reads in %d s, want at most %d", n, seconds, seconds*(3*attemptsPerSecond+2))
+	}
+}
