membership: a VM whose session row went back to its predecessor's stays

Seen: a VM ends with "another process took the ID" when the table comes back from a copy of before the VM's last restart; after a rolling restart, all VMs at once. Cause: any session row of another process was taken for a newer process.

Evidence: TestOwnSessionOfBeforeTheRestart, before: "the restarted VM has left, superseded is true". The process now knows the nonce of the row that it replaced; that row is its predecessor's, and the process writes its own again. Any other foreign row still ends the process.

--- a/membership/restore_test.go
+++ b/membership/restore_test.go
@@ -16,6 +16,22 @@
 	return s
 }
 
+// Guards against a VM that ends because the table went back to its session row of
+// before its restart, which looks as if another process had taken its ID.
+func TestOwnSessionOfBeforeTheRestart(t *testing.T) {
+	t.Parallel()
+	s := startSimulation(1, 3, 3)
+	lost := s.platform.CopyTable()
+	s.vms[0].alive = false
+	s.vms[0].start()
+	s.run(15 * time.Second)
+	s.platform.RestoreTable(lost)
+	s.run(15 * time.Second)
+	if left, superseded := s.vms[0].member.HasLeft(); left {
+		t.Fatalf("the restarted VM has left, superseded is %v", superseded)
+	}
+}
+
 // Guards against a leaving VM that tries to leave again at once, for as long as its
 // updates of the list fail because the table went back.
 func TestLeavingVMPausesBetweenAttempts(t *testing.T) {
--- a/membership/session.go
+++ b/membership/session.go
@@ -21,6 +21,9 @@
 	// rowOwned is set once a write of the row by this process is known to have
 	// taken effect.
 	rowOwned bool
+	// replacedNonce is the nonce of the row that the first write of this process
+	// replaced, "" if there was none.
+	replacedNonce string
 	// sessionNumber counts the sessions of this process and is part of the nonce.
 	sessionNumber int
 	// writeUncertain is set while a write with an unknown outcome may still take
@@ -113,7 +116,9 @@
 
 // handleSessionReadResult handles a read of this VM's own session row. It detects
 // that another process took over the VM's ID, that the VM was removed from the
-// fleet, and that a write with an unknown outcome took effect.
+// fleet, and that a write with an unknown outcome took effect. The row that this
+// process replaced is no other process: the table went back to it, and the next
+// write replaces it again.
 func (m *Member) handleSessionReadResult(now time.Time, r Result) {
 	if r.Err != nil {
 		return
@@ -121,7 +126,7 @@
 	s := &m.session
 	row := r.Session
 	switch {
-	case row.Version > 0 && !m.ownsRow(row) && s.rowOwned:
+	case row.Version > 0 && !m.ownsRow(row) && s.rowOwned && row.Nonce != s.replacedNonce:
 		m.phase, m.superseded = gone, true
 		return
 	case row.Version == 0 && s.rowOwned && s.row.Version > 0:
@@ -134,6 +139,9 @@
 	case s.writeUncertain && m.ownsRow(row) && row.Version > s.uncertainVersion:
 		s.recordWrite(now, s.uncertainSentAt)
 	}
+	if !s.rowOwned {
+		s.replacedNonce = row.Nonce
+	}
 	s.row, s.rowKnown = row, true
 	s.row.ID = m.self.ID
 	if m.phase == leaving && row.Version == 0 {
