membership: a session row that went back is no write of its VM

Cause: any change of a row's version counted as a renewal, also one to a lower version. A table that goes back changes all rows at once, and so proved that every VM had written its session, also VMs that do not reach the store and support a holder.

Evidence: TestSessionThatWentBackIsNoWrite, before: "version 45: a write is seen: true, want false". Only a higher version counts now.

--- a/membership/restore_test.go
+++ b/membership/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"almondstile/vm"
 )
 
 // startSimulation returns a simulation in which the first running of size VMs have
@@ -58,3 +60,20 @@
 		t.Errorf("%d reads in %d s, want at most %d", n, seconds, seconds*(3*attemptsPerSecond+2))
 	}
 }
+
+// Guards against taking a session that went back to an older copy for a write of
+// its VM. Such a write would prove that the VM supports no holder in a store
+// outage, although the VM may not have reached the store.
+func TestSessionThatWentBackIsNoWrite(t *testing.T) {
+	t.Parallel()
+	var tracker SessionTracker
+	start := time.Unix(1_000_000, 0)
+	for i, version := range []uint64{50, 45, 46} {
+		at := start.Add(time.Duration(i) * time.Second)
+		tracker.Observe(at, at, []SessionRow{{ID: "a", Version: version, Nonce: "i1.0"}}, vm.MemberList{})
+		wrote := tracker.WroteBetween("a", start.Add(-time.Second), at.Add(time.Second))
+		if want := version == 46; wrote != want {
+			t.Errorf("version %d: a write is seen: %v, want %v", version, wrote, want)
+		}
+	}
+}
--- a/membership/sessiontracker.go
+++ b/membership/sessiontracker.go
@@ -84,7 +84,9 @@
 		if !exists || changed {
 			s.changedAt = now
 		}
-		if exists && changed && s.row.Version != 0 && row.Version != 0 {
+		// A lower version is no write: the row was deleted and written again, or the
+		// table went back to an older copy of it.
+		if exists && s.row.Version != 0 && row.Version > s.row.Version {
 			s.renewals = append(s.renewals, renewal{previousReadSentAt: s.lastReadSentAt, seenAt: now})
 			if len(s.renewals) > maxRenewals {
 				s.renewals = append([]renewal(nil), s.renewals[1:]...)
