configstore: pause between two requests for versions that a peer reported

Cause: each heartbeat with a newer version made the follower request it at once. If the peer answered without it (a VM that started anew, or one with another history), the next report started the next request, so the rate was that of the reports: in a store outage, those of more than half of the fleet.

Now at most ten a second follow, whatever the peers answer. The first request after a change is sent at once, as before.

--- a/configstore/peers.go
+++ b/configstore/peers.go
@@ -10,11 +10,16 @@
 	"almondstile/contract"
 	"almondstile/link"
 	"almondstile/vm"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 )
 
+// catchUpPause is the shortest time between two requests of catchUpLoop. Each
+// heartbeat may report a newer version that the peer then does not send.
+const catchUpPause = 100 * time.Millisecond
+
 // MethodDeltas is the control method by which a VM loads newer versions from a peer.
 const MethodDeltas = "config.deltas"
 
@@ -94,6 +99,9 @@
 		if err := f.catchUpFrom(ctx, report.from); err != nil && ctx.Err() == nil {
 			f.log.WithError(err).WithField("peer", report.from.ID).Warn("Newer configuration versions could not be loaded from a peer.")
 		}
+		if !wait.For(ctx, catchUpPause) {
+			return
+		}
 	}
 }
 
