configstore: tell histories of the configuration apart by digests

Seen: after the table lost versions and gave them out again, a VM that had the lost ones in force applied the newest change to them. It then held, for good, a configuration that no operator had planned and that differs from the other VMs' at the same version; the same by way of a peer. A plan made there showed an effect that the confirm did not have.

Cause: a delta was taken to follow if its version did.

Evidence, before: TestVersionsGivenOutAgainAreNotMixed "the VM holds version 3 with zones [{a region-1} {second r}], want version 3 with one zone" (store and peer); TestNoPlanOnALostConfiguration, the same zone in the accepted version 3; TestVMsAgreeAfterTheTableWentBack failed after 6 tests.

The head, the deltas and the replies of peers now carry the digest of the configuration they lead to. A confirm compares the digest of its base as well as the version. Rows without digests, written by earlier processes, are not checked.

--- a/configstore/confirm.go
+++ b/configstore/confirm.go
@@ -17,7 +17,7 @@
 	// Accepted means that the plan took effect, with this or an earlier confirm.
 	Accepted OutcomeKind = "accepted"
 	// BaseChanged means that the plan can no longer take effect, because another
-	// plan on the same base was accepted. The operator must plan the change again.
+	// plan on the same base was accepted, or because the store has lost the base. The operator must plan the change again.
 	BaseChanged OutcomeKind = "base-changed"
 	// UnknownPlan means that the plan does not exist or has expired.
 	UnknownPlan OutcomeKind = "unknown-plan"
@@ -96,7 +96,7 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	if h.Version != stored.BaseVersion {
+	if h.Version != stored.BaseVersion || !sameDigest(h.Digest, stored.BaseDigest) {
 		return p.resolveBaseChanged(ctx, planID, h)
 	}
 	writes, err := confirmWrites(stored, h)
@@ -139,8 +139,8 @@
 	planUnchanged := store.Condition{Kind: store.VersionIs, Version: stored.rowVersion}
 	accepted := stored
 	accepted.State, accepted.Version = PlanAccepted, next
-	newHead := head{Version: next, Snapshots: h.Snapshots}
-	delta := contract.Delta{Version: next, Intent: stored.Intent}
+	newHead := head{Version: next, Snapshots: h.Snapshots, Digest: stored.ResultDigest}
+	delta := contract.Delta{Version: next, Intent: stored.Intent, Digest: stored.ResultDigest}
 
 	planWrite, err := putJSON(planKey(stored.ID), accepted, planUnchanged)
 	if err != nil {
--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -78,7 +78,8 @@
 	wakeCatchUp      chan struct{}
 	subscribers      shard.Map[string, chan *contract.Index]
 	nextSubscriberID atomic.Uint64
-	lastReadFailed   atomic.Bool // the last read from the store failed
+	lastReadFailed   atomic.Bool   // the last read from the store failed
+	loggedMismatch   atomic.Uint64 // the last version whose digest was logged as another one
 	// peerVersions holds the last version that each peer reported.
 	peerVersions shard.Map[vm.ID, VMVersion]
 }
@@ -92,18 +93,29 @@
 	// deltas are the newest deltas up to the version in force, without gaps. There
 	// are at most maxKeptDeltas.
 	deltas []contract.Delta
+	// baseDigest is the digest of the configuration before the first of deltas, or
+	// "" if it is not known.
+	baseDigest string
+	// digest returns the digest of the configuration.
+	digest func() (string, error)
 	// encodedSnapshot returns the encoded configuration. It is encoded once, at the
 	// first request of a peer.
 	encodedSnapshot func() ([]byte, error)
 }
 
 // newView returns a view of a configuration. It keeps the newest maxKeptDeltas of
-// the deltas.
-func newView(c *contract.Configuration, loaded bool, deltas []contract.Delta) *view {
+// the deltas. baseDigest is the digest of the configuration before all of them.
+func newView(c *contract.Configuration, loaded bool, deltas []contract.Delta, baseDigest string) *view {
+	if dropped := len(deltas) - maxKeptDeltas; dropped > 0 {
+		baseDigest = deltas[dropped-1].Digest
+		deltas = deltas[dropped:]
+	}
 	return &view{
 		index:           contract.NewIndex(c),
 		loaded:          loaded,
-		deltas:          deltas[max(0, len(deltas)-maxKeptDeltas):],
+		deltas:          deltas,
+		baseDigest:      baseDigest,
+		digest:          sync.OnceValues(func() (string, error) { return contract.Digest(c) }),
 		encodedSnapshot: sync.OnceValues(func() ([]byte, error) { return contract.EncodeSnapshot(c) }),
 	}
 }
@@ -127,7 +139,7 @@
 		wakePoll:    make(chan struct{}, 1),
 		wakeCatchUp: make(chan struct{}, 1),
 	}
-	f.view.Store(newView(&contract.Configuration{}, false, nil))
+	f.view.Store(newView(&contract.Configuration{}, false, nil, ""))
 	return f
 }
 
@@ -200,7 +212,8 @@
 }
 
 // readFromStore reads the head row and activates its version if it is newer than
-// the one in force. A lower version is logged and ignored.
+// the one in force. A lower version is logged and ignored. If it has another digest, the store gave the version out again; the
+// one in force stays until the store has a newer one.
 func (f *Follower) readFromStore(ctx context.Context) error {
 	h, err := f.head(ctx)
 	if err != nil {
@@ -208,11 +221,7 @@
 	}
 	current := f.view.Load()
 	if current.loaded && h.Version <= current.index.Version() {
-		if h.Version < current.index.Version() {
-			f.log.WithField("head", h.Version).WithField("in_force", current.index.Version()).
-				Warn("The store's version is lower than the one in force and is ignored.")
-		}
-		return nil
+		return f.handleHeadInForce(current, h)
 	}
 	c, deltas, err := f.configurationAt(ctx, current.index.Configuration(), h)
 	if err != nil {
@@ -231,11 +240,7 @@
 		if old.loaded && c.Version <= old.index.Version() {
 			return
 		}
-		kept := deltas
-		if len(deltas) > 0 && deltas[0].Version == old.index.Version()+1 {
-			kept = append(append([]contract.Delta(nil), old.deltas...), deltas...)
-		}
-		if f.view.CompareAndSwap(old, newView(c, true, kept)) {
+		if f.view.CompareAndSwap(old, old.next(c, deltas)) {
 			f.log.WithField("version", c.Version).Info("A new configuration is in force.")
 			if f.opts.Observer != nil {
 				f.opts.Observer.ConfigurationActivated(c.Version)
@@ -246,6 +251,23 @@
 	}
 }
 
+// next returns the view after a newer configuration is activated. It keeps the
+// older deltas if the new ones follow them in the same history.
+func (v *view) next(c *contract.Configuration, deltas []contract.Delta) *view {
+	if len(deltas) == 0 || deltas[0].Version != v.index.Version()+1 || !v.loaded {
+		return newView(c, true, deltas, "")
+	}
+	if len(v.deltas) == 0 {
+		digest, err := v.digest()
+		if err != nil {
+			digest = "" // unknown; the deltas are then not written back
+		}
+		return newView(c, true, deltas, digest)
+	}
+	kept := append(append([]contract.Delta(nil), v.deltas...), deltas...)
+	return newView(c, true, kept, v.baseDigest)
+}
+
 // notify sends the index to all subscribers. It loads the index while Range holds
 // the lock of the subscriber's shard, so that a channel never gets an older index
 // after a newer one.
--- a/configstore/loader.go
+++ b/configstore/loader.go
@@ -32,9 +32,52 @@
 }
 
 // configurationAt returns the configuration at the head's version and the deltas
-// that were applied. It applies them to current or, if current is more than
-// maxDeltasBeforeSnapshot versions behind, to the newest usable snapshot.
+// that were applied, which start from current or from a snapshot. If the digest
+// shows that current is not part of the store's history, because the store has lost
+// versions and given them out again, it starts from the store's content alone.
 func (l *loader) configurationAt(ctx context.Context, current *contract.Configuration, h head) (*contract.Configuration, []contract.Delta, error) {
+	c, deltas, err := l.rebuild(ctx, current, h)
+	if err == nil {
+		err = checkDigest(c, h.Digest)
+	}
+	if current.Version == 0 || !errors.Is(err, ErrInconsistent) {
+		return c, deltas, err
+	}
+	l.log.WithError(err).WithField("head", h.Version).WithField("in_force", current.Version).
+		Warn("The store's history does not contain the configuration in force; reading all of it.")
+	c, _, err = l.rebuild(ctx, &contract.Configuration{}, h)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := checkDigest(c, h.Digest); err != nil {
+		// All VMs get the same configuration from the store's content.
+		l.log.WithError(err).Error("The store's own history has another digest than its head and is used all the same.")
+	}
+	return c, nil, nil // the deltas do not follow current
+}
+
+// checkDigest returns ErrInconsistent if the configuration has another digest. An
+// unknown digest, "", is not checked.
+func checkDigest(c *contract.Configuration, want string) error {
+	if want == "" {
+		return nil
+	}
+	got, err := contract.Digest(c)
+	if err != nil {
+		return err
+	}
+	if got != want {
+		return errors.Wrapf(ErrInconsistent, "the configuration of version %d has another digest", c.Version)
+	}
+	return nil
+}
+
+// sameDigest reports whether two digests are equal, or one of them is not known.
+func sameDigest(a, b string) bool { return a == "" || b == "" || a == b }
+
+// rebuild applies deltas to current or, if current is more than
+// maxDeltasBeforeSnapshot versions behind, to the newest usable snapshot.
+func (l *loader) rebuild(ctx context.Context, current *contract.Configuration, h head) (*contract.Configuration, []contract.Delta, error) {
 	if h.Version > current.Version+maxDeltasBeforeSnapshot && h.newestSnapshot() > current.Version {
 		current = l.newestUsableSnapshot(ctx, current, h)
 	}
--- a/configstore/peers.go
+++ b/configstore/peers.go
@@ -39,7 +39,9 @@
 	// empty then.
 	Loaded bool `json:"loaded"`
 	// Version is the version in force at the replying VM.
-	Version  uint64           `json:"version"`
+	Version uint64 `json:"version"`
+	// Digest is the digest of the configuration of Version.
+	Digest   string           `json:"digest,omitempty"`
 	Deltas   []contract.Delta `json:"deltas,omitempty"`
 	Snapshot []byte           `json:"snapshot,omitempty"`
 }
@@ -57,6 +59,11 @@
 	if !v.loaded || (request.Loaded && request.AfterVersion >= reply.Version) {
 		return reply, nil
 	}
+	digest, err := v.digest()
+	if err != nil {
+		return DeltasReply{}, err
+	}
+	reply.Digest = digest
 	first := slices.IndexFunc(v.deltas, func(d contract.Delta) bool { return d.Version == request.AfterVersion+1 })
 	if first >= 0 {
 		reply.Deltas = v.deltas[first:]
@@ -105,13 +112,23 @@
 	}
 }
 
-// catchUpFrom requests the missing versions from a peer and activates them.
+// catchUpFrom requests the missing versions from a peer and activates them. If they
+// do not continue the configuration in force, it requests the whole one.
 func (f *Follower) catchUpFrom(ctx context.Context, peer vm.VM) error {
+	current := f.view.Load()
 	reply, err := f.requestMissing(ctx, peer)
 	if err != nil {
 		return err
 	}
-	return f.applyReply(reply)
+	err = f.applyReply(reply, current.index.Configuration())
+	if !errors.Is(err, ErrInconsistent) || !current.loaded {
+		return err
+	}
+	reply, err = f.requestDeltas(ctx, peer, DeltasRequest{})
+	if err != nil {
+		return err
+	}
+	return f.applyReply(reply, &contract.Configuration{})
 }
 
 // requestMissing requests the versions after the one in force from a peer.
@@ -130,13 +147,14 @@
 }
 
 // applyReply activates the version that a peer sent, unless this or a newer version
-// has come into force in the meantime.
-func (f *Follower) applyReply(reply DeltasReply) error {
+// has come into force in the meantime. Deltas are applied to base. The error is
+// ErrInconsistent if they do not lead to the peer's configuration.
+func (f *Follower) applyReply(reply DeltasReply, base *contract.Configuration) error {
 	current := f.view.Load()
 	if !reply.Loaded || (current.loaded && reply.Version <= current.index.Version()) {
 		return nil
 	}
-	c := current.index.Configuration()
+	c := base
 	if len(reply.Snapshot) > 0 {
 		decoded, err := contract.DecodeSnapshot(reply.Snapshot)
 		if err != nil {
@@ -151,7 +169,7 @@
 		}
 		next, err := contract.ApplyDelta(c, d)
 		if err != nil {
-			return err
+			return errors.Mark(errors.Wrapf(err, "applying delta %d of a peer", d.Version), ErrInconsistent)
 		}
 		c = next
 		applied = append(applied, d)
@@ -159,6 +177,9 @@
 	if c.Version != reply.Version {
 		return errors.Newf("the peer's reply leads to version %d, want version %d", c.Version, reply.Version)
 	}
+	if err := checkDigest(c, reply.Digest); err != nil {
+		return err
+	}
 	f.activate(c, applied)
 	return nil
 }
@@ -185,7 +206,7 @@
 	if reply == nil {
 		return
 	}
-	if err := f.applyReply(*reply); err != nil {
+	if err := f.applyReply(*reply, f.Index().Configuration()); err != nil {
 		f.log.WithError(err).Warn("The configuration that a peer sent is invalid and is ignored.")
 	}
 }
--- a/configstore/planner.go
+++ b/configstore/planner.go
@@ -57,21 +57,18 @@
 	if err != nil {
 		return head{}, nil, err
 	}
-	c, _, err := p.configurationAt(ctx, inForce, h)
-	if err != nil {
-		return head{}, nil, err
-	}
-	if c.Version != h.Version {
-		return head{}, nil, errors.Wrapf(ErrInconsistent, "version %d in force is newer than the head's version %d", c.Version, h.Version)
+	if inForce.Version > h.Version {
+		return head{}, nil, errors.Wrapf(ErrInconsistent, "version %d in force is newer than the head's version %d", inForce.Version, h.Version)
 	}
-	return h, c, nil
+	c, _, err := p.configurationAt(ctx, inForce, h)
+	return h, c, err
 }
 
 // Plan computes the effect of an intent on the newest version, stores the result as
 // an open plan and returns it. Its errors are those of contract.NewPlan, and
 // ErrUnavailable, ErrInconsistent or ErrIntentTooLarge.
 func (p *Planner) Plan(ctx context.Context, intent contract.Intent) (contract.Plan, error) {
-	_, base, err := p.headConfiguration(ctx)
+	h, base, err := p.headConfiguration(ctx)
 	if err != nil {
 		return contract.Plan{}, err
 	}
@@ -83,7 +80,11 @@
 	if err != nil {
 		return contract.Plan{}, err
 	}
-	write, err := putJSON(planKey(plan.ID), StoredPlan{Plan: plan, State: PlanOpen}, store.Condition{Kind: store.Absent})
+	stored, err := openPlan(plan, base, h)
+	if err != nil {
+		return contract.Plan{}, err
+	}
+	write, err := putJSON(planKey(plan.ID), stored, store.Condition{Kind: store.Absent})
 	if err != nil {
 		return contract.Plan{}, err
 	}
@@ -93,6 +94,17 @@
 	return plan, p.storePlan(ctx, write)
 }
 
+// openPlan returns the row of a new plan on the configuration base of the head.
+func openPlan(plan contract.Plan, base *contract.Configuration, h head) (StoredPlan, error) {
+	result, err := contract.Apply(base, plan.Intent)
+	if err != nil {
+		return StoredPlan{}, err
+	}
+	stored := StoredPlan{Plan: plan, State: PlanOpen, BaseDigest: h.Digest}
+	stored.ResultDigest, err = contract.Digest(result)
+	return stored, err
+}
+
 // storePlan writes the row of a new plan and repeats the write after an error. The
 // plan's ID is new, so a row that exists already was written by an earlier attempt.
 func (p *Planner) storePlan(ctx context.Context, write store.Write) error {
--- /dev/null
+++ b/configstore/restore_test.go
@@ -0,0 +1,153 @@
+package configstore
+
+import (
+	"maps"
+	"testing"
+
+	"almondstile/contract"
+	"almondstile/store"
+	"almondstile/vm"
+	"almondstile/zone"
+
+	"pgregory.net/rapid"
+)
+
+// copyRows returns a copy of the table. Objects are not copied: the object store
+// loses nothing.
+func (s *fakeStore) copyRows() map[string]store.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.rows)
+}
+
+// restoreRows puts the table back to a copy.
+func (s *fakeStore) restoreRows(rows map[string]store.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = maps.Clone(rows)
+}
+
+// pollAll polls the store at all VMs.
+func (f *fakeFleet) pollAll() {
+	for _, v := range f.vms {
+		f.followers[v.ID].poll(ctx)
+	}
+}
+
+// Guards against a VM that mixes two histories. The table lost versions, and they
+// were given out again by a VM that knew only the older copy. Applying the newest
+// change to the lost configuration gives one that no operator has planned, for good.
+func TestVersionsGivenOutAgainAreNotMixed(t *testing.T) {
+	for _, way := range []string{"store", "peer"} {
+		fleet := newFakeFleet("old", "new")
+		acceptPlans(t, fleet.planner("new"), 1)
+		lost := fleet.store.copyRows()
+		fleet.followers["new"].poll(ctx)
+		addSecondZone(t, fleet.planner("old"))
+		fleet.followers["old"].poll(ctx)
+		fleet.store.restoreRows(lost)
+		acceptPlans(t, fleet.planner("new"), 2)
+		fleet.followers["new"].poll(ctx)
+		old := fleet.followers["old"]
+		if way == "store" {
+			old.poll(ctx)
+		} else if err := old.catchUpFrom(ctx, vm.VM{ID: "new"}); err != nil {
+			t.Errorf("%s: %v", way, err)
+		}
+		c := old.Index().Configuration()
+		if c.Version != 3 || len(c.Zones) != 1 {
+			t.Errorf("%s: the VM holds version %d with zones %+v, want version 3 with one zone", way, c.Version, c.Zones)
+		}
+	}
+}
+
+// accept makes and confirms a plan.
+func accept(t testingT, p *Planner, intent contract.Intent) {
+	t.Helper()
+	if outcome, err := p.Confirm(ctx, mustPlan(t, p, intent)); err != nil || outcome.Kind != Accepted {
+		t.Fatalf("Confirm returns %+v, %v, want accepted", outcome, err)
+	}
+}
+
+// addSecondZone accepts a plan that adds a zone.
+func addSecondZone(t testingT, p *Planner) {
+	t.Helper()
+	accept(t, p, contract.NewIntent(contract.SetZone{ID: "second", Region: "r"}))
+}
+
+// Guards against a plan that is made on a lost configuration, because the head has
+// the same version again: its effect would not be the one that the operator saw.
+func TestNoPlanOnALostConfiguration(t *testing.T) {
+	fleet := newFakeFleet("old", "new")
+	acceptPlans(t, fleet.planner("new"), 1)
+	lost := fleet.store.copyRows()
+	fleet.followers["new"].poll(ctx)
+	addSecondZone(t, fleet.planner("old"))
+	fleet.followers["old"].poll(ctx)
+	fleet.store.restoreRows(lost)
+	acceptPlans(t, fleet.planner("new"), 1)
+	acceptPlans(t, fleet.planner("old"), 1)
+	for id, f := range fleet.followers {
+		f.poll(ctx)
+		if c := f.Index().Configuration(); c.Version != 3 || len(c.Zones) != 1 {
+			t.Errorf("VM %s holds version %d with zones %+v, want version 3 with one zone", id, c.Version, c.Zones)
+		}
+	}
+}
+
+// Guards against VMs that stay at different configurations of one version, and
+// against a configuration that reverts, after random losses of the table. Plans are
+// made by any VM, also by one that restarted and knows only the older copy.
+func TestVMsAgreeAfterTheTableWentBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ids := []vm.ID{"a", "b", "c"}
+		fleet := newFakeFleet(ids...)
+		copies := []map[string]store.Item{fleet.store.copyRows()}
+		lastVersions := map[vm.ID]uint64{}
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			id := rapid.SampledFrom(ids).Draw(rt, "vm")
+			switch rapid.SampledFrom([]string{"plan", "poll", "peer", "copy", "restore", "restart"}).Draw(rt, "step") {
+			case "plan":
+				zoneID := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "zone")
+				intent := contract.NewIntent(contract.SetZone{ID: zone.ID(zoneID), Region: rapid.StringMatching("[a-z]{4}").Draw(rt, "region")})
+				if plan, err := fleet.planner(id).Plan(ctx, intent); err == nil {
+					_, _ = fleet.planner(id).Confirm(ctx, plan.ID)
+				}
+			case "poll":
+				fleet.followers[id].poll(ctx)
+			case "peer":
+				_ = fleet.followers[id].catchUpFrom(ctx, vm.VM{ID: rapid.SampledFrom(ids).Draw(rt, "peer")})
+			case "copy":
+				copies = append(copies, fleet.store.copyRows())
+			case "restore":
+				fleet.store.restoreRows(rapid.SampledFrom(copies).Draw(rt, "from"))
+			case "restart":
+				fleet.start(id)
+				lastVersions[id] = 0
+			}
+			for _, id := range ids {
+				if v := fleet.followers[id].Index().Version(); v < lastVersions[id] {
+					rt.Fatalf("VM %s went back from version %d to version %d", id, lastVersions[id], v)
+				}
+				lastVersions[id] = fleet.followers[id].Index().Version()
+			}
+		}
+		// Changes of a VM that started anew pass all lost versions, by one.
+		fresh := fleet.start("fresh")
+		fresh.poll(ctx)
+		newest := fresh.Index().Version()
+		for _, v := range lastVersions {
+			newest = max(newest, v)
+		}
+		acceptPlans(rt, fleet.planner("fresh"), int(newest-fresh.Index().Version())+1)
+		fresh.poll(ctx)
+		fleet.pollAll()
+		want, _ := contract.EncodeSnapshot(fresh.Index().Configuration())
+		for _, id := range ids {
+			got, _ := contract.EncodeSnapshot(fleet.followers[id].Index().Configuration())
+			if string(got) != string(want) {
+				rt.Fatalf("VM %s holds %s, want %s", id, got, want)
+			}
+		}
+	})
+}
--- a/configstore/rows.go
+++ b/configstore/rows.go
@@ -53,6 +53,8 @@
 	// Snapshots holds the versions of the newest snapshot and of the one before it,
 	// in this order.
 	Snapshots []uint64 `json:"snapshots,omitempty"`
+	// Digest is the digest of the configuration of Version, or "" if it is not known.
+	Digest string `json:"digest,omitempty"`
 
 	// rowVersion is the store's version of the row, which also grows when only
 	// Snapshots changes. It is 0 if the row is missing.
@@ -105,6 +107,10 @@
 	// Version is the version that the plan created. It is 0 unless the plan is
 	// accepted.
 	Version uint64 `json:"version,omitempty"`
+	// BaseDigest and ResultDigest are the digests of the configurations before and
+	// after the plan.
+	BaseDigest   string `json:"base_digest,omitempty"`
+	ResultDigest string `json:"result_digest,omitempty"`
 
 	// rowVersion is the store's version of the row.
 	rowVersion uint64
--- a/contract/plan.go
+++ b/contract/plan.go
@@ -46,6 +46,9 @@
 type Delta struct {
 	Version uint64 `json:"version"`
 	Intent  Intent `json:"intent"`
+	// Digest is the digest of the configuration of version Version. It is "" in a
+	// delta that was written by a process without digests.
+	Digest string `json:"digest,omitempty"`
 }
 
 // ErrVersionGap is returned if the version of a delta is not one above the
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -31,6 +31,18 @@
 	return append(encodeHeader(body), body...), nil
 }
 
+// Digest returns the SHA-256 of the configuration in hexadecimal. A version number
+// does not identify a configuration if a table that lost versions gives them out
+// again; the digest does.
+func Digest(c *Configuration) (string, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return "", errors.Wrap(err, "encoding a configuration for its digest")
+	}
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:]), nil
+}
+
 // encodeHeader returns the header line for a snapshot with the given JSON.
 func encodeHeader(body []byte) []byte {
 	sum := sha256.Sum256(body)
