configstore: write versions back that the table has lost

Seen: when the table came back from a copy without the newest versions, operators could change nothing: each VM with the lost versions in force refused to plan, for good. A VM that had started since knew only the copy and took plans on it, which gave the lost versions out again beside the ones in force.

Evidence, before: TestLostVersionsAreWrittenBack "version 5 in force is newer than the head's version 3: the store's content is inconsistent"; TestNoPlanBelowAVersionInForceElsewhere "Plan returns <nil>, want ErrInconsistent".

A VM that has the lost deltas, and whose history contains the store's head by its digest, writes them again, one version in a conditional transaction, as the confirm did. A VM refuses to plan while a peer has reported a version above the head.

--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -78,8 +78,13 @@
 	wakeCatchUp      chan struct{}
 	subscribers      shard.Map[string, chan *contract.Index]
 	nextSubscriberID atomic.Uint64
-	lastReadFailed   atomic.Bool   // the last read from the store failed
-	loggedMismatch   atomic.Uint64 // the last version whose digest was logged as another one
+	lastReadFailed   atomic.Bool // the last read from the store failed
+	// writeBackAt is the earliest time at which this VM writes versions back that
+	// the store has lost; nil if it has lost none. writeBackSpread is the range of
+	// the random delay before it.
+	writeBackAt     atomic.Pointer[time.Time]
+	loggedMismatch  atomic.Uint64 // the last version whose digest was logged as another one
+	writeBackSpread time.Duration
 	// peerVersions holds the last version that each peer reported.
 	peerVersions shard.Map[vm.ID, VMVersion]
 }
@@ -138,6 +143,8 @@
 		opts:        opts,
 		wakePoll:    make(chan struct{}, 1),
 		wakeCatchUp: make(chan struct{}, 1),
+
+		writeBackSpread: writeBackSpread,
 	}
 	f.view.Store(newView(&contract.Configuration{}, false, nil, ""))
 	return f
@@ -212,7 +219,8 @@
 }
 
 // readFromStore reads the head row and activates its version if it is newer than
-// the one in force. A lower version is logged and ignored. If it has another digest, the store gave the version out again; the
+// the one in force. If it is lower, the store has lost versions, which this VM
+// writes back. If it has another digest, the store gave the version out again; the
 // one in force stays until the store has a newer one.
 func (f *Follower) readFromStore(ctx context.Context) error {
 	h, err := f.head(ctx)
@@ -221,7 +229,7 @@
 	}
 	current := f.view.Load()
 	if current.loaded && h.Version <= current.index.Version() {
-		return f.handleHeadInForce(current, h)
+		return f.handleHeadInForce(ctx, current, h)
 	}
 	c, deltas, err := f.configurationAt(ctx, current.index.Configuration(), h)
 	if err != nil {
--- a/configstore/inforce.go
+++ b/configstore/inforce.go
@@ -69,6 +69,18 @@
 	return reported
 }
 
+// newestReportedVersion returns the newest version that a VM has reported in the
+// last 3 s (maxReportAge), or 0 if there is no such report.
+func (f *Follower) newestReportedVersion(now time.Time) (newest uint64) {
+	f.peerVersions.Range(func(_ vm.ID, v VMVersion) bool {
+		if now.Sub(v.ReceivedAt) <= maxReportAge {
+			newest = max(newest, v.Version)
+		}
+		return true
+	})
+	return newest
+}
+
 // deleteSilentPeers deletes the versions of VMs that have been silent for longer
 // than silentPeerRetention.
 func (f *Follower) deleteSilentPeers(now time.Time) {
--- a/configstore/planner.go
+++ b/configstore/planner.go
@@ -49,16 +49,19 @@
 }
 
 // headConfiguration returns the head and the configuration at its version. It reads
-// the follower's version first. The head only moves forward, so the head that is
-// read afterwards cannot be older. If it is, the error is ErrInconsistent.
+// the versions in force here and at peers first. The head only moves forward, so the
+// head that is read afterwards cannot be older. If it is, the table has lost
+// versions that are still in force and will be written back, and the error is
+// ErrInconsistent.
 func (p *Planner) headConfiguration(ctx context.Context) (head, *contract.Configuration, error) {
 	inForce := p.follower.Index().Configuration()
+	reported := p.follower.newestReportedVersion(p.now())
 	h, err := p.head(ctx)
 	if err != nil {
 		return head{}, nil, err
 	}
-	if inForce.Version > h.Version {
-		return head{}, nil, errors.Wrapf(ErrInconsistent, "version %d in force is newer than the head's version %d", inForce.Version, h.Version)
+	if newest := max(inForce.Version, reported); newest > h.Version {
+		return head{}, nil, errors.Wrapf(ErrInconsistent, "version %d in force is newer than the head's version %d", newest, h.Version)
 	}
 	c, _, err := p.configurationAt(ctx, inForce, h)
 	return h, c, err
--- a/configstore/restore_test.go
+++ b/configstore/restore_test.go
@@ -3,12 +3,14 @@
 import (
 	"maps"
 	"testing"
+	"time"
 
 	"almondstile/contract"
 	"almondstile/store"
 	"almondstile/vm"
 	"almondstile/zone"
 
+	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 )
 
@@ -34,6 +36,46 @@
 	}
 }
 
+// writeBackAtOnce makes the VMs write lost versions back at their next poll after
+// the one that notices the loss.
+func (f *fakeFleet) writeBackAtOnce() {
+	for _, follower := range f.followers {
+		follower.writeBackSpread = time.Nanosecond
+	}
+}
+
+// Guards against a fleet whose operators can change nothing any more after the
+// table lost accepted versions: each VM refuses to plan below the version in force.
+// Also guards against a configuration in force that reverts, and against a VM that
+// starts later with the configuration of the older copy.
+func TestLostVersionsAreWrittenBack(t *testing.T) {
+	fleet := newFakeFleet("a", "b")
+	fleet.writeBackAtOnce()
+	acceptPlans(t, fleet.planner("a"), 3)
+	fleet.pollAll()
+	lost := fleet.store.copyRows()
+	acceptPlans(t, fleet.planner("a"), 2)
+	fleet.pollAll()
+	fleet.store.restoreRows(lost)
+	for range 2 {
+		fleet.pollAll()
+		for id, f := range fleet.followers {
+			if v := f.Index().Version(); v != 5 {
+				t.Fatalf("VM %s is at version %d, want 5", id, v)
+			}
+		}
+	}
+	acceptPlans(t, fleet.planner("b"), 1)
+	f := fleet.start("c")
+	f.poll(ctx)
+	fleet.pollAll()
+	for id, f := range fleet.followers {
+		if c := f.Index().Configuration(); c.Version != 6 || c.Zones[0].Region != "region-0" {
+			t.Errorf("VM %s holds %+v, want version 6 with region-0", id, c)
+		}
+	}
+}
+
 // Guards against a VM that mixes two histories. The table lost versions, and they
 // were given out again by a VM that knew only the older copy. Applying the newest
 // change to the lost configuration gives one that no operator has planned, for good.
@@ -95,6 +137,23 @@
 	}
 }
 
+// Guards against an operator who changes the older copy while a VM still has the
+// lost versions in force. They could then not be written back.
+func TestNoPlanBelowAVersionInForceElsewhere(t *testing.T) {
+	fleet := newFakeFleet("a", "restarted")
+	acceptPlans(t, fleet.planner("a"), 1)
+	lost := fleet.store.copyRows()
+	acceptPlans(t, fleet.planner("a"), 1)
+	fleet.followers["a"].poll(ctx)
+	fleet.store.restoreRows(lost)
+	restarted := fleet.start("restarted")
+	restarted.poll(ctx)
+	restarted.RecordPeerVersion(fleet.vms[0], 2, time.Now())
+	if _, err := fleet.planner("restarted").Plan(ctx, setZone("x")); !errors.Is(err, ErrInconsistent) {
+		t.Errorf("Plan returns %v, want ErrInconsistent", err)
+	}
+}
+
 // Guards against VMs that stay at different configurations of one version, and
 // against a configuration that reverts, after random losses of the table. Plans are
 // made by any VM, also by one that restarted and knows only the older copy.
@@ -102,6 +161,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		ids := []vm.ID{"a", "b", "c"}
 		fleet := newFakeFleet(ids...)
+		fleet.writeBackAtOnce()
 		copies := []map[string]store.Item{fleet.store.copyRows()}
 		lastVersions := map[vm.ID]uint64{}
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
@@ -122,7 +182,7 @@
 			case "restore":
 				fleet.store.restoreRows(rapid.SampledFrom(copies).Draw(rt, "from"))
 			case "restart":
-				fleet.start(id)
+				fleet.start(id).writeBackSpread = time.Nanosecond
 				lastVersions[id] = 0
 			}
 			for _, id := range ids {
