configstore: a withdrawn key stays withdrawn where the withdrawal was in force

Cause: a VM that replaces a lost history by a higher version of the store's took its keys as they are there, without a withdrawal that the table has lost.

Evidence: TestWithdrawnKeyStaysWithdrawn, without the change: "the VM holds version 3 with keys [{ID:k ... Withdrawn:false}], want version 3 with the key withdrawn". The withdrawal is kept with each newer configuration and logged as an error, since VMs that started later do not know it and operators must repeat it.

--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -248,6 +248,7 @@
 		if old.loaded && c.Version <= old.index.Version() {
 			return
 		}
+		c := f.keepWithdrawals(old.index.Configuration(), c)
 		if f.view.CompareAndSwap(old, old.next(c, deltas)) {
 			f.log.WithField("version", c.Version).Info("A new configuration is in force.")
 			if f.opts.Observer != nil {
--- a/configstore/restore_test.go
+++ b/configstore/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,6 +104,31 @@
 	}
 }
 
+// Guards against a key that works again at a VM that had its withdrawal in force,
+// because the store lost the withdrawal and gave its version out again.
+func TestWithdrawnKeyStaysWithdrawn(t *testing.T) {
+	fleet := newFakeFleet("old", "new")
+	const keyID = "k"
+	intent := contract.NewIntent(
+		contract.SetTeam{Team: contract.Team{ID: "t", Weight: 1, RatePerSecond: 1, Burst: 1}},
+		contract.IssueKey{ID: keyID, Team: "t", SecretHash: strings.Repeat("ab", 32)})
+	accept(t, fleet.planner("new"), intent)
+	lost := fleet.store.copyRows()
+	fleet.followers["new"].poll(ctx)
+	accept(t, fleet.planner("old"), contract.NewIntent(contract.WithdrawKey{ID: keyID}))
+	old := fleet.followers["old"]
+	old.poll(ctx)
+	fleet.store.restoreRows(lost)
+	acceptPlans(t, fleet.planner("new"), 2)
+	for range 2 {
+		old.poll(ctx)
+		keys := old.Index().Configuration().Keys
+		if v := old.Index().Version(); v != 3 || len(keys) != 1 || !keys[0].Withdrawn {
+			t.Errorf("the VM holds version %d with keys %+v, want version 3 with the key withdrawn", v, keys)
+		}
+	}
+}
+
 // accept makes and confirms a plan.
 func accept(t testingT, p *Planner, intent contract.Intent) {
 	t.Helper()
--- a/configstore/writeback.go
+++ b/configstore/writeback.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"almondstile/contract"
@@ -68,6 +69,35 @@
 	return nil
 }
 
+// keepWithdrawals returns the next configuration with the keys withdrawn that are
+// withdrawn in the one in force. They differ only if the store has lost the
+// withdrawal and its versions were given out again.
+func (f *Follower) keepWithdrawals(inForce, next *contract.Configuration) *contract.Configuration {
+	withdrawn := make(map[contract.KeyID]string)
+	for _, k := range inForce.Keys {
+		if k.Withdrawn {
+			withdrawn[k.ID] = k.SecretHash
+		}
+	}
+	var keys []contract.Key // a copy of next.Keys once one of them differs
+	for i, k := range next.Keys {
+		if hash, ok := withdrawn[k.ID]; !ok || k.Withdrawn || hash != k.SecretHash {
+			continue
+		}
+		if keys == nil {
+			keys = slices.Clone(next.Keys)
+		}
+		keys[i].Withdrawn = true
+		f.log.WithField("key", k.ID).Error("The store has lost the withdrawal of a key; it stays withdrawn here. Withdraw it again.")
+	}
+	if keys == nil {
+		return next
+	}
+	kept := *next
+	kept.Keys = keys
+	return &kept
+}
+
 // writeVersion writes the delta and moves the head to its version, on the condition
 // that neither was written since the head was read.
 func (f *Follower) writeVersion(ctx context.Context, h, next head, delta contract.Delta) error {
