membership: a departure counts for lists that the table has lost, too

A VM that shut down while another VM was joining again counted as one that may still act by a lost list, so that a proof could wait for it. That case itself is the known one of half a list that does not return; the test, which is new with this series, restarts leaving VMs at its end as TestAtMostOneVMActsInARole does.

--- a/membership/list.go
+++ b/membership/list.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"almondstile/vm"
@@ -84,7 +85,7 @@
 		l.history = append([]receivedList(nil), l.history[1:]...)
 	}
 	for _, v := range r.Roster.departedIDs() {
-		for _, list := range l.olderLists {
+		for _, list := range slices.Concat(l.olderLists, l.lostLists) {
 			list.departed[v] = true
 		}
 	}
