claim: the expiry pauses for each row that it visits

Cause: only deletes were paced, so a pass read rows that stay (claims that are gone or were claimed again) as fast as the table answered. A table or a cursor that went back brings such log rows back by the thousand.

Evidence: TestExpiryPausesForRowsThatStay, before: "500 rows were read with pauses of 206ms, want at least 5s". The pause now comes before each visited row instead of before each delete, so that a pass that deletes all takes as long as before.

--- a/claim/expiry.go
+++ b/claim/expiry.go
@@ -24,8 +24,9 @@
 	// maxMinutesPerPass is the largest number of claim log minutes that a pass
 	// handles. After an outage, several passes work off the backlog.
 	maxMinutesPerPass = 120
-	// deletesPerSecond limits the load of a pass on the store.
-	deletesPerSecond = 100
+	// rowsPerSecond limits the load of a pass on the store. It counts the rows that
+	// a pass visits, also those that it does not delete.
+	rowsPerSecond = 100
 	// firstPassLookback is how long before the newest expired minute the first
 	// pass starts if the store has no cursor yet.
 	firstPassLookback = time.Hour
@@ -115,7 +116,8 @@
 }
 
 // deleteMinute deletes the expired claims that the claim log lists for one minute.
-// It deletes each log row after the claims that the row lists.
+// It deletes each log row after the claims that the row lists, and pauses before
+// each row to keep to rowsPerSecond.
 func (c *Claims) deleteMinute(ctx context.Context, minute time.Time) error {
 	logRows, err := c.table.Query(ctx, logPrefix(minute))
 	if err != nil {
@@ -131,6 +133,7 @@
 				return err
 			}
 		}
+		wait.For(ctx, time.Second/rowsPerSecond)
 		if err := c.deleteRow(ctx, logRow.Key, logRow.Version); err != nil {
 			return err
 		}
@@ -144,6 +147,7 @@
 	if !strings.HasPrefix(key, keyPrefix) {
 		return nil
 	}
+	wait.For(ctx, time.Second/rowsPerSecond)
 	found, version, err := c.read(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
@@ -157,10 +161,8 @@
 	return c.deleteRow(ctx, key, version)
 }
 
-// deleteRow deletes the row if it still has the given version. It first pauses to
-// keep to deletesPerSecond.
+// deleteRow deletes the row if it still has the given version.
 func (c *Claims) deleteRow(ctx context.Context, key string, version uint64) error {
-	wait.For(ctx, time.Second/deletesPerSecond)
 	err := c.table.Transact(ctx, []store.Write{{
 		Kind: store.Delete, Key: key,
 		Condition: store.Condition{Kind: store.VersionIs, Version: version},
