membership: a VM that was out of contact waits before it acts again

Seen: a VM out of contact for longer than its lease, whose role another VM took over, acted at once when it came back together with a table that had lost the takeover. For up to a lease, two VMs acted in the role.

Evidence: TestReturningVMWaitsAfterTheTableWentBack, before: "vm00 with list 1 and vm02 with list 2 may act".

The VM cannot tell that the table went back, because it finds the list and the session that it knew. After a store outage in which the VM was supported nothing changes.

--- a/membership/act.go
+++ b/membership/act.go
@@ -14,7 +14,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := &m.list
-	if m.phase != listed || !holdsRole(list.roster.List, role, m.self) || !m.leaseAndListValid(now) && !m.supportedByMajority(now) {
+	if m.phase != listed || now.Before(list.resumeAt) || !holdsRole(list.roster.List, role, m.self) || !m.leaseAndListValid(now) && !m.supportedByMajority(now) {
 		return time.Time{}, false
 	}
 	othersExcludedSince, ok := list.handover.excludedSince(role)
@@ -28,6 +28,9 @@
 	if since.Before(othersExcludedSince) {
 		since = othersExcludedSince
 	}
+	if since.Before(list.resumeAt) {
+		since = list.resumeAt
+	}
 	return since, ok
 }
 
--- a/membership/list.go
+++ b/membership/list.go
@@ -30,6 +30,10 @@
 	// lostLists are lists that the table has lost and by which other VMs may still
 	// act. They count as older lists of the next join.
 	lostLists []olderList
+	// supportedAt is when this VM last had the support of the store-outage rule.
+	// resumeAt is the time before which it does not act after it was without the
+	// table and that support; see resumeAfterLapse.
+	supportedAt, resumeAt time.Time
 	// restarts counts the lists that replaced the one in use without following it.
 	restarts uint64
 	// raiseAt is the earliest time at which this VM may raise the version of the
@@ -67,6 +71,7 @@
 	case r.Err != nil:
 		return nil
 	case l.roster.isList(r.Roster.List.Version, r.Roster.id()):
+		m.resumeAfterLapse(now)
 		l.recordRead(a.DecidedAt)
 		return nil
 	case r.Roster.List.Version <= l.roster.List.Version:
@@ -75,6 +80,7 @@
 		m.joinAgain()
 	}
 	l.raiseAt = time.Time{}
+	m.resumeAfterLapse(now)
 	if !now.Before(l.lastReadSentAt.Add(m.options.LeaseDuration)) {
 		// Other VMs may have held and lost this VM's roles in the meantime.
 		l.history = nil
@@ -93,6 +99,19 @@
 	return nil
 }
 
+// resumeAfterLapse sets resumeAt before a successful read of the list, if this VM has
+// not read it for as long as a lease, and was not supported in a store outage. Other
+// VMs may have held its roles since by a list that the table has lost again; their
+// leases end within the takeover wait.
+func (m *Member) resumeAfterLapse(now time.Time) {
+	l := &m.list
+	lapsed := !now.Before(l.lastReadSentAt.Add(m.options.LeaseDuration)) &&
+		!now.Before(l.supportedAt.Add(m.options.HeartbeatValidity))
+	if l.roster.List.Version > 0 && lapsed {
+		l.resumeAt = now.Add(m.options.takeoverWait())
+	}
+}
+
 // joinAgain makes this VM join by the next list as if it had just started, after
 // the list in use and those before it are out of use.
 func (m *Member) joinAgain() {
--- a/membership/member.go
+++ b/membership/member.go
@@ -76,6 +76,9 @@
 	if m.phase == gone {
 		return nil
 	}
+	if !m.leaseAndListValid(now) && m.supportedByMajority(now) {
+		m.list.supportedAt = now
+	}
 	var actions []Action
 	if !now.Before(m.nextPoll) && !m.inFlight[ReadListVersion] {
 		m.lastPoll, m.nextPoll = now, now.Add(m.options.PollEvery)
@@ -147,6 +150,7 @@
 	}
 	var actions []Action
 	if m.list.roster.isList(r.Version, r.ListID) {
+		m.resumeAfterLapse(now)
 		m.list.recordRead(a.DecidedAt)
 		m.updatePhase(now) // the session row may have been read after the list
 	} else {
--- a/membership/restore_test.go
+++ b/membership/restore_test.go
@@ -219,3 +219,32 @@
 		}
 	}
 }
+
+// Guards against a VM that acts again at once after the table went back to the list
+// and the session that it knew, while the VM that took its role over still acts by
+// the lost list. The VM was out of contact for longer than its lease.
+func TestReturningVMWaitsAfterTheTableWentBack(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		s := startSimulation(seed, 4, 4)
+		lost := s.platform.CopyTable()
+		s.vms[0].storeRequestsLost = true
+		for i := range s.vms {
+			s.vms[0].blockedTo[i] = true
+			s.vms[i].blockedTo[0] = true
+		}
+		s.run(15 * time.Second) // the others remove it
+		s.vms[0].storeRequestsLost = false
+		for _, v := range s.vms {
+			v.blockedTo = map[int]bool{}
+		}
+		s.platform.RestoreTable(lost)
+		s.run(30 * time.Second)
+		if s.violation != "" {
+			t.Fatalf("seed %d: %s", seed, s.violation)
+		}
+		if n := s.rolesWithoutHolder(); n > 0 {
+			t.Fatalf("seed %d: %d roles have no holder", seed, n)
+		}
+	}
+}
