membership: lists of an earlier release keep the lineage; cuts and pauses in the test

A process of an earlier release writes lists without IDs. Each such list would have made all VMs with IDs join again while a release is rolled out (found by reading; the new TestListOfEarlierReleaseIsFollowed fails without the change).

Two tests show the limits: a majority that is cut off with a lost list, and a new VM with an empty table, let two VMs act.

--- a/membership/restore_test.go
+++ b/membership/restore_test.go
@@ -25,6 +25,10 @@
 // went back: a join with its takeover wait, and the reads around it.
 const rolesRecoverIn = 25 * time.Second
 
+// leasesEndIn is a time in which all leases and reads of before the table went back
+// have ended.
+const leasesEndIn = 8 * time.Second
+
 // Guards against VMs that never follow a table that went back to a copy with a
 // lower version of the member list. They would stop acting when their leases end
 // and not be ready until the version passes the lost one.
@@ -35,8 +39,8 @@
 	s.vms[4].start()
 	s.run(10 * time.Second)
 	s.platform.RestoreTable(lost)
-	s.run(8 * time.Second) // the leases and reads of before have ended
-	s.runUntil(t, rolesRecoverIn, "all roles have a holder, and all VMs are ready", func() bool {
+	s.run(leasesEndIn)
+	s.runUntil(t, rolesRecoverIn-leasesEndIn, "all roles have a holder, and all VMs are ready", func() bool {
 		for _, v := range s.vms {
 			if ready, _ := v.member.Ready(v.localTime()); !ready {
 				return false
@@ -147,10 +151,49 @@
 	t.Logf("%d reads and %d transactions in %d s by %d VMs", reads, after.Transactions-before.Transactions, seconds, len(s.vms))
 }
 
+// loseWritesOrFail copies the table, puts it back to one of the copies, or applies or
+// ends one other fault. It returns the copies.
+func loseWritesOrFail(t *rapid.T, s *simulation, copies []platformsim.TableCopy) []platformsim.TableCopy {
+	v := rapid.SampledFrom(s.vms).Draw(t, "vm")
+	step := rapid.SampledFrom([]string{"copy", "restore", "outage", "crash", "leave", "start", "cut", "back", "pause"}).Draw(t, "step")
+	switch step {
+	case "copy":
+		copies = append(copies, s.platform.CopyTable())
+	case "restore":
+		s.platform.RestoreTable(rapid.SampledFrom(copies).Draw(t, "from"))
+		s.storeDown = false
+	case "outage":
+		s.storeDown = true
+	case "cut", "back":
+		for _, w := range s.vms {
+			w.blockedTo, w.storeRequestsLost = map[int]bool{}, false
+		}
+		if step == "cut" {
+			v.storeRequestsLost = true
+			for i, w := range s.vms {
+				v.blockedTo[i], w.blockedTo[v.index] = true, true
+			}
+		}
+	case "pause":
+		v.pausedUntil = s.now + time.Duration(rapid.IntRange(100, 15_000).Draw(t, "pms"))*time.Millisecond
+	case "crash":
+		v.alive = false
+	case "leave":
+		if v.alive {
+			v.member.Leave()
+		}
+	case "start":
+		if left, _ := v.member.HasLeft(); left || !v.alive {
+			v.start()
+		}
+	}
+	return copies
+}
+
 // Guards against two VMs that act in one role after the table went back, and
 // against roles that stay without a holder. Random schedules combine copies of the
 // table of random ages, also several times and after an outage, with crashes,
-// restarts and departures.
+// restarts, departures, pauses, and one VM that is cut off.
 func TestAtMostOneVMActsAfterTheTableWentBack(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
@@ -162,26 +205,7 @@
 		s.run(12 * time.Second)
 		copies := []platformsim.TableCopy{s.platform.CopyTable()}
 		for range rapid.IntRange(2, 15).Draw(t, "steps") {
-			v := rapid.SampledFrom(s.vms).Draw(t, "vm")
-			switch rapid.SampledFrom([]string{"copy", "restore", "outage", "crash", "leave", "start"}).Draw(t, "step") {
-			case "copy":
-				copies = append(copies, s.platform.CopyTable())
-			case "restore":
-				s.platform.RestoreTable(rapid.SampledFrom(copies).Draw(t, "from"))
-				s.storeDown = false
-			case "outage":
-				s.storeDown = true
-			case "crash":
-				v.alive = false
-			case "leave":
-				if v.alive {
-					v.member.Leave()
-				}
-			case "start":
-				if left, _ := v.member.HasLeft(); left || !v.alive {
-					v.start()
-				}
-			}
+			copies = loseWritesOrFail(t, s, copies)
 			s.run(time.Duration(rapid.IntRange(50, 8000).Draw(t, "ms")) * time.Millisecond)
 			if s.violation != "" {
 				t.Fatal(s.violation)
@@ -189,6 +213,7 @@
 		}
 		s.storeDown = false
 		for _, v := range s.vms {
+			v.blockedTo, v.storeRequestsLost, v.pausedUntil = map[int]bool{}, false, 0
 			if !v.alive || v.member.AnswerHeartbeat(v.localTime(), HeartbeatRequest{}).Leaving {
 				v.start() // a lost list of two needs both to be proven out of use
 			}
@@ -248,3 +273,93 @@
 		}
 	}
 }
+
+// Guards against a fleet that does not go on after the table lost all rows.
+func TestFleetWritesAnEmptyTableAgain(t *testing.T) {
+	t.Parallel()
+	s := newSimulation(1, 4)
+	empty := s.platform.CopyTable()
+	for _, v := range s.vms {
+		v.start()
+	}
+	s.run(12 * time.Second)
+	s.platform.RestoreTable(empty)
+	s.run(leasesEndIn)
+	s.runUntil(t, rolesRecoverIn-leasesEndIn, "all roles have a holder", func() bool { return s.rolesWithoutHolder() == 0 })
+}
+
+// Shows what docs/PROMISES.md says: two VMs may act in one role for a lease if the
+// table loses the list altogether, and a VM starts while the others do not reach it.
+// The VM cannot tell that it is not the first of a new fleet.
+func TestNewVMActsAtOnceByAnEmptyTable(t *testing.T) {
+	t.Parallel()
+	violations := 0
+	for seed := range uint64(10) {
+		s := newSimulation(seed, 4)
+		empty := s.platform.CopyTable()
+		for _, v := range s.vms[:3] {
+			v.start()
+		}
+		s.run(12 * time.Second)
+		for _, v := range s.vms[:3] {
+			v.storeRequestsLost = true
+		}
+		s.platform.RestoreTable(empty)
+		s.vms[3].start()
+		s.run(20 * time.Second)
+		if s.violation != "" {
+			violations++
+		}
+	}
+	if violations == 0 {
+		t.Error("no two VMs acted in one role; docs/PROMISES.md says that it is possible")
+	}
+}
+
+// Shows what docs/PROMISES.md says: two VMs may act in one role if more than half of
+// the lost list reaches neither the table nor the other VMs when it goes back. They
+// support each other by a list of which the others know nothing.
+func TestVMsCutOffWithALostList(t *testing.T) {
+	t.Parallel()
+	violations := 0
+	for seed := range uint64(10) {
+		s := startSimulation(seed, 6, 2)
+		lost := s.platform.CopyTable()
+		for _, v := range s.vms[2:5] {
+			v.start()
+		}
+		s.run(20 * time.Second)
+		for _, v := range s.vms[2:5] {
+			v.storeRequestsLost = true
+			v.blockedTo = map[int]bool{0: true, 1: true}
+		}
+		for _, v := range s.vms[:2] {
+			v.alive = false
+		}
+		s.platform.RestoreTable(lost)
+		for _, v := range s.vms[:2] {
+			v.start()
+		}
+		s.run(40 * time.Second)
+		if s.violation != "" {
+			violations++
+		}
+	}
+	if violations == 0 {
+		t.Error("no two VMs acted in one role; docs/PROMISES.md says that it is possible")
+	}
+}
+
+// Guards against VMs that join again with each change of the list while VMs of an
+// earlier release, which write no IDs, are replaced one after another.
+func TestListOfEarlierReleaseIsFollowed(t *testing.T) {
+	t.Parallel()
+	withID := Roster{List: vm.MemberList{Version: 2}, Lineage: []string{"b", "a"}}
+	earlier := Roster{List: vm.MemberList{Version: 3}}
+	if !earlier.follows(withID) || !withID.follows(Roster{List: vm.MemberList{Version: 1}}) {
+		t.Error("a list without an ID breaks the lineage")
+	}
+	if other := (Roster{List: vm.MemberList{Version: 3}, Lineage: []string{"d", "c"}}); other.follows(withID) {
+		t.Error("a list of another lineage follows")
+	}
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -143,10 +143,12 @@
 	return hb.ListVersion > r.List.Version || hb.ListID != "" && len(r.Lineage) > 0 && !slices.Contains(r.Lineage, hb.ListID)
 }
 
-// follows reports whether the list was made from the earlier list by changes. Any
-// list follows version 0 and a list without an ID.
+// follows reports whether the list was made from the earlier list by changes. That
+// is assumed if the earlier list has version 0, or if one of them was written by a
+// process without IDs.
 func (r Roster) follows(earlier Roster) bool {
-	return earlier.List.Version == 0 || earlier.id() == "" || slices.Contains(r.Lineage, earlier.id())
+	unknown := earlier.List.Version == 0 || earlier.id() == "" || r.id() == ""
+	return unknown || slices.Contains(r.Lineage, earlier.id())
 }
 
 // nextLineage returns the lineage of a list that follows this one.
