--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -263,7 +263,7 @@
 // next returns the view after a newer configuration is activated. It keeps the
 // older deltas if the new ones follow them in the same history.
 func (v *view) next(c *contract.Configuration, deltas []contract.Delta) *view {
-	if len(deltas) == 0 || deltas[0].Version != v.index.Version()+1 || !v.loaded {
+	if len(deltas) == 0 || deltas[0].Version != v.index.Version()+1 {
 		return newView(c, true, deltas, "")
 	}
 	if len(v.deltas) == 0 {
--- a/configstore/restore_test.go
+++ b/configstore/restore_test.go
@@ -77,6 +77,72 @@
 	}
 }
 
+// Guards against a fleet that loses its configuration with a table that lost all
+// rows.
+func TestEmptyTableIsWrittenAgain(t *testing.T) {
+	fleet := newFakeFleet("a", "b")
+	fleet.writeBackAtOnce()
+	empty := fleet.store.copyRows()
+	acceptPlans(t, fleet.planner("a"), 30)
+	fleet.followers["b"].poll(ctx) // "a" has no configuration
+	fleet.store.restoreRows(empty)
+	for range 2 {
+		fleet.followers["b"].poll(ctx)
+	}
+	started := fleet.start("c")
+	started.poll(ctx)
+	if v := started.Index().Version(); v != 30 {
+		t.Errorf("a VM that starts is at version %d, want 30", v)
+	}
+}
+
+// Shows what docs/PROMISES.md says: versions that no VM has read one by one are not
+// written back. The configuration in force stays, and no plan can be made.
+func TestVersionsThatNoVMHasAreNotWrittenBack(t *testing.T) {
+	fleet := newFakeFleet("a")
+	acceptPlans(t, fleet.planner("a"), 15)
+	lost := fleet.store.copyRows()
+	acceptPlans(t, fleet.planner("a"), 30) // with snapshots at 20 and 40
+	f := fleet.start("a")
+	fleet.writeBackAtOnce()
+	f.poll(ctx)
+	fleet.store.restoreRows(lost)
+	for range 3 {
+		f.poll(ctx)
+	}
+	if v := f.Index().Version(); v != 45 {
+		t.Errorf("the VM is at version %d, want 45", v)
+	}
+	if _, err := fleet.planner("a").Plan(ctx, setZone("x")); !errors.Is(err, ErrInconsistent) {
+		t.Errorf("Plan returns %v, want ErrInconsistent", err)
+	}
+}
+
+// Shows what docs/PROMISES.md says: a confirm that is repeated after the table lost
+// the accepted plan is not applied twice, but its outcome may be a wrong refusal.
+func TestConfirmOfALostPlan(t *testing.T) {
+	fleet := newFakeFleet("a")
+	fleet.writeBackAtOnce()
+	acceptPlans(t, fleet.planner("a"), 1)
+	fleet.pollAll()
+	unplanned := fleet.store.copyRows()
+	id := mustPlan(t, fleet.planner("a"), setZone("x"))
+	planned := fleet.store.copyRows()
+	if outcome, err := fleet.planner("a").Confirm(ctx, id); err != nil || outcome.Kind != Accepted {
+		t.Fatalf("Confirm returns %+v, %v, want accepted", outcome, err)
+	}
+	fleet.pollAll()
+	for want, rows := range map[OutcomeKind]map[string]store.Item{UnknownPlan: unplanned, BaseChanged: planned} {
+		fleet.store.restoreRows(rows)
+		fleet.pollAll()
+		fleet.pollAll() // writes version 2 back
+		outcome, err := fleet.planner("a").Confirm(ctx, id)
+		if h, _ := fleet.planner("a").head(ctx); err != nil || outcome.Kind != want || h.Version != 2 {
+			t.Errorf("Confirm returns %+v, %v at head %d, want %s at head 2", outcome, err, h.Version, want)
+		}
+	}
+}
+
 // Guards against a VM that mixes two histories. The table lost versions, and they
 // were given out again by a VM that knew only the older copy. Applying the newest
 // change to the lost configuration gives one that no operator has planned, for good.
