--- a/configstore/restore_test.go
+++ b/configstore/restore_test.go
@@ -116,6 +116,33 @@
 	if _, err := fleet.planner("a").Plan(ctx, setZone("x")); !errors.Is(err, ErrInconsistent) {
 		t.Errorf("Plan returns %v, want ErrInconsistent", err)
 	}
+	fleet.start("a").poll(ctx) // all VMs were stopped and start with the older copy
+	acceptPlans(t, fleet.planner("a"), 1)
+}
+
+// Shows what docs/PROMISES.md says: if a VM that knew only the older copy has made
+// changes on it, versions above them that are in force elsewhere are not written
+// back, and no plan can be made.
+func TestLostVersionsAboveANewHistoryBlockPlans(t *testing.T) {
+	fleet := newFakeFleet("old", "new")
+	fleet.writeBackAtOnce()
+	acceptPlans(t, fleet.planner("new"), 1)
+	lost := fleet.store.copyRows()
+	fleet.followers["new"].poll(ctx)
+	acceptPlans(t, fleet.planner("old"), 2)
+	fleet.followers["old"].poll(ctx)
+	fleet.store.restoreRows(lost)
+	addSecondZone(t, fleet.planner("new")) // version 2 again, below version 3
+	for range 3 {
+		fleet.followers["old"].poll(ctx)
+	}
+	h, err := fleet.planner("old").head(ctx)
+	if v := fleet.followers["old"].Index().Version(); h.Version != 2 || err != nil || v != 3 {
+		t.Errorf("the head is at %d (%v) and version %d in force, want 2 and 3", h.Version, err, v)
+	}
+	if _, err := fleet.planner("old").Plan(ctx, setZone("x")); !errors.Is(err, ErrInconsistent) {
+		t.Errorf("Plan returns %v, want ErrInconsistent", err)
+	}
 }
 
 // Shows what docs/PROMISES.md says: a confirm that is repeated after the table lost
