--- a/gossip/pullpace.go
+++ b/gossip/pullpace.go
@@ -39,6 +39,9 @@
 		if fruitful {
 			return pullDelay{}, false
 		}
+		if now.Sub(d.until) > maxPullDelay {
+			d.fruitless = 0 // the last one was long ago
+		}
 		d.fruitless++
 		d.until = now.Add(min(initialPullDelay<<min(d.fruitless-1, 4), maxPullDelay))
 		return d, true
--- a/gossip/pullpace_test.go
+++ b/gossip/pullpace_test.go
@@ -51,3 +51,18 @@
 		t.Errorf("%d pulls in %s, want at most %d", pulls.Load(), duration, bound)
 	}
 }
+
+// Guards against a pause of its full length after a single pull that failed, because of
+// pulls that brought nothing long ago.
+func TestPullDelayOfLongAgoIsForgotten(t *testing.T) {
+	var p pullPace
+	now := time.Now()
+	for range 5 {
+		p.record(now, "vm-1", false)
+	}
+	now = now.Add(time.Hour)
+	p.record(now, "vm-1", false) // one answer was lost
+	if !p.allows(now.Add(initialPullDelay), "vm-1") {
+		t.Error("the VM is not asked again after the initial delay")
+	}
+}
