catalog, gossip: what an answer proves about a copy, its era and its age

- Withdrawn keys could outlive their bound: an age was a difference of two readings of the store's clock, and stayed 0 where the clock had gone back or one answer was ahead.
A copy is now never younger than the local time since its time was received; a later answer of the store corrects a wrong time, and times of other VMs that are ahead of the clock are not taken (TestCopyAgesAfterTheStoresClockWentBack, TestCopyAgesWhileOnlyAnotherTableIsReadInTheNewEra).
- A store that states a lower era, or none for a while, was never followed again: the incident's own class.
An answer without an era is judged by its version; a lower number is believed after 3 s (TestStoreThatStatesALowerEraIsFollowed, TestStoreThatStatesItsEraWithWholeTablesOnlyIsFollowed).
- A row of a whole table was dropped if its version was lower than the copy's.
Versions of a row only rise within an era, so that begins one (TestWholeTableReplacesRowsWithHigherVersions).
- One VM behind a state that lags took the fleet back: an era that only VMs found does not replace a copy of a later time that is confirmed (TestOneVMBehindALaggingStateDoesNotTakeTheOthersBack); two single old answers a minute apart began an era (TestSingleAnswersThatLagDoNotBeginAnEra).
- Two restores: a server that left was used again, and one that had never drained counted as draining for good.
Distrust is a mark of its own now (TestServerThatLeftStaysSoAfterTwoRestores, TestServerThatNeverDrainedIsUsedAfterTwoRestores).
Retained rows had times of the old clock (TestRetainedRowsExpireAfterTheStoresClockWentBack).
- A copy that was known to be of an earlier era still waited for changes for up to 1 s (TestCopyOfAnEarlierEraIsReadWithoutALongPoll).
- The estimate of the store's clock kept the duration of the call that began an era (TestAgeIsRightAfterASlowReadInANewEra), and took the time of a VM of an earlier era from a pull (TestPullFromAVMOfAnEarlierEraKeepsTheStoresClock).
- A change that another VM delivered first was followed by an idle pause (TestChangeThatAnotherVMDeliveredFirstIsNotIdle).

How an answer relates to a copy is a type of its own now (standing).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -35,7 +35,10 @@
 	// ColdUntil is the local time (package boottime) until which the server is
 	// treated as cold. The catalog sets it to the time of decoding plus ColdFor.
 	ColdUntil time.Duration
-	row       history.Position
+	// distrusted is set while the registration may only have come back with an older copy
+	// of the store.
+	distrusted bool
+	row        history.Position
 }
 
 // OperatorRow is a decoded row of OperatorTable. Exactly one field is set.
@@ -150,13 +153,18 @@
 // BeginCall returns a call to the store about a table, which starts now.
 func (c *Catalog) BeginCall(t Table) Call { return c.tables[t].beginCall(c.clock()) }
 
+// NeedsWholeTable reports whether there is no copy of the table, or a later era of the store's
+// history is known than the copy's.
+func (c *Catalog) NeedsWholeTable(t Table) bool { return c.tables[t].needsWholeTable() }
+
 // Apply updates the copy of a table with the store's answer to a call and rebuilds the
 // view if a row changed. An answer that is older than the copy is ignored. It returns what
 // came of the answer.
 func (c *Catalog) Apply(t Table, call Call, ch Changes) Result {
 	c.observeAge(t)
 	before, _ := c.PositionAsOf(t)
-	result := c.tables[t].apply(c.clock(), call, ch)
+	now := c.clock()
+	result := c.tables[t].apply(now, call, ch)
 	switch result {
 	case ResultOlder:
 		c.logUnusedAnswer(t, ch, result)
@@ -165,10 +173,10 @@
 		c.logUnusedAnswer(t, ch, result)
 	}
 	if position, _ := c.PositionAsOf(t); before.Version > 0 && position.Era != before.Era {
-		c.StoreClock.Restart(call.start, ch.AsOf, 0)
+		c.StoreClock.Restart(call.readAt(now), ch.AsOf, 0)
 		c.recordNewEra(t, before, position, FromStore)
 	} else {
-		c.StoreClock.Observe(c.clock(), ch.AsOf)
+		c.StoreClock.Observe(now, ch.AsOf)
 	}
 	if result == ResultChanged {
 		c.rebuildView(FromStore)
@@ -182,18 +190,40 @@
 
 // Merge updates the copy of a table with a delta from another VM and rebuilds the
 // view if a row changed, which it reports. A delta that is older than the copy is
-// ignored. newEra reports whether a new era of the store's history began with it.
-func (c *Catalog) Merge(t Table, d Delta) (changed, newEra bool) {
+// ignored.
+func (c *Catalog) Merge(t Table, d Delta) (changed bool) {
 	c.observeAge(t)
 	before, _ := c.PositionAsOf(t)
-	changed, newEra = c.tables[t].merge(d)
+	d.AsOf = c.credible(d.AsOf)
+	changed, newEra := c.tables[t].merge(c.clock(), d)
 	if newEra {
 		c.recordNewEra(t, before, d.Position, FromVM)
 	}
 	if changed {
 		c.rebuildView(FromVM)
 	}
-	return changed, newEra
+	return changed
+}
+
+// credible returns a time of the store's clock that another VM has sent, or 0 if it is ahead
+// of the clock: it would make a copy look current for as long.
+func (c *Catalog) credible(asOf time.Duration) time.Duration {
+	if store, known := c.StoreClock.At(c.clock()); known && asOf > store+contradictionOffset {
+		return 0
+	}
+	return asOf
+}
+
+// BeginsEra reports whether a delta is the whole table of a later era than the copy's.
+func (c *Catalog) BeginsEra(t Table, d Delta) bool {
+	position, _ := c.PositionAsOf(t)
+	return position.Version > 0 && d.FullTable && d.Position.Era.Compare(position.Era) > 0
+}
+
+// PrecedesEra reports whether a position is of an earlier era than the copy of the table.
+func (c *Catalog) PrecedesEra(t Table, p history.Position) bool {
+	position, _ := c.PositionAsOf(t)
+	return p.Era.Compare(position.Era) < 0
 }
 
 // recordNewEra logs that the store went back to an older copy. If this VM has read that in
@@ -238,7 +268,7 @@
 // has the same position, it is current as of then too. RecordPeerPosition reports
 // whether this VM's copy is older than the other VM's, or missing.
 func (c *Catalog) RecordPeerPosition(t Table, peer history.Position, asOf time.Duration) (behind bool) {
-	return c.tables[t].recordPeer(peer, asOf)
+	return c.tables[t].recordPeer(c.clock(), peer, c.credible(asOf))
 }
 
 // DeltaSince returns the rows of a table's copy that changed after a position and
@@ -259,12 +289,11 @@
 // Age returns the time since the table's copy was last known to be current, or
 // 24 hours (neverLoadedAge) if there is no copy.
 func (c *Catalog) Age(t Table) time.Duration {
-	position, asOf := c.PositionAsOf(t)
 	store, known := c.StoreClock.At(c.clock())
-	if position.Version == 0 || !known {
+	if !c.Loaded(t) || !known {
 		return neverLoadedAge
 	}
-	return max(store-asOf, 0)
+	return c.tables[t].age(c.clock(), store)
 }
 
 // Loaded reports whether there is a copy of the table.
--- a/catalog/departures.go
+++ b/catalog/departures.go
@@ -33,9 +33,9 @@
 	distrustedUntil time.Duration
 }
 
-// recordRegistration remembers a registration that says that the server leaves. It marks a
-// registration as draining that came back with an older copy of the store. The caller holds
-// rebuildMu.
+// recordRegistration remembers a registration that says that the server leaves. It marks one
+// that came back with an older copy of the store: as draining if the server had said so, and
+// otherwise as distrusted for a while. The caller holds rebuildMu.
 func (c *Catalog) recordRegistration(key string, r *Registration) {
 	if r.Draining {
 		c.recordDeparture(key, r)
@@ -48,12 +48,12 @@
 		delete(c.departures, key) // the server registered again
 	case d.draining:
 		r.Draining = true
-	case d.returned == history.Position{}:
+	case d.returned.Era.Compare(r.row.Era) < 0:
 		d.returned, d.distrustedUntil = r.row, c.clock()+returnDistrust
 		c.departures[key] = d
-		r.Draining = true
+		r.distrusted = true
 	case d.returned == r.row && c.clock() < d.distrustedUntil:
-		r.Draining = true
+		r.distrusted = true
 	default:
 		delete(c.departures, key) // the server registered again, or its row would have lapsed
 	}
--- a/catalog/departures_test.go
+++ b/catalog/departures_test.go
@@ -80,3 +80,45 @@
 		t.Error("the zone is still out, although the operators did not write that again")
 	}
 }
+
+// Guards against new requests to a server that has left, because the store goes back a
+// second time, to a copy with another row of the server.
+func TestServerThatLeftStaysSoAfterTwoRestores(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 50, AsOf: c.storeNow(), Rows: []Row{registered("ok", 50)}})
+	c.Apply(ServerTable, Changes{Version: 51, AsOf: c.storeNow(), Rows: []Row{{Key: "a", Version: 51, Removed: true}}})
+	c.goBackTo(registered("ok", 5))
+	if c.usable() {
+		t.Fatal("the server is used after the first restore")
+	}
+	c.now += 500 * time.Millisecond
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 4, AsOf: c.storeNow(), Rows: []Row{registered("ok", 3)}})
+	if c.usable() {
+		t.Error("the server is used after the second restore")
+	}
+}
+
+// Guards against a server that never said that it leaves and counts as draining for good,
+// because its registration lapsed while it was not trusted and the store went back again.
+func TestServerThatNeverDrainedIsUsedAfterTwoRestores(t *testing.T) {
+	c := newTestCatalog()
+	removed := func(version uint64) Changes {
+		return Changes{Version: version, AsOf: c.storeNow(), Rows: []Row{{Key: "a", Version: version, Removed: true}}}
+	}
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 50, AsOf: c.storeNow(), Rows: []Row{registered("ok", 50)}})
+	c.Apply(ServerTable, removed(51))
+	c.goBackTo(registered("ok", 5)) // not trusted
+	for range 3 {
+		c.now += time.Second
+		c.Apply(ServerTable, Changes{Version: 8, AsOf: c.storeNow()})
+	}
+	c.Apply(ServerTable, removed(9))
+	c.now += time.Second
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 4, AsOf: c.storeNow(), Rows: []Row{registered("ok", 3)}})
+	c.Apply(ServerTable, Changes{Version: 5, AsOf: c.storeNow(), Rows: []Row{registered("ok", 5)}}) // written again
+	c.now += 10 * time.Second
+	c.DeleteExpired()
+	if !c.usable() {
+		t.Error("the server that writes its registration is not used")
+	}
+}
--- a/catalog/eras.go
+++ b/catalog/eras.go
@@ -6,44 +6,104 @@
 	"almondstile/history"
 )
 
-// maxContradiction is how long all answers may have lower versions at earlier times than
-// the copy until it counts as outdated: the store's clock went back too.
-const maxContradiction = 3 * time.Second
+// maxDoubtTime is how long all answers may look older than the copy until they are believed:
+// the store, its clock or the era that it states went back.
+const maxDoubtTime = 3 * time.Second
 
-// eraOf returns the era of an answer, or the result if the answer is not to be used. The
-// caller holds mu.
-func (c *tableCopy) eraOf(now time.Duration, call Call, ch Changes) (history.Era, Result) {
-	own := c.position.Era
+// standing tells how an answer of the store relates to a copy.
+type standing int
+
+const (
+	// standingCurrent means that the answer continues the copy.
+	standingCurrent standing = iota
+	// standingLaterEra means that the answer is of a later era than the copy.
+	standingLaterEra
+	// standingOvertaken means that a newer copy has come from another VM since the start of
+	// the call.
+	standingOvertaken
+	// standingOlder means that the answer is older than the copy, or may be.
+	standingOlder
+)
+
+// judge returns how an answer relates to the copy, and its era if it is to be used. now is
+// the local time. The caller holds mu.
+func (c *tableCopy) judge(now time.Duration, call Call, ch Changes) (standing, history.Era) {
+	own, stated := c.position.Era, ch.Era
+	if stated == 0 {
+		stated = c.stated // the answer states no era, so the versions decide
+	}
 	switch {
-	case ch.Era == c.laterEra.Stated && c.laterEra.Compare(own) > 0 && call.start >= c.laterEraAt:
-		return c.laterEra, ""
-	case !c.loaded || ch.Era > own.Stated:
-		return history.Era{Stated: ch.Era}, ""
-	case ch.Era < own.Stated || call.known.Era != own || c.laterEra.Compare(own) > 0:
-		return own, ResultOlder // it was sent before the latest era began, as far as can be known
-	case ch.Version >= c.position.Version:
-		return own, ""
-	case ch.Version >= call.known.Version:
-		return own, ResultOvertaken
-	case ch.AsOf > c.asOf || c.olderSince > 0 && now-c.olderSince >= maxContradiction:
-		return own.Next(), ""
-	case c.olderSince == 0:
-		c.olderSince = now
+	case !c.loaded && c.laterEra.Stated == ch.Era && call.start >= c.laterEraAt:
+		return standingCurrent, c.laterEra
+	case !c.loaded:
+		return standingCurrent, history.Era{Stated: ch.Era}
+	case stated != c.stated && stated > max(own.Stated, c.laterEra.Stated):
+		return standingLaterEra, history.Era{Stated: stated}
+	case c.isOutdated() && call.start >= c.laterEraAt:
+		return standingLaterEra, c.laterEra
+	case c.isOutdated() || call.known.Era != own:
+		return standingOlder, own // it was sent before the latest era began, as far as can be known
+	case stated != c.stated:
+		return c.doubt(now)
+	case ch.Version < call.known.Version || ch.FullTable && c.contradicts(ch.Rows):
+		if ch.AsOf > c.asOf {
+			return standingLaterEra, own.Next()
+		}
+		return c.doubt(now)
+	case ch.Version < c.position.Version:
+		return standingOvertaken, own
+	}
+	return standingCurrent, own
+}
+
+// doubt records an answer that looks older than the copy. It is believed when all answers
+// have looked like that for maxDoubtTime. The caller holds mu.
+func (c *tableCopy) doubt(now time.Duration) (standing, history.Era) {
+	own := c.position.Era
+	if c.inDoubt && now-c.doubtSince >= maxDoubtTime {
+		return standingLaterEra, own.Next()
+	}
+	if !c.inDoubt {
+		c.inDoubt, c.doubtSince = true, now
+	}
+	return standingOlder, own
+}
+
+// contradicts reports whether the whole table holds a row with a lower version than the
+// copy does. Versions of a row only rise within an era. The caller holds mu.
+func (c *tableCopy) contradicts(rows []Row) bool {
+	for _, row := range rows {
+		if old, ok := c.rows[row.Key]; ok && row.Version < old.Version {
+			return true
+		}
 	}
-	return own, ResultOlder
+	return false
+}
+
+// isOutdated reports whether another table has shown a later era than the copy's. The
+// caller holds mu.
+func (c *tableCopy) isOutdated() bool { return c.laterEra.Compare(c.position.Era) > 0 }
+
+// needsWholeTable reports whether changes of the table would not be used.
+func (c *tableCopy) needsWholeTable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.loaded || c.isOutdated()
 }
 
-// replace replaces the copy by the table of a later era. Rows that the table lacks are
-// retained for removalGrace. The caller holds mu.
-func (c *tableCopy) replace(rows []Row, era history.Era, asOf time.Duration) {
-	c.asOf, c.asOfBefore = asOf, asOf
+// replace replaces the copy by the table of a later era, received at the local time now.
+// Rows that the table lacks are retained for removalGrace. The caller holds mu.
+func (c *tableCopy) replace(now time.Duration, rows []Row, era history.Era, asOf time.Duration) {
+	c.asOf, c.asOfBefore, c.confirmedAt = asOf, asOf, now
 	c.outageEndedAt, c.hadOutage = asOf, true
-	c.olderSince = 0
+	c.inDoubt = false
+	until := asOf + removalGrace
+	for key, r := range c.retained {
+		r.until = min(r.until, until) // it may be a time of the store's clock before it went back
+		c.retained[key] = r
+	}
 	old := c.rows
 	c.rows = make(map[string]Row, len(rows))
-	if c.retained == nil {
-		c.retained = make(map[string]retainedRow)
-	}
 	for _, row := range rows {
 		row.era = era
 		if before, ok := old[row.Key]; ok && before.sameWrite(row) {
@@ -54,11 +114,20 @@
 	}
 	for key, row := range old {
 		if _, ok := c.rows[key]; !ok {
-			c.retained[key] = retainedRow{row: row, until: asOf + removalGrace}
+			c.retain(row, until)
 		}
 	}
 }
 
+// retain keeps a row in use that was removed, until a time of the store's clock. The caller
+// holds mu.
+func (c *tableCopy) retain(row Row, until time.Duration) {
+	if c.retained == nil {
+		c.retained = make(map[string]retainedRow)
+	}
+	c.retained[row.Key] = retainedRow{row: row, until: until}
+}
+
 // recordLaterEra records that an answer about another table has shown a later era at a
 // local time.
 func (c *tableCopy) recordLaterEra(now time.Duration, era history.Era) {
--- /dev/null
+++ b/catalog/eras_test.go
@@ -0,0 +1,159 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"almondstile/history"
+)
+
+// configRow returns the row of the configuration.
+func configRow(configurationVersion, rowVersion uint64) Row {
+	return Row{Key: "config", Value: configuration(configurationVersion), Version: rowVersion}
+}
+
+// Guards against a whole table from which rows are dropped because their versions are lower
+// than those of the copy. The store went back, passed the lost versions again and has no
+// history from before, so the copy's version is not above the answer's.
+func TestWholeTableReplacesRowsWithHigherVersions(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 45)}, Version: 50, AsOf: c.storeNow()})
+	c.now += time.Second
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(2, 30)}, Version: 100, AsOf: c.storeNow()})
+	if got := c.View().Index.Version(); got != 2 {
+		t.Errorf("configuration %d is in force, want 2, which the whole table holds", got)
+	}
+}
+
+// Guards against a copy that looks current for good after one answer with a wrong time, so
+// that withdrawn keys stay in use while the store cannot be read.
+func TestCopyAgesAfterTheStoresClockWentBack(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 5, AsOf: c.storeNow() + time.Hour})
+	for range 50 { // 5 s of correct answers
+		c.now += 100 * time.Millisecond
+		c.Apply(OperatorTable, Changes{Version: 5, AsOf: c.storeNow()})
+	}
+	c.now += 30 * time.Second // without any answer
+	if age := c.Age(OperatorTable); age < 29*time.Second {
+		t.Errorf("the age is %s after 30 s without an answer", age)
+	}
+}
+
+// Guards against a copy that looks current because another table's copy has found that the
+// store went back, and its clock with it, while this table cannot be read.
+func TestCopyAgesWhileOnlyAnotherTableIsReadInTheNewEra(t *testing.T) {
+	for _, era := range []uint64{0, 2} {
+		c := newTestCatalog()
+		c.now = 1000 * time.Second
+		old := min(era, 1)
+		c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 45)}, Version: 50, Era: old, AsOf: c.storeNow()})
+		c.Apply(ServerTable, Changes{FullTable: true, Version: 50, Era: old, AsOf: c.storeNow()})
+		back := c.storeNow() // the store's clock starts again at 0
+		for range 50 {
+			c.now += 100 * time.Millisecond
+			c.Apply(ServerTable, Changes{FullTable: true, Version: 10, Era: era, AsOf: c.storeNow() - back})
+		}
+		c.now += 30 * time.Second
+		if age := c.Age(OperatorTable); age < 29*time.Second {
+			t.Errorf("era %d: the age of the operators' table is %s, 35 s after its last answer", era, age)
+		}
+	}
+}
+
+// Guards against a VM that never follows the store again after one answer with a higher era
+// than the store has, or after the store states a lower era or none any more.
+func TestStoreThatStatesALowerEraIsFollowed(t *testing.T) {
+	for _, later := range []uint64{0, 1} {
+		c := newTestCatalog()
+		c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 5, Era: 2, AsOf: c.storeNow()})
+		for range 300 { // 30 s
+			c.now += 100 * time.Millisecond
+			c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(2, 6)}, Version: 6, Era: later, AsOf: c.storeNow()})
+		}
+		if got := c.View().Index.Version(); got != 2 {
+			t.Errorf("era %d: configuration %d is in force after 30 s of answers with configuration 2", later, got)
+		}
+	}
+}
+
+// Guards against a new era that is found from two single answers of a state that lags
+// behind, a minute apart, between which other VMs kept the copy current.
+func TestSingleAnswersThatLagDoNotBeginAnEra(t *testing.T) {
+	a, c := newTestCatalog(), newTestCatalog()
+	lagging := func() Changes {
+		return Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 40, AsOf: c.storeNow() - time.Second}
+	}
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 50, AsOf: c.storeNow()})
+	c.Apply(OperatorTable, lagging())
+	for i := range uint64(60) {
+		c.now += time.Second
+		a.now = c.now
+		a.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 51 + i, AsOf: a.storeNow()})
+		position, _ := c.PositionAsOf(OperatorTable)
+		c.Merge(OperatorTable, a.DeltaSince(OperatorTable, position))
+	}
+	c.Apply(OperatorTable, lagging())
+	if era := c.Era(); era != (history.Era{}) {
+		t.Errorf("the second answer that lags began the era %s", era)
+	}
+}
+
+// Guards against a fleet that goes back to an older copy because one VM gets only answers
+// of a state that lags behind.
+func TestOneVMBehindALaggingStateDoesNotTakeTheOthersBack(t *testing.T) {
+	one, other := newTestCatalog(), newTestCatalog()
+	row := Row{Key: "out", Value: []byte("zone-a"), Version: 45}
+	fresh := Changes{FullTable: true, Rows: []Row{row}, Version: 50, AsOf: one.storeNow()}
+	one.Apply(OperatorTable, fresh)
+	other.Apply(OperatorTable, fresh)
+	for range 40 {
+		one.now += 100 * time.Millisecond
+		other.now = one.now
+		other.Apply(OperatorTable, Changes{Version: 50, AsOf: other.storeNow()})
+		one.Apply(OperatorTable, Changes{FullTable: true, Version: 40, AsOf: one.storeNow() - 10*time.Second})
+	}
+	before, beforeAsOf := other.PositionAsOf(OperatorTable)
+	other.Merge(OperatorTable, one.DeltaSince(OperatorTable, before))
+	after, asOf := other.PositionAsOf(OperatorTable)
+	if asOf < beforeAsOf {
+		t.Errorf("the other VM's copy went from %v as of %s to %v as of %s", before, beforeAsOf, after, asOf)
+	}
+}
+
+// Guards against servers that are gone and stay in use, because the time until which their
+// registrations were retained is one of the store's clock before it went back.
+func TestRetainedRowsExpireAfterTheStoresClockWentBack(t *testing.T) {
+	c := newTestCatalog()
+	c.now = 1000 * time.Second
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 50, Era: 1, AsOf: c.storeNow(), Rows: []Row{registered("ok", 50)}})
+	c.now += 5 * time.Second // an outage, in which the registration lapsed
+	c.Apply(ServerTable, Changes{Version: 51, Era: 1, AsOf: c.storeNow(), Rows: []Row{{Key: "a", Version: 51, Removed: true}}})
+	back := c.storeNow()
+	for range 100 { // 10 s of answers of a store that went back, with a clock that starts again at 0
+		c.now += 100 * time.Millisecond
+		c.Apply(ServerTable, Changes{FullTable: true, Version: 10, Era: 2, AsOf: c.storeNow() - back})
+		c.DeleteExpired()
+	}
+	if c.usable() {
+		t.Error("a server whose registration is gone is still used 10 s after the store came back")
+	}
+}
+
+// Guards against copies that look older than they are for minutes, because the estimate of
+// the store's clock after the store went back includes the duration of a slow call.
+func TestAgeIsRightAfterASlowReadInANewEra(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Version: 50, AsOf: c.storeNow()})
+	c.now += time.Second
+	call := c.BeginCall(OperatorTable)
+	c.now += 290 * time.Millisecond
+	c.Catalog.Apply(OperatorTable, call, Changes{FullTable: true, Version: 10, AsOf: c.storeNow()})
+	for range 600 { // a minute
+		c.now += 100 * time.Millisecond
+		c.Apply(OperatorTable, Changes{Version: 10, AsOf: c.storeNow()})
+	}
+	if age := c.Age(OperatorTable); age > 100*time.Millisecond {
+		t.Errorf("the age of a copy that is current is %s a minute later", age)
+	}
+}
--- a/catalog/propagation_test.go
+++ b/catalog/propagation_test.go
@@ -237,7 +237,7 @@
 	position, _ := to.PositionAsOf(OperatorTable)
 	d := from.DeltaSince(OperatorTable, position)
 	p.after(pullDelay, func() {
-		if changed, _ := to.Merge(OperatorTable, d); changed && to.rank < relaysPerZone {
+		if to.Merge(OperatorTable, d) && to.rank < relaysPerZone {
 			p.after(announceDelay, func() { p.announce(to) })
 		}
 	})
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -114,11 +114,12 @@
 }
 
 // readOnce makes one step to update the table's copy: a call to the store that waits for
-// changes since the copy's version. If there is no copy, or the store no longer has the
-// changes since its version, it reads the whole table. It returns what came of the last
-// call, and its error if that failed.
+// changes since the copy's version. If there is no copy, if it is of an earlier era, or if
+// the store no longer has the changes since its version, it reads the whole table. It returns
+// what came of the last call, and its error if that failed.
 func (r *Reader) readOnce(ctx context.Context, t Table) (Result, error) {
-	if position, _ := r.Catalog.PositionAsOf(t); position.Version > 0 {
+	if !r.Catalog.NeedsWholeTable(t) {
+		position, _ := r.Catalog.PositionAsOf(t)
 		result, err := r.waitForChanges(ctx, t, position.Version)
 		if result != ResultHistoryLost && result != ResultNewEra {
 			return result, err
@@ -157,9 +158,13 @@
 	if !due {
 		return
 	}
-	r.Log.WithField("table", t.String()).WithField("result", result).WithField("era", position.Era.String()).
-		WithField("version", position.Version).WithField("withheld", withheld).
-		Warn("The store no longer has the changes since this version; reading the whole table.")
+	log := r.Log.WithField("table", t.String()).WithField("era", position.Era.String()).
+		WithField("version", position.Version).WithField("withheld", withheld)
+	if result == ResultNewEra {
+		log.Warn("The store is in a later era than this version; reading the whole table.")
+		return
+	}
+	log.Warn("The store no longer has the changes since this version; reading the whole table.")
 }
 
 // resultOf returns the result of a call that failed.
--- a/catalog/reader_test.go
+++ b/catalog/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,3 +169,75 @@
 		}
 	}
 }
+
+// Guards against a VM that lets the store hold a call for changes although it knows that the
+// copy is of an earlier era, so that what the new era holds is in force a long poll later.
+func TestCopyOfAnEarlierEraIsReadWithoutALongPoll(t *testing.T) {
+	c := newTestCatalog()
+	began, start := time.Now(), c.now
+	c.Catalog = New(testDecoder{}, func() time.Duration { return start + time.Since(began) }, c.log)
+	storeNow := func() time.Duration { return start + time.Since(began) - storeClockLag }
+	full := func(version uint64, rows ...Row) Changes {
+		return Changes{FullTable: true, Version: version, AsOf: storeNow(), Rows: rows}
+	}
+	c.Catalog.Apply(OperatorTable, c.BeginCall(OperatorTable), full(50, configRow(1, 45)))
+	c.Catalog.Apply(ServerTable, c.BeginCall(ServerTable), full(50))
+	time.Sleep(10 * time.Millisecond)
+	c.Catalog.Apply(ServerTable, c.BeginCall(ServerTable), full(10)) // the store went back
+	s := &answeringStore{
+		read: func() (Changes, error) { return full(60, configRow(2, 30)), nil },
+		changes: func(_ uint64, wait time.Duration) (Changes, error) {
+			time.Sleep(wait)
+			return Changes{Version: 60, AsOf: storeNow()}, nil
+		},
+	}
+	r := Reader{Catalog: c.Catalog, Store: s, Role: firstReader{}, Times: NewReadTimes(maxChangeDelay), Log: c.log}
+	var inForce atomic.Uint64
+	time.AfterFunc(500*time.Millisecond, func() { inForce.Store(c.View().Index.Version()) })
+	ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+	defer cancel()
+	r.Run(ctx, OperatorTable)
+	if got := inForce.Load(); got != 2 {
+		t.Errorf("configuration %d is in force after 0.5 s, want 2", got)
+	}
+}
+
+// Guards against a reader that pauses for longer after each change that another VM has
+// delivered while the call was in progress.
+func TestChangeThatAnotherVMDeliveredFirstIsNotIdle(t *testing.T) {
+	c, p := newTestCatalog(), newPace(NewReadTimes(maxChangeDelay))
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 50)}, Version: 50, AsOf: c.storeNow()})
+	for version := uint64(51); version < 56; version++ {
+		call, row := c.BeginCall(OperatorTable), configRow(version, version)
+		c.Merge(OperatorTable, Delta{Rows: []Row{row}, Keys: []string{"config"}, Position: history.Position{Version: version}, AsOf: c.storeNow()})
+		result := c.Catalog.Apply(OperatorTable, call, Changes{Rows: []Row{row}, Version: version, AsOf: c.storeNow()})
+		if pause := p.pauseAfter(result, 200*time.Millisecond, 0.5); pause > batchPause {
+			t.Errorf("version %d: the result %s is followed by a pause of %s, want at most %s", version, result, pause, batchPause)
+		}
+	}
+}
+
+// Guards against a VM that stops following a store whose answers with changes state no era,
+// while its whole tables do.
+func TestStoreThatStatesItsEraWithWholeTablesOnlyIsFollowed(t *testing.T) {
+	c := newTestCatalog()
+	began := time.Now()
+	start := c.now
+	c.Catalog = New(testDecoder{}, func() time.Duration { return start + time.Since(began) }, c.log)
+	storeNow := func() time.Duration { return start + time.Since(began) - storeClockLag }
+	s := &answeringStore{
+		read: func() (Changes, error) {
+			return Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 5, Era: 1, AsOf: storeNow()}, nil
+		},
+		changes: func(uint64, time.Duration) (Changes, error) {
+			return Changes{Rows: []Row{configRow(2, 6)}, Version: 6, AsOf: storeNow()}, nil
+		},
+	}
+	r := Reader{Catalog: c.Catalog, Store: s, Role: firstReader{}, Times: NewReadTimes(maxChangeDelay), Log: c.log}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	r.Run(ctx, OperatorTable)
+	if got := c.View().Index.Version(); got != 2 {
+		t.Errorf("configuration %d is in force after 2 s of answers with configuration 2; the age is %s", got, c.Age(OperatorTable))
+	}
+}
--- a/catalog/rows.go
+++ b/catalog/rows.go
@@ -73,6 +73,16 @@
 	start time.Duration
 }
 
+// readAt returns a local time at or before which the store answered the call, whose answer
+// was received at now. After a quick call that is now: the error is small, while that of the
+// start would stay in the estimate of the store's clock.
+func (c Call) readAt(now time.Duration) time.Duration {
+	if now-c.start <= contradictionOffset {
+		return now
+	}
+	return c.start
+}
+
 // Delta is what a VM sends to another VM whose copy of a table is older.
 type Delta struct {
 	// FullTable says that Rows is the whole table. Otherwise Rows are the rows that changed
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -29,17 +29,23 @@
 	position   history.Position
 	// asOf is the time of the store's clock as of which the copy is current.
 	asOf time.Duration
-	// asOfBefore is asOf before its last advance.
+	// asOfBefore is asOf before its last change.
 	asOfBefore time.Duration
-	loaded     bool
+	// confirmedAt is the local time at which asOf was received. The copy is not younger than
+	// that, whatever the store's clock does.
+	confirmedAt time.Duration
+	loaded      bool
 	// laterEra is the latest era that an answer about another table has shown, and
 	// laterEraAt the local time of that. If it is later than the copy's, the whole table
 	// must be read.
 	laterEra   history.Era
 	laterEraAt time.Duration
-	// olderSince is the local time since which all answers were older than the copy, 0 if
-	// the last one was not.
-	olderSince time.Duration
+	// stated is the number that the store stated with the copy's era.
+	stated uint64
+	// inDoubt is set if the last answer looked older than the copy, and nothing has
+	// confirmed the copy since. doubtSince is the local time of the first such answer.
+	inDoubt    bool
+	doubtSince time.Duration
 	// outageEndedAt is the time of the store's clock at which the last outage that
 	// this VM detected had ended. It is valid if hadOutage is set.
 	outageEndedAt time.Duration
@@ -69,31 +75,41 @@
 func (c *tableCopy) apply(now time.Duration, call Call, ch Changes) Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	era, result := c.eraOf(now, call, ch)
-	if result != "" {
-		return result
-	}
+	standing, era := c.judge(now, call, ch)
 	changed := true
 	switch {
-	case c.loaded && era != c.position.Era && !ch.FullTable:
+	case standing == standingOlder:
+		return ResultOlder
+	case standing == standingOvertaken:
+		return ResultOvertaken
+	case standing == standingLaterEra && !ch.FullTable:
 		return ResultNewEra
-	case c.loaded && era != c.position.Era:
-		c.replace(ch.Rows, era, ch.AsOf)
+	case standing == standingLaterEra:
+		c.replace(now, ch.Rows, era, ch.AsOf)
 	default:
-		changed = c.update(ch, era)
+		changed = c.update(now, call, ch, era)
+	}
+	overtaken := call.known.Before(c.position)
+	c.position, c.loaded, c.inDoubt = history.Position{Era: era, Version: ch.Version}, true, false
+	if ch.Era > 0 {
+		c.stated = ch.Era
 	}
-	c.olderSince = 0
-	c.position, c.loaded = history.Position{Era: era, Version: ch.Version}, true
-	if changed {
+	switch {
+	case changed:
 		return ResultChanged
+	case overtaken:
+		return ResultOvertaken
 	}
 	return ResultUnchanged
 }
 
-// update applies an answer from the copy's era and reports whether any row changed. The
-// caller holds mu.
-func (c *tableCopy) update(ch Changes, era history.Era) (changed bool) {
-	c.advanceAsOf(ch.AsOf)
+// update applies an answer from the copy's era, received at the local time now, and reports
+// whether any row changed. The caller holds mu.
+func (c *tableCopy) update(now time.Duration, call Call, ch Changes, era history.Era) (changed bool) {
+	if c.loaded && call.start >= c.confirmedAt && ch.AsOf < c.asOf {
+		c.confirm(now, ch.AsOf) // the earlier answer's time was wrong, or the clock went back
+	}
+	c.advanceAsOf(now, ch.AsOf)
 	changed = !c.loaded
 	if ch.FullTable {
 		changed = c.removeMissing(keysOf(ch.Rows)) || changed
@@ -105,24 +121,25 @@
 	return changed
 }
 
-// merge applies a delta from another VM. A delta that is older than the copy is
-// ignored, as is one from a later era that is not the whole table. It reports whether any
-// row changed and whether a new era began.
-func (c *tableCopy) merge(d Delta) (changed, newEra bool) {
+// merge applies a delta from another VM, received at the local time now. A delta that is
+// older than the copy is ignored, as is one from a later era that is not the whole table. It
+// reports whether any row changed and whether a new era began.
+func (c *tableCopy) merge(now time.Duration, d Delta) (changed, newEra bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.loaded && (d.Position.Before(c.position) || d.Position.Era == c.position.Era && c.laterEra.Compare(c.position.Era) > 0) {
-		return false, false
-	}
-	if c.loaded && d.Position.Era != c.position.Era {
-		if !d.FullTable {
+	switch {
+	case !c.loaded:
+	case d.Position.Era != c.position.Era:
+		if !c.begins(now, d) {
 			return false, false
 		}
-		c.replace(d.Rows, d.Position.Era, d.AsOf)
-		c.position = d.Position
+		c.replace(now, d.Rows, d.Position.Era, d.AsOf)
+		c.position, c.stated = d.Position, d.Position.Era.Stated
 		return true, true
+	case d.Position.Before(c.position) || c.isOutdated():
+		return false, false
 	}
-	c.advanceAsOf(d.AsOf)
+	c.advanceAsOf(now, d.AsOf)
 	changed = !c.loaded
 	keys := make(map[string]bool, len(d.Keys))
 	for _, key := range d.Keys {
@@ -133,10 +150,23 @@
 		row.era = d.Position.Era
 		changed = c.put(row) || changed
 	}
+	if !c.loaded {
+		c.stated = d.Position.Era.Stated
+	}
 	c.position, c.loaded = d.Position, true
 	return changed, false
 }
 
+// begins reports whether a delta from another era replaces the copy. An era that only VMs
+// have found may come from a state that lags behind; it does not replace a copy that is as
+// of a later time and has been confirmed lately. The caller holds mu.
+func (c *tableCopy) begins(now time.Duration, d Delta) bool {
+	if !d.FullTable || d.Position.Era.Compare(c.position.Era) < 0 {
+		return false
+	}
+	return d.Position.Era.Stated > c.position.Era.Stated || d.AsOf > c.asOf || now-c.confirmedAt >= maxDoubtTime
+}
+
 // keysOf returns the set of the rows' keys.
 func keysOf(rows []Row) map[string]bool {
 	keys := make(map[string]bool, len(rows))
@@ -147,19 +177,27 @@
 }
 
 // recordPeer records that another VM's copy has the given position and was current at
-// asOf. It reports whether this copy is older, or missing.
-func (c *tableCopy) recordPeer(peer history.Position, asOf time.Duration) (behind bool) {
+// asOf. It reports whether this copy is older, or missing. now is the local time.
+func (c *tableCopy) recordPeer(now time.Duration, peer history.Position, asOf time.Duration) (behind bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.loaded || c.position.Before(peer) {
 		return peer.Version > 0
 	}
-	if peer == c.position && c.laterEra.Compare(c.position.Era) <= 0 {
-		c.advanceAsOf(asOf)
+	if peer == c.position && !c.isOutdated() {
+		c.advanceAsOf(now, asOf)
 	}
 	return false
 }
 
+// age returns the age of the copy at the local time now, at which the store's clock shows
+// storeNow.
+func (c *tableCopy) age(now, storeNow time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(storeNow-c.asOf, now-c.confirmedAt)
+}
+
 // positionAsOf returns the position of the copy and the time of the store's clock as of
 // which it is current. Both are 0 before the table is loaded.
 func (c *tableCopy) positionAsOf() (history.Position, time.Duration) {
@@ -171,16 +209,24 @@
 	return c.position, c.asOf
 }
 
-// advanceAsOf records that the copy is current as of a time of the store's clock. The
-// caller holds mu. An advance of more than outageThreshold is recorded as the end of an outage.
-func (c *tableCopy) advanceAsOf(asOf time.Duration) {
-	if asOf <= c.asOf {
+// advanceAsOf records at a local time that the copy is current as of a time of the store's
+// clock. An advance of more than outageThreshold is recorded as the end of an outage. The
+// caller holds mu.
+func (c *tableCopy) advanceAsOf(now, asOf time.Duration) {
+	if c.loaded && asOf <= c.asOf {
 		return
 	}
 	if c.loaded && asOf-c.asOf > outageThreshold {
 		c.outageEndedAt, c.hadOutage = asOf, true
 	}
-	c.asOfBefore, c.asOf = c.asOf, asOf
+	c.confirm(now, asOf)
+}
+
+// confirm sets the time of the store's clock as of which the copy is current. The caller
+// holds mu.
+func (c *tableCopy) confirm(now, asOf time.Duration) {
+	c.asOfBefore, c.asOf, c.confirmedAt = c.asOf, asOf, now
+	c.inDoubt = false
 }
 
 // changedAt returns the time of the store's clock at which the rows of the last update
@@ -221,10 +267,7 @@
 	}
 	delete(c.rows, key)
 	if c.rowsExpire && c.hadOutage && c.asOf-c.outageEndedAt < removalGrace {
-		if c.retained == nil {
-			c.retained = make(map[string]retainedRow)
-		}
-		c.retained[key] = retainedRow{row: row, until: c.outageEndedAt + removalGrace}
+		c.retain(row, c.outageEndedAt+removalGrace)
 	}
 	return true
 }
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -26,9 +26,9 @@
 }
 
 // AcceptsNewRequests reports whether the server may get new requests: it is not
-// draining, and its zone is not out.
+// draining, its registration is trusted, and its zone is not out.
 func (v *View) AcceptsNewRequests(r *Registration) bool {
-	return !r.Draining && !v.ZonesOut[r.Server.Zone]
+	return !r.Draining && !r.distrusted && !v.ZonesOut[r.Server.Zone]
 }
 
 // rebuildView replaces the view with one that is built from the rows of all tables.
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -124,25 +124,19 @@
 	if err := decode(resp.Body(), &response); err != nil {
 		return err
 	}
-	if response.StoreMillis > 0 {
-		n.deps.Catalog.StoreClock.ObservePeer(boottime.Now(), fromMillis(response.StoreMillis), response.StoreHops)
-	}
+	n.observeClock(started, response)
 	for _, introduced := range response.Members {
 		n.deps.Roster.Learn(time.Now(), introduced.vm())
 	}
 	if withAttempts {
 		n.deps.Attempts.Adopt(time.Now(), response.Attempts.windows())
 	}
-	changed, newEra, tables := false, false, n.deps.Catalog.Tables()
-	for i, d := range response.Tables {
-		if i < len(tables) && d.Position.Version > 0 {
-			tableChanged, tableNewEra := n.deps.Catalog.Merge(tables[i], d)
-			changed, newEra = changed || tableChanged, newEra || tableNewEra
+	changed, tables := false, n.deps.Catalog.Tables()
+	for i, d := range response.Tables[:min(len(response.Tables), len(tables))] {
+		if d.Position.Version > 0 {
+			changed = n.deps.Catalog.Merge(tables[i], d) || changed
 		}
 	}
-	if newEra && response.StoreMillis > 0 {
-		n.deps.Catalog.StoreClock.Restart(started, fromMillis(response.StoreMillis), response.StoreHops+1)
-	}
 	if changed {
 		select {
 		case n.pulled <- struct{}{}:
@@ -151,3 +145,25 @@
 	}
 	return nil
 }
+
+// observeClock records the store's time in the response to a pull that started at a local
+// time. The time counts from anew if the response begins an era, and not at all if it is of
+// an earlier one: the store's clock may have gone back in between.
+func (n *Node) observeClock(started time.Duration, response pullResponse) {
+	if response.StoreMillis <= 0 {
+		return
+	}
+	tables, clock := n.deps.Catalog.Tables(), &n.deps.Catalog.StoreClock
+	store, begins := fromMillis(response.StoreMillis), false
+	for i, d := range response.Tables[:min(len(response.Tables), len(tables))] {
+		if n.deps.Catalog.PrecedesEra(tables[i], d.Position) {
+			return
+		}
+		begins = begins || n.deps.Catalog.BeginsEra(tables[i], d)
+	}
+	if begins {
+		clock.Restart(started, store, response.StoreHops+1)
+		return
+	}
+	clock.ObservePeer(boottime.Now(), store, response.StoreHops)
+}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -146,7 +146,7 @@
 func (n *Node) ofEarlierEra(m message) bool {
 	tables := n.deps.Catalog.Tables()
 	for i, peer := range m.Tables[:min(len(m.Tables), len(tables))] {
-		if own, _ := n.deps.Catalog.PositionAsOf(tables[i]); peer.position().Era.Compare(own.Era) < 0 {
+		if n.deps.Catalog.PrecedesEra(tables[i], peer.position()) {
 			return true
 		}
 	}
