catalog: the simulated fleet checks ages, and the store's clock steps

In the simulation of restores, the store's clock now steps by up to 20 s with a stated era, VMs exchange the store's time, and no VM may take its copy for younger than a change that it lacks.

--- a/catalog/propagation_test.go
+++ b/catalog/propagation_test.go
@@ -33,6 +33,8 @@
 	// era is the number of the store's history, stated if statesEra is set.
 	era       uint64
 	statesEra bool
+	// clockStep is what the store's clock shows beyond the simulated time.
+	clockStep time.Duration
 	// configuration is the operator's newest configuration.
 	configuration uint64
 	// writtenAt holds the time of each configuration that the store has not lost.
@@ -69,6 +71,9 @@
 	seen            uint64 // newest configuration that was in force
 }
 
+// now returns the VM's local time.
+func (v *simulatedVM) now(p *propagation) time.Duration { return p.now + storeClockLag }
+
 func newPropagation(seed uint64, vmsPerZone int) *propagation {
 	p := &propagation{rng: rand.New(rand.NewPCG(seed, 21)), writtenAt: make(map[uint64]time.Duration)}
 	p.write()
@@ -117,7 +122,7 @@
 
 // answer returns the store's response without rows.
 func (p *propagation) answer() Changes {
-	ch := Changes{Version: p.version, AsOf: p.now}
+	ch := Changes{Version: p.version, AsOf: p.now + p.clockStep}
 	if p.statesEra {
 		ch.Era = p.era
 	}
@@ -224,7 +229,12 @@
 			continue
 		}
 		position, asOf := v.PositionAsOf(OperatorTable)
+		store, known := v.StoreClock.At(v.now(p))
+		hops := v.StoreClock.Hops(v.now(p))
 		p.after(simulationStep, func() {
+			if known && !to.PrecedesEra(OperatorTable, position) {
+				to.StoreClock.ObservePeer(to.now(p), store, hops)
+			}
 			if to.RecordPeerPosition(OperatorTable, position, asOf) {
 				p.pull(to, v)
 			}
@@ -236,7 +246,13 @@
 func (p *propagation) pull(to, from *simulatedVM) {
 	position, _ := to.PositionAsOf(OperatorTable)
 	d := from.DeltaSince(OperatorTable, position)
+	local := from.now(p)
+	store, known := from.StoreClock.At(local)
+	hops := from.StoreClock.Hops(local)
 	p.after(pullDelay, func() {
+		if known && to.BeginsEra(OperatorTable, d) {
+			to.StoreClock.Restart(local, store, hops+1)
+		}
 		if to.Merge(OperatorTable, d) && to.rank < relaysPerZone {
 			p.after(announceDelay, func() { p.announce(to) })
 		}
@@ -294,7 +310,8 @@
 }
 
 // check verifies that no VM goes back, and that each VM that the store serves has all
-// changes that are older than maxChangeDelay.
+// changes that are older than maxChangeDelay. No VM may take its copy for younger than a
+// change that it lacks.
 func (p *propagation) check(t *testing.T) bool {
 	for i, v := range p.vms {
 		inForce := v.View().Index.Version()
@@ -310,6 +327,11 @@
 					p.now, i, v.zone, v.rank, inForce, newer, p.now-at)
 				return false
 			}
+			if age := v.Age(OperatorTable); newer > inForce && p.now-at > age+contradictionOffset {
+				t.Errorf("at %s VM %d (zone %d, rank %d) takes its copy for %s old, and lacks version %d, which was written %s ago",
+					p.now, i, v.zone, v.rank, age, newer, p.now-at)
+				return false
+			}
 		}
 	}
 	return true
--- a/catalog/restore_test.go
+++ b/catalog/restore_test.go
@@ -14,6 +14,7 @@
 	restoreCount  = 2
 	maxRewrite    = 2 * time.Second // until the operator writes again
 	maxStoreAway  = 3 * time.Second
+	maxClockStep  = 20 * time.Second
 	restorePeriod = 10 * time.Second
 )
 
@@ -28,6 +29,9 @@
 	older.version -= min(older.version-older.row.Version, lostVersions)
 	p.after(away/2, func() {
 		p.restore(older)
+		if p.statesEra && p.rng.IntN(2) == 0 {
+			p.clockStep = time.Duration(p.rng.Int64N(int64(2*maxClockStep))) - maxClockStep
+		}
 		if passed {
 			p.write()
 			p.version += 2 * lostVersions
