rollout/replica: each attempt to write a state is followed by a pause

Cause: after a read-back that brought the row that the VM knew already, or another row each time, the next attempt followed at once, and a pause was forgotten when the wanted status changed.

Now a pause follows each attempt, grows until one succeeds, and holds over a change of the status or of the order. After an attempt that did not succeed the VM also leaves the next one to others for its delay, so that in a large fleet the calls are spread: at most one attempt a second from relays of the first zone, and one in delay and a second from each other VM.

Evidence: TestWritesThatDoNotSucceedArePaused failed before: "the known row, delay 0s: 300 writes in 30s, want 1 to 35", "another row each time, delay 3s: 270 writes in 30s, want 1 to 12", "nothing, delay 3s: 29 writes in 30s, want 1 to 12".

--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -106,7 +106,7 @@
 	m.decision, m.decidedAt, m.group, m.old = rollout.Decision{}, time.Time{}, nil, load{}
 	m.verdict, m.verdictAt, m.othersMove = rollout.NoVerdict, time.Time{}, false
 	m.announcedAt, m.announcedShift = time.Time{}, false
-	m.report, m.remote, m.write = ownReport{}, make(map[tally.Subject]*remoteLoad), writeSchedule{}
+	m.report, m.remote, m.write = ownReport{}, make(map[tally.Subject]*remoteLoad), m.write.restart()
 	return true
 }
 
--- a/rollout/replica/write.go
+++ b/rollout/replica/write.go
@@ -22,10 +22,20 @@
 	status rollout.Status
 	// dueSince is when the status was to be written first, by any VM.
 	dueSince time.Time
-	// busy is true while an attempt is under way, and notBefore the time of the next one.
-	busy      bool
-	notBefore time.Time
-	failures  int
+	// delay is how long this VM leaves an attempt to others.
+	delay time.Duration
+	// busy is true while an attempt is under way. notBefore is the time of the next one,
+	// and pausedUntil that of the next one of any status.
+	busy                   bool
+	notBefore, pausedUntil time.Time
+	// failures counts the attempts since the last one that succeeded.
+	failures int
+}
+
+// restart returns the schedule of another status. The pause after the last attempt holds
+// for it too, so that the rate of calls is bounded whatever the store answers.
+func (w writeSchedule) restart() writeSchedule {
+	return writeSchedule{busy: w.busy, pausedUntil: w.pausedUntil}
 }
 
 // Due returns the states that this VM has to write now, and marks the attempts as under
@@ -49,16 +59,17 @@
 	wanted, ok := m.wanted(now)
 	w := &m.write
 	if !ok {
-		*w = writeSchedule{busy: w.busy}
+		*w = w.restart()
 		return rollout.State{}, false
 	}
 	if w.status != wanted.Status {
-		*w = writeSchedule{status: wanted.Status, dueSince: now, busy: w.busy}
+		*w = w.restart()
+		w.status, w.dueSince = wanted.Status, now
 	}
-	if w.busy || now.Before(w.notBefore) || now.Sub(w.dueSince) < delay {
+	if w.busy || now.Before(w.notBefore) || now.Before(w.pausedUntil) || now.Sub(w.dueSince) < delay {
 		return rollout.State{}, false
 	}
-	w.busy = true
+	w.busy, w.delay = true, delay
 	return wanted, true
 }
 
@@ -108,20 +119,23 @@
 // distributed in [0, 1).
 func (r *Rollouts) RecordWrite(now time.Time, written rollout.State, succeeded bool, stored *rollout.State, random float64) {
 	r.services.DoExisting(written.Service, func(m *migration) {
-		w := &m.write
-		w.busy = false
 		if stored != nil {
 			m.setStored(now, *stored)
 		}
-		switch {
-		case succeeded:
-			w.failures, w.notBefore = 0, now.Add(copyTimeout)
-		case stored != nil && stored.RowVersion == m.stored.RowVersion:
-			w.failures, w.notBefore = 0, now
-		default: // nothing is known, or the row is older than this VM's copy: it was removed
-			nominal := min(initialWriteDelay<<min(w.failures, 4), maxWriteDelay)
-			w.failures++
-			w.notBefore = now.Add(nominal/2 + time.Duration(random*float64(nominal)))
-		}
+		m.write.record(now, succeeded, random)
 	})
 }
+
+// record records the result of an attempt. Each one is followed by a pause. After one that
+// did not succeed the VM leaves the next one to others again, so that the calls of a large
+// fleet are spread over the time in which each VM has a turn.
+func (w *writeSchedule) record(now time.Time, succeeded bool, random float64) {
+	w.busy = false
+	if succeeded {
+		w.failures, w.notBefore, w.pausedUntil = 0, now.Add(copyTimeout), now.Add(initialWriteDelay)
+		return
+	}
+	nominal := min(initialWriteDelay<<min(w.failures, 4), maxWriteDelay)
+	w.failures++
+	w.pausedUntil = now.Add(w.delay + nominal/2 + time.Duration(random*float64(nominal)))
+}
--- a/rollout/replica/write_test.go
+++ b/rollout/replica/write_test.go
@@ -201,3 +201,37 @@
 		t.Errorf("%d writes in 10 s", calls)
 	}
 }
+
+// Guards against VMs that call the store in each round, whatever it answers: that another
+// write was there first although the row is the one that they know, that the row has
+// changed each time, or nothing. No pause followed the first two.
+func TestWritesThatDoNotSucceedArePaused(t *testing.T) {
+	known := rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, RowVersion: 9}
+	for what, answer := range map[string]func(version uint64) *rollout.State{
+		"the known row": func(uint64) *rollout.State { return &known },
+		"another row each time": func(version uint64) *rollout.State {
+			s := known
+			s.RowVersion = version
+			return &s
+		},
+		"nothing": func(uint64) *rollout.State { return nil },
+	} {
+		for _, delay := range []time.Duration{0, 3 * time.Second} {
+			r := newRollouts("vm-1")
+			r.Sync(start, copies(newOrder(12), &known, oldVersion, target))
+			calls := 0
+			const period, rounds = 30 * time.Second, 100 * time.Millisecond
+			for now := start; now.Before(start.Add(period)); now = now.Add(rounds) {
+				for _, state := range r.Due(now, delay) {
+					calls++
+					r.RecordWrite(now, state, false, answer(uint64(9+calls)), 0)
+				}
+			}
+			// With the least random pause, an attempt is followed by half of the nominal one.
+			bound := 5 + int(period/(maxWriteDelay/2+delay))
+			if calls == 0 || calls > bound {
+				t.Errorf("%s, delay %s: %d writes in %s, want 1 to %d", what, delay, calls, period, bound)
+			}
+		}
+	}
+}
