rollout, catalog: an order is identified by its content beside its version

An order is ignored for good, and the verdict, samples and loads of another order apply to it, if the store lost that one and gave its version out again: a version that nobody judged gets no requests, or one that was judged good under another name gets them. Cause: the version of the order's row alone stood for the order, in the replica, in the subjects of counts between VMs and in the catalog's times of orders; and a request followed the rule of the order with the higher version.

Now an order is its service, target, duration and version (rollout.OrderID); the hash in subjects covers all four. The position of its row (Order.Row) tells which of two orders is newer.

The other tests only name Order.Row in place of Order.RowVersion.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -115,9 +115,9 @@
 	configurationRow history.Position
 	// departures holds the servers that leave or have left lately, by row key.
 	departures map[string]departure
-	// orders holds the orders of roll-outs by row version, with the time of the store's
-	// clock at which each was written.
-	orders map[uint64]time.Duration
+	// orders holds for each order of a roll-out the time of the store's clock at which it
+	// was written.
+	orders map[rollout.OrderID]time.Duration
 }
 
 // New returns an empty catalog. The clock returns the local time: boottime.Now,
@@ -128,7 +128,7 @@
 		registrations: make(map[string]*Registration),
 		seenRows:      make(map[string]history.Position),
 		departures:    make(map[string]departure),
-		orders:        make(map[uint64]time.Duration),
+		orders:        make(map[rollout.OrderID]time.Duration),
 	}
 	c.tables[ServerTable].rowsExpire = true
 	c.view.Store(&View{})
--- a/catalog/rollouts.go
+++ b/catalog/rollouts.go
@@ -2,6 +2,9 @@
 
 import (
 	"time"
+
+	"almondstile/history"
+	"almondstile/rollout"
 )
 
 // addRollouts adds the states of roll-outs to a view under construction that has the
@@ -16,17 +19,30 @@
 		v.RolloutStates[state.Service] = &state
 	}
 	known := c.orders
-	c.orders = make(map[uint64]time.Duration, len(v.Rollouts))
+	c.orders = make(map[rollout.OrderID]time.Duration, len(v.Rollouts))
 	for service, order := range v.Rollouts {
-		at, ok := known[order.RowVersion]
+		at, ok := known[order.ID()]
 		if !ok {
 			at = c.tables[OperatorTable].changedAt()
 			c.log.WithField("service", service).WithField("target", order.Target).
-				WithField("duration_ms", order.Duration.Milliseconds()).WithField("row_version", order.RowVersion).
+				WithField("duration_ms", order.Duration.Milliseconds()).WithField("row_version", order.Row.Version).
 				Info("A roll-out is ordered.")
 		}
-		c.orders[order.RowVersion], v.OrderedAt[service] = at, at
+		c.orders[order.ID()], v.OrderedAt[service] = at, at
+	}
+}
+
+// latestPosition returns the position of a row of the table in the latest era in which the
+// copy has it. That of a row that was written in an earlier era and is still there names the
+// copy's era, so that it precedes the rows that are written from then on. That of a row that
+// the store has lost keeps its era.
+func (c *tableCopy) latestPosition(row Row) history.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if current, ok := c.rows[row.Key]; ok && current.position() == row.position() {
+		return history.Position{Era: c.position.Era, Version: row.Version}
 	}
+	return row.position()
 }
 
 // RolloutOpen reports whether a roll-out has no final state in this VM's copy: an order
@@ -34,7 +50,7 @@
 func (v *View) RolloutOpen() bool {
 	for service, order := range v.Rollouts {
 		state := v.RolloutStates[service]
-		if state == nil || state.OrderVersion != order.RowVersion || !state.Status.Final() {
+		if state == nil || state.OrderVersion != order.Row.Version || !state.Status.Final() {
 			return true
 		}
 	}
--- a/catalog/rollouts_test.go
+++ b/catalog/rollouts_test.go
@@ -6,16 +6,22 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/history"
 	"almondstile/logging"
 	"almondstile/rollout"
 )
 
 // orderDecoder is testDecoder for a table of orders: each row of OperatorTable is the order
-// of the service that its key names.
+// of the service that its key names, to move it to the version that its value names, v2 if it
+// is empty.
 type orderDecoder struct{ testDecoder }
 
 func (orderDecoder) DecodeOperator(r Row) (OperatorRow, error) {
-	return OperatorRow{Rollout: &rollout.Order{Service: contract.ServiceID(r.Key), Target: "v2", RowVersion: r.Version}}, nil
+	target := rollout.Version("v2")
+	if len(r.Value) > 0 {
+		target = rollout.Version(r.Value)
+	}
+	return OperatorRow{Rollout: &rollout.Order{Service: contract.ServiceID(r.Key), Target: target, Row: history.Position{Version: r.Version}}}, nil
 }
 
 // newRolloutCatalog returns a catalog of a deployment with roll-outs.
@@ -89,6 +95,39 @@
 	}
 }
 
+// Guards against an order that ends too early: it counted from the time of another one that
+// the store lost, and whose version it got.
+func TestOrderedAtIsNotThatOfALostOrder(t *testing.T) {
+	c := newRolloutCatalog()
+	order := func(era uint64, target string) {
+		c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{{Key: "s", Value: []byte(target), Version: 5}}, Version: 5, Era: era, AsOf: c.storeNow()})
+	}
+	order(1, "v2")
+	c.now += 8 * time.Second
+	order(2, "v3")
+	if got := c.View().OrderedAt["s"]; got != c.storeNow() {
+		t.Errorf("ordered at %s, want %s", got, c.storeNow())
+	}
+}
+
+// Guards against orders in an earlier era than their copy, which a state of the copy's era
+// seems to follow, and against a lost order that looks like one that stands.
+func TestOrdersNameTheLatestEraThatHasThem(t *testing.T) {
+	c := newRolloutCatalog()
+	kept, lost, written := Row{Key: "kept", Version: 3}, Row{Key: "lost", Version: 5}, Row{Key: "written", Version: 4}
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{kept, lost}, Version: 5, Era: 1, AsOf: c.storeNow()})
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{kept, written}, Version: 4, Era: 2, AsOf: c.storeNow()})
+	for service, want := range map[contract.ServiceID]history.Position{
+		"kept":    {Era: history.Era{Stated: 2}, Version: 3},
+		"lost":    {Era: history.Era{Stated: 1}, Version: 5},
+		"written": {Era: history.Era{Stated: 2}, Version: 4},
+	} {
+		if order := c.View().Rollouts[service]; order == nil || order.Row != want {
+			t.Errorf("the order of %s is %+v, want position %+v", service, order, want)
+		}
+	}
+}
+
 // countingStore counts the reads of each table.
 type countingStore struct{ reads [tableCount]int }
 
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -106,6 +106,7 @@
 		v.ZonesOut[decoded.ZoneOut] = true
 	}
 	if decoded.Rollout != nil && c.Rollouts {
+		decoded.Rollout.Row = c.tables[OperatorTable].latestPosition(row)
 		v.Rollouts[decoded.Rollout.Service] = decoded.Rollout
 	}
 	if decoded.Configuration == nil {
--- a/direct/rollout_test.go
+++ b/direct/rollout_test.go
@@ -8,6 +8,7 @@
 
 	"almondstile/catalog"
 	"almondstile/contract"
+	"almondstile/history"
 	"almondstile/request"
 	"almondstile/rollout"
 	"almondstile/rollout/replica"
@@ -17,7 +18,7 @@
 )
 
 // rolloutOrder is an order for the service of newSource, whose server "c" has its target.
-var rolloutOrder = rollout.Order{Service: "service-1", Target: "v2", Duration: 20 * time.Second, RowVersion: 7}
+var rolloutOrder = rollout.Order{Service: "service-1", Target: "v2", Duration: 20 * time.Second, Row: history.Position{Version: 7}}
 
 // newRolloutDispatcher returns a dispatcher of a deployment with roll-outs and an order.
 // Its servers answer every request.
@@ -156,7 +157,7 @@
 
 // store lets the store have a status of the order.
 func store(d *Dispatcher, s *source, status rollout.Status) {
-	s.view.RolloutStates = map[contract.ServiceID]*rollout.State{"service-1": {Service: "service-1", OrderVersion: rolloutOrder.RowVersion,
+	s.view.RolloutStates = map[contract.ServiceID]*rollout.State{"service-1": {Service: "service-1", OrderVersion: rolloutOrder.Row.Version,
 		Target: rolloutOrder.Target, Status: status, Replaced: []rollout.Version{"v1"}, RowVersion: 9}}
 	syncRollouts(d, s)
 }
--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -269,7 +269,7 @@
 	if news {
 		k.metrics.Count("rollout_verdict." + step.Verdict.String())
 	}
-	k.log.WithField("service", service).WithField("target", step.Order.Target).WithField("order", step.Order.RowVersion).
+	k.log.WithField("service", service).WithField("target", step.Order.Target).WithField("order", step.Order.Row.Version).
 		WithField("elapsed_ms", f.Elapsed.Milliseconds()).WithField("verdict", step.Verdict.String()).WithField("reason", d.Reason).
 		WithField("share", d.TargetShare).WithField("sent", f.Sent).WithField("sent_to_target", f.SentToTarget).
 		WithField("responses", f.Responses).WithField("failures", f.Failures).WithField("slow", f.Slow).
--- a/rollout/group.go
+++ b/rollout/group.go
@@ -53,7 +53,7 @@
 		TargetServer
 		rank uint64
 	}
-	prefix := strconv.FormatUint(order.RowVersion, 10) + "/"
+	prefix := strconv.FormatUint(order.Row.Version, 10) + "/"
 	ranked := make([]rankedServer, 0, len(servers))
 	for _, server := range servers {
 		if !suspects[server.Key] {
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"almondstile/history"
 )
 
 const testDuration = 12 * time.Second
@@ -18,7 +20,7 @@
 func newTestJudge() *testJudge {
 	start := time.Unix(1_000_000, 0)
 	return &testJudge{
-		Judge:     NewJudge(start, 0, Order{Duration: testDuration, RowVersion: 7}, bounds),
+		Judge:     NewJudge(start, 0, Order{Duration: testDuration, Row: history.Position{Version: 7}}, bounds),
 		start:     start,
 		situation: Situation{Targets: targetServers(10, 4), OldServers: 10, OldSlots: 40, ArrivalsPerSecond: 40, ConnectedShare: 1},
 	}
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -5,6 +5,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"almondstile/history"
 )
 
 // model plays one roll-out: groups of VMs with a judge each, servers of both versions, and
@@ -131,7 +133,7 @@
 
 func newModel(p play) *model {
 	m := &model{play: p, rng: rand.New(rand.NewPCG(p.seed, 1)), pending: map[int][]response{}}
-	order := Order{Service: "loans", Target: "v2", Duration: p.duration, RowVersion: p.seed}
+	order := Order{Service: "loans", Target: "v2", Duration: p.duration, Row: history.Position{Version: p.seed}}
 	groups := 2 + m.rng.IntN(2)
 	for range groups {
 		m.groups = append(m.groups, &vmGroup{judge: NewJudge(m.time(), 0, order, bounds), share: 1 / float64(groups), inbox: map[int][]func(){}})
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/history"
 )
 
 // Version is the version of a server's software.
@@ -17,9 +18,24 @@
 	// Duration is the time, from the acknowledgement of the order on, within which the
 	// roll-out has to end.
 	Duration time.Duration
-	// RowVersion is the store's version at which the order was written. It tells an order
-	// from an earlier one for the same service and target.
-	RowVersion uint64
+	// Row is the position at which the order's row was written. Its version tells an order
+	// from an earlier one for the same service and target. Its era is the latest one in which
+	// the VM's copy of the orders had the row; VMs may differ in it.
+	Row history.Position
+}
+
+// OrderID identifies an order on all VMs. A version alone does not: a store that goes back
+// to an older copy may give that of an order which it lost to another one.
+type OrderID struct {
+	Service  contract.ServiceID
+	Target   Version
+	Duration time.Duration
+	Version  uint64 // of the order's row
+}
+
+// ID returns what identifies the order.
+func (o *Order) ID() OrderID {
+	return OrderID{Service: o.Service, Target: o.Target, Duration: o.Duration, Version: o.Row.Version}
 }
 
 // Bounds are what operators tolerate of a bad version.
--- a/rollout/replica/decide.go
+++ b/rollout/replica/decide.go
@@ -70,7 +70,7 @@
 // false if the order is not in force any more.
 func (r *Rollouts) Decide(now time.Time, order rollout.Order, f Fleet, servers Servers) (step Step, ok bool) {
 	r.services.DoExisting(order.Service, func(m *migration) {
-		if !m.open() || m.judge == nil || m.order.RowVersion != order.RowVersion {
+		if !m.open() || m.judge == nil || m.order.ID() != order.ID() {
 			return
 		}
 		step, ok = m.decide(now, f, servers), true
--- a/rollout/replica/fleet_test.go
+++ b/rollout/replica/fleet_test.go
@@ -317,7 +317,7 @@
 		}
 		f.step()
 	}
-	finals := f.store.finals[f.order.RowVersion]
+	finals := f.store.finals[f.order.Row.Version]
 	if len(finals) != 1 {
 		f.t.Fatalf("the final states are %v, want one", finals)
 	}
--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -85,12 +85,12 @@
 // ordered reports whether there is an order in force. There is none if the store has a
 // state of a newer order, which this VM does not know yet.
 func (m *migration) ordered() bool {
-	return m.order != nil && m.stored.OrderVersion <= m.order.RowVersion
+	return m.order != nil && m.stored.OrderVersion <= m.order.Row.Version
 }
 
 // open reports whether the order in force has no final state yet.
 func (m *migration) open() bool {
-	return m.ordered() && !(m.stored.OrderVersion == m.order.RowVersion && m.stored.Status.Final())
+	return m.ordered() && !(m.stored.OrderVersion == m.order.Row.Version && m.stored.Status.Final())
 }
 
 // setOrder takes over an order, or that there is none any more.
@@ -98,7 +98,8 @@
 	switch {
 	case order == nil && m.order == nil:
 		return false
-	case order != nil && m.order != nil && m.order.RowVersion == order.RowVersion:
+	case order != nil && m.order != nil && m.order.ID() == order.ID():
+		m.order = order // its row may be of a later era
 		return false
 	}
 	m.order, m.orderedAt = order, orderedAt
@@ -139,7 +140,7 @@
 
 // startedAt returns the time of the store's clock from which the order's duration counts.
 func (m *migration) startedAt() time.Duration {
-	if m.stored.OrderVersion == m.order.RowVersion {
+	if m.stored.OrderVersion == m.order.Row.Version {
 		return m.stored.StartedAt
 	}
 	return m.orderedAt
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"almondstile/history"
 	"almondstile/rollout"
 	_ "almondstile/standin/seeded"
 	"almondstile/tally"
@@ -30,7 +31,7 @@
 
 // newOrder returns an order for the service "s".
 func newOrder(rowVersion uint64) *rollout.Order {
-	return &rollout.Order{Service: "s", Target: target, Duration: duration, RowVersion: rowVersion}
+	return &rollout.Order{Service: "s", Target: target, Duration: duration, Row: history.Position{Version: rowVersion}}
 }
 
 // newRollouts returns the replica of a VM.
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -181,7 +181,7 @@
 	}
 	known := false
 	r.services.DoExisting(service, func(m *migration) {
-		known = order == nil || m.order != nil && m.order.RowVersion >= order.RowVersion
+		known = order == nil || m.order != nil && (m.order.ID() == order.ID() || order.Row.Before(m.order.Row))
 		rule = m.rule(now, m.open() && triedTarget(m.order.Target), random)
 	})
 	if !known && order != nil {
--- a/rollout/replica/subject.go
+++ b/rollout/replica/subject.go
@@ -42,7 +42,9 @@
 
 // keyOfOrder returns the key of an order.
 func keyOfOrder(o *rollout.Order) orderKey {
-	return orderKey(hashKey(string(o.Service)+"/"+strconv.FormatUint(o.RowVersion, 10), orderBytes))
+	id := o.ID()
+	name := string(id.Service) + "/" + strconv.FormatUint(id.Version, 10) + "/" + string(id.Target) + "/" + id.Duration.String()
+	return orderKey(hashKey(name, orderBytes))
 }
 
 // ServerKey returns the key of a server's incarnation, the same on all VMs. startedAt
--- a/rollout/replica/write.go
+++ b/rollout/replica/write.go
@@ -88,9 +88,9 @@
 		return next, true
 	case !m.open() || m.judge == nil:
 		return rollout.State{}, false
-	case m.stored.OrderVersion != m.order.RowVersion:
+	case m.stored.OrderVersion != m.order.Row.Version:
 		next = rollout.State{
-			Service: m.order.Service, OrderVersion: m.order.RowVersion, Target: m.order.Target,
+			Service: m.order.Service, OrderVersion: m.order.Row.Version, Target: m.order.Target,
 			StartedAt: m.orderedAt, Status: rollout.Running, RowVersion: m.stored.RowVersion,
 		}
 	}
--- a/rollout/replica/write_test.go
+++ b/rollout/replica/write_test.go
@@ -141,7 +141,7 @@
 				}
 			}
 		}
-		finals := store.finals[order.RowVersion]
+		finals := store.finals[order.Row.Version]
 		if len(finals) != 1 {
 			t.Fatalf("the final states were %v, want one", finals)
 		}
