rollout, catalog, platform: states of roll-outs are known by position

Operators read "running" for ever after a version was rolled back, and an order is played by no VM, if the store lost the state or the order: a state with a lower version than one that the VM knows was dropped, a lost state of an order with a higher version was taken for that of a newer order, and nobody read or wrote the lost state again. A VM that started later would have given the version its share again.

Now a state's row is a position (State.Row), in the era of the copy that has it, and replaces each one of an earlier era, as does that there is none. A final state that is lost by that stays in force and is written again while its order stands; one that another VM wrote first wins. The copy of the states is read again after the store went back, also if no roll-out is open. While the order or the state is known from an earlier era only, nothing is written: the version of the row may be that of another VM's write. An order counts as withdrawn only by copies of one era. A read-back answer has the era of its header.

TestRollBackHoldsAfterTheStoreWentBack plays restores at random times.

The stand-in decoder of the catalog's tests now names the target of the order, as a state belongs to an order by version and target. The other tests only name Row in place of RowVersion.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -32,9 +32,9 @@
 	return OperatorRow{Configuration: &c}, nil
 }
 
-// DecodeRollout decodes a state whose order has the version of the row.
+// DecodeRollout decodes a state whose order has the version of the row and the target v2.
 func (testDecoder) DecodeRollout(r Row) (rollout.State, error) {
-	return rollout.State{Service: contract.ServiceID(r.Key), OrderVersion: r.Version, Status: rollout.Status(r.Value)}, nil
+	return rollout.State{Service: contract.ServiceID(r.Key), Target: "v2", OrderVersion: r.Version, Status: rollout.Status(r.Value)}, nil
 }
 
 func (testDecoder) DecodeServer(r Row) (Registration, error) {
--- a/catalog/rollouts_test.go
+++ b/catalog/rollouts_test.go
@@ -71,6 +71,32 @@
 	}
 }
 
+// Guards against a final state that the store has lost and that nobody misses, because the
+// states are not read while no roll-out is open, and against states that don't name the era
+// of their copy, as their versions say nothing about those of another one.
+func TestStatesAreReadAgainAfterTheStoreWentBack(t *testing.T) {
+	c := newRolloutCatalog()
+	apply := func(table Table, era uint64, value string) {
+		row := Row{Key: "s", Version: 5, Value: []byte(value)}
+		c.Apply(table, Changes{FullTable: true, Rows: []Row{row}, Version: 5, Era: era, AsOf: c.storeNow()})
+	}
+	apply(OperatorTable, 1, "v2")
+	apply(RolloutTable, 1, string(rollout.Completed))
+	if c.View().RolloutOpen() {
+		t.Error("a roll-out is open after its completion")
+	}
+	c.now += time.Second
+	apply(OperatorTable, 2, "v2")
+	if !c.View().RolloutOpen() {
+		t.Error("the states are not read after the store went back")
+	}
+	apply(RolloutTable, 2, string(rollout.Completed))
+	want := history.Position{Era: history.Era{Stated: 2}, Version: 5}
+	if v := c.View(); v.RolloutOpen() || v.StatesEra != want.Era || v.RolloutStates["s"].Row != want {
+		t.Errorf("open %v, states of era %s, the state is %+v", v.RolloutOpen(), v.StatesEra, v.RolloutStates["s"])
+	}
+}
+
 // Guards against the start of an order that a VM counts from the moment at which it heard
 // of it, and against one that was written in an outage and counts from its end.
 func TestOrderedAtIsTheStoreTime(t *testing.T) {
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/history"
 	"almondstile/rollout"
 	"almondstile/zone"
 )
@@ -23,6 +24,8 @@
 	// OrderedAt holds for each order the time of the store's clock at which it was
 	// written, as far as this VM knows.
 	OrderedAt map[contract.ServiceID]time.Duration
+	// StatesEra and ordersEra are the eras of the copies with the states and the orders.
+	StatesEra, ordersEra history.Era
 }
 
 // AcceptsNewRequests reports whether the server may get new requests: it is not
--- a/direct/rollout_test.go
+++ b/direct/rollout_test.go
@@ -49,7 +49,7 @@
 	for _, r := range s.view.ByService["service-1"] {
 		state.Servers[r.Version]++
 	}
-	d.deps.ReplicatedState.Rollouts.Sync(time.Now().Add(-10*time.Second), replica.Copies{StatesKnown: true, OrdersVersion: 100, Services: []replica.ServiceState{state}})
+	d.deps.ReplicatedState.Rollouts.Sync(time.Now().Add(-10*time.Second), replica.Copies{StatesKnown: true, Orders: history.Position{Version: 100}, Services: []replica.ServiceState{state}})
 	d.deps.ReplicatedState.Rollouts.Refresh(time.Now())
 }
 
@@ -158,7 +158,7 @@
 // store lets the store have a status of the order.
 func store(d *Dispatcher, s *source, status rollout.Status) {
 	s.view.RolloutStates = map[contract.ServiceID]*rollout.State{"service-1": {Service: "service-1", OrderVersion: rolloutOrder.Row.Version,
-		Target: rolloutOrder.Target, Status: status, Replaced: []rollout.Version{"v1"}, RowVersion: 9}}
+		Target: rolloutOrder.Target, Status: status, Replaced: []rollout.Version{"v1"}, Row: history.Position{Version: 9}}}
 	syncRollouts(d, s)
 }
 
--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -25,10 +25,10 @@
 // RolloutStore keeps the states of roll-outs.
 type RolloutStore interface {
 	// WriteRollout writes a state, provided that the stored one has the version
-	// state.RowVersion. Its error is rollout.ErrStateChanged if it has another one.
+	// state.Row.Version. Its error is rollout.ErrStateChanged if it has another one.
 	WriteRollout(ctx context.Context, state rollout.State) error
 	// ReadRollout returns the stored state of a service's roll-out, without a status if
-	// there is none.
+	// there is none, at a position in the era that the store states.
 	ReadRollout(ctx context.Context, service contract.ServiceID) (rollout.State, error)
 }
 
@@ -138,7 +138,7 @@
 	}
 	orders, _ := k.catalog.PositionAsOf(catalog.OperatorTable)
 	k.rollouts.Sync(now, replica.Copies{
-		StoreNow: storeNow, StatesKnown: k.catalog.Loaded(catalog.RolloutTable), OrdersVersion: orders.Version,
+		StoreNow: storeNow, StatesKnown: k.catalog.Loaded(catalog.RolloutTable), Orders: orders, StatesEra: view.StatesEra,
 		Services: serviceStates(view),
 	})
 	k.synced, k.syncedAt = view, now
@@ -229,13 +229,17 @@
 	if ctx.Err() != nil {
 		return false, nil
 	}
+	eraBefore := k.catalog.Era()
 	current, err := k.store.ReadRollout(ctx, state.Service)
 	if err != nil {
 		log.WithError(err).Warn("The status of a roll-out could not be read back.")
 		return false, nil
 	}
+	if current.Row.Era.Stated == eraBefore.Stated {
+		current.Row.Era = eraBefore // with what VMs found; the answer is not from before that
+	}
 	log.WithField("stored_status", current.Status).WithField("stored_order", current.OrderVersion).
-		WithField("row_version", current.RowVersion).Info("The status of a roll-out was read back.")
+		WithField("era", current.Row.Era.String()).WithField("row_version", current.Row.Version).Info("The status of a roll-out was read back.")
 	return false, &current
 }
 
--- a/rollout/replica/decide.go
+++ b/rollout/replica/decide.go
@@ -60,9 +60,9 @@
 }
 
 // Stored returns the state of a service's last roll-out in the store, as far as this VM
-// knows it.
+// knows it, or a final one that the store has lost.
 func (r *Rollouts) Stored(service contract.ServiceID) (state rollout.State) {
-	r.services.DoExisting(service, func(m *migration) { state = m.stored })
+	r.services.DoExisting(service, func(m *migration) { state = m.state() })
 	return state
 }
 
--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"almondstile/history"
 	"almondstile/rollout"
 	"almondstile/tally"
 )
@@ -45,13 +46,17 @@
 	// withdrawn, zero if it is not.
 	withdrawnSince time.Time
 	// stored is the newest known state in the store, and statesKnown whether this VM has a
-	// copy of the states at all.
+	// copy of the states at all. ordersAt is the position of this VM's copy of the orders.
 	stored      rollout.State
 	statesKnown bool
-	// storedSince is the time since which this VM knows the stored state.
-	storedSince time.Time
-	arrivals    arrivals
-	ready       map[rollout.Version]bool // of arrivals, at the last refresh
+	ordersAt    history.Position
+	// lost is a final state that the store has lost, without a status if there is none. It
+	// stays in force, and is written again if its order stands.
+	lost rollout.State
+	// stateSince is the time since which this VM knows what state returns.
+	stateSince time.Time
+	arrivals   arrivals
+	ready      map[rollout.Version]bool // of arrivals, at the last refresh
 	// underWay holds what this VM has under way at the servers of each version.
 	underWay map[rollout.Version]*load
 
@@ -82,15 +87,33 @@
 	write writeSchedule
 }
 
+// state returns the state of the last roll-out.
+func (m *migration) state() rollout.State {
+	if m.lost.Status != "" {
+		return m.lost
+	}
+	return m.stored
+}
+
 // ordered reports whether there is an order in force. There is none if the store has a
-// state of a newer order, which this VM does not know yet.
+// state of a newer order of the same era, which this VM does not know yet. An order that is
+// known only from an earlier era than the state stays in force until the copy of the orders
+// is of that era too.
 func (m *migration) ordered() bool {
-	return m.order != nil && m.stored.OrderVersion <= m.order.Row.Version
+	return m.order != nil && !(m.order.Row.Era == m.stored.Row.Era && m.order.Row.Version < m.stored.OrderVersion)
 }
 
 // open reports whether the order in force has no final state yet.
 func (m *migration) open() bool {
-	return m.ordered() && !(m.stored.OrderVersion == m.order.Row.Version && m.stored.Status.Final())
+	return m.ordered() && !(m.state().IsOf(m.order) && m.state().Status.Final())
+}
+
+// knowsRow reports whether the stored state and the order, if there is one, are known in the
+// latest era. The version of a row in an earlier era is no condition for a write: the store
+// may have given it to another one.
+func (m *migration) knowsRow() bool {
+	era := m.stored.Row.Era
+	return m.statesKnown && era == m.ordersAt.Era && (m.order == nil || m.order.Row.Era == era)
 }
 
 // setOrder takes over an order, or that there is none any more.
@@ -103,6 +126,9 @@
 		return false
 	}
 	m.order, m.orderedAt = order, orderedAt
+	if order != nil && !m.lost.IsOf(order) {
+		m.lost = rollout.State{}
+	}
 	m.judge, m.judgeSince, m.startedBefore = nil, time.Time{}, 0
 	m.decision, m.decidedAt, m.group, m.old = rollout.Decision{}, time.Time{}, nil, load{}
 	m.verdict, m.verdictAt, m.othersMove = rollout.NoVerdict, time.Time{}, false
@@ -111,21 +137,37 @@
 	return true
 }
 
-// setWithdrawn records whether the order of the stored state is withdrawn. ordersVersion is
-// the version of this VM's copy of the orders. An older copy than the order says nothing.
-func (m *migration) setWithdrawn(now time.Time, ordersVersion uint64) {
+// setWithdrawn records whether the order of the stored state is withdrawn. A copy of the
+// orders that is older than the order, or of another era than the state, says nothing.
+func (m *migration) setWithdrawn(now time.Time) {
+	orderAt := history.Position{Era: m.ordersAt.Era, Version: m.stored.OrderVersion}
 	switch {
-	case m.order != nil || m.stored.Status != rollout.Running || ordersVersion < m.stored.OrderVersion:
+	case m.order != nil || m.stored.Status != rollout.Running || !m.knowsRow() || m.ordersAt.Before(orderAt):
 		m.withdrawnSince = time.Time{}
 	case m.withdrawnSince.IsZero():
 		m.withdrawnSince = now
 	}
 }
 
-// setStored takes over a state of the store unless a newer one is known.
+// setStored takes over a state of the store unless a newer one is known. A state of a later
+// era replaces any of an earlier one, but a final state that the store has lost by that is
+// kept.
 func (m *migration) setStored(now time.Time, s rollout.State) {
-	if s.RowVersion > m.stored.RowVersion {
-		m.stored, m.storedSince = s, now
+	if !m.stored.Row.Before(s.Row) {
+		return
+	}
+	before, sameEra := m.state(), s.Row.Era == m.stored.Row.Era
+	if !sameEra && m.stored.Status.Final() && (m.order == nil || m.stored.IsOf(m.order)) {
+		m.lost = m.stored
+	}
+	m.stored = s
+	written := s.Status.Final() && s.OrderVersion == m.lost.OrderVersion && s.Target == m.lost.Target
+	replaced := sameEra && (m.order == nil || !m.lost.IsOf(m.order))
+	if written || replaced {
+		m.lost = rollout.State{}
+	}
+	if !m.state().SaysLike(before) {
+		m.stateSince = now
 	}
 }
 
@@ -140,7 +182,7 @@
 
 // startedAt returns the time of the store's clock from which the order's duration counts.
 func (m *migration) startedAt() time.Duration {
-	if m.stored.OrderVersion == m.order.Row.Version {
+	if m.stored.IsOf(m.order) {
 		return m.stored.StartedAt
 	}
 	return m.orderedAt
@@ -162,10 +204,10 @@
 	switch {
 	case !m.ordered():
 		m.withdrawnRule(now, &rule)
-	case !m.open() && m.stored.Status == rollout.Completed:
+	case !m.open() && m.state().Status == rollout.Completed:
 		rule.replaced = m.replaced(now)
 	case !m.open():
-		rule.target, rule.scope = m.stored.Target, onlyOld
+		rule.target, rule.scope = m.state().Target, onlyOld
 	default:
 		m.openRule(now, &rule, failedAtTarget, random)
 	}
@@ -176,22 +218,22 @@
 // withdrawn, or that was rolled back, gets what the others cannot take, so that nobody is
 // left without a server because of an old state.
 func (m *migration) withdrawnRule(now time.Time, rule *Rule) {
-	switch m.stored.Status {
+	switch m.state().Status {
 	case rollout.Completed:
 		rule.replaced = m.replaced(now)
 	case rollout.Running, rollout.RolledBack:
-		rule.target, rule.scope = m.stored.Target, preferOld
+		rule.target, rule.scope = m.state().Target, preferOld
 	}
 }
 
 // replaced returns the versions whose servers stop because of the completion. Without
 // servers of the target there are none, as nothing else could take the requests.
 func (m *migration) replaced(now time.Time) []rollout.Version {
-	_, targetKnown := m.arrivals.heldUntil[m.stored.Target]
-	if !targetKnown || now.Sub(m.storedSince) >= replacedTimeout {
+	_, targetKnown := m.arrivals.heldUntil[m.state().Target]
+	if !targetKnown || now.Sub(m.stateSince) >= replacedTimeout {
 		return nil
 	}
-	return m.stored.Replaced
+	return m.state().Replaced
 }
 
 // openRule fills in the rule of an order without a final state.
--- a/rollout/replica/replica_test.go
+++ b/rollout/replica/replica_test.go
@@ -43,7 +43,7 @@
 	for _, v := range versions {
 		s.Servers[v] = 3
 	}
-	return Copies{StatesKnown: true, OrdersVersion: 1000, Services: []ServiceState{s}}
+	return Copies{StatesKnown: true, Orders: history.Position{Version: 1000}, Services: []ServiceState{s}}
 }
 
 // choices returns the versions among the given ones that a request may get: the preferred
@@ -160,7 +160,7 @@
 	announce(r, start, order, tally.Completions)
 	expectChoices(t, "a completion after that", r, order, "", 0, oldVersion, later)
 
-	completed := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Completed, Replaced: []rollout.Version{oldVersion}, RowVersion: 9}
+	completed := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Completed, Replaced: []rollout.Version{oldVersion}, Row: history.Position{Version: 9}}
 	r.Sync(start, copies(order, completed, oldVersion, target, later))
 	expectChoices(t, "completed", r, order, "", 0, target, later)
 	r.Sync(start, copies(nil, completed, oldVersion, target, later))
@@ -170,7 +170,7 @@
 	again.Target = oldVersion
 	r.Sync(start, copies(again, completed, oldVersion, target, later))
 	expectChoices(t, "an order back", r, again, "", 0, target, later)
-	rolledBack := &rollout.State{Service: "s", OrderVersion: 20, Target: oldVersion, Status: rollout.RolledBack, RowVersion: 22}
+	rolledBack := &rollout.State{Service: "s", OrderVersion: 20, Target: oldVersion, Status: rollout.RolledBack, Row: history.Position{Version: 22}}
 	r.Sync(start, copies(again, rolledBack, oldVersion, target, later))
 	expectChoices(t, "rolled back", r, again, "", 0, target, later)
 	if got := choices(r, again, "", 0, oldVersion); len(got) != 0 {
@@ -181,10 +181,10 @@
 // Guards against a status of a withdrawn order that says running for ever, and against one
 // that is rolled back because a VM's copy of the orders is older than the order.
 func TestWithdrawnOrderIsRolledBack(t *testing.T) {
-	running := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Running, RowVersion: 8}
+	running := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Running, Row: history.Position{Version: 8}}
 	r := newRollouts("vm-1")
 	old := copies(nil, running, oldVersion, target)
-	old.OrdersVersion = 6
+	old.Orders.Version = 6
 	r.Sync(start, old)
 	if due := r.Due(start.Add(time.Minute), 0); len(due) > 0 {
 		t.Errorf("with an old copy of the orders, %+v is due", due)
@@ -195,7 +195,7 @@
 		t.Errorf("before the other VMs know of the withdrawal, %+v is due", due)
 	}
 	due := r.Due(start.Add(withdrawalTime), 0)
-	if len(due) != 1 || due[0].Status != rollout.RolledBack || due[0].RowVersion != 8 {
+	if len(due) != 1 || due[0].Status != rollout.RolledBack || due[0].Row.Version != 8 {
 		t.Errorf("%+v is due, want the roll-back of the state of version 8", due)
 	}
 }
@@ -332,7 +332,7 @@
 // back to the earlier version without an order, by a release.
 func TestReplacedVersionReturns(t *testing.T) {
 	for name, order := range map[string]*rollout.Order{"order stands": newOrder(7), "order withdrawn": nil} {
-		completed := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Completed, Replaced: []rollout.Version{oldVersion}, RowVersion: 9}
+		completed := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.Completed, Replaced: []rollout.Version{oldVersion}, Row: history.Position{Version: 9}}
 		r := newRollouts("vm-1")
 		r.Sync(start, copies(order, completed, oldVersion, target))
 		if got := choices(r, order, "", 0, oldVersion, target); fmt.Sprint(got) != fmt.Sprint([]rollout.Version{target}) {
--- a/rollout/replica/restore_test.go
+++ b/rollout/replica/restore_test.go
@@ -3,12 +3,29 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"almondstile/history"
 	"almondstile/rollout"
+	_ "almondstile/standin/seeded"
 	"almondstile/tally"
+	"almondstile/vm"
+
+	"pgregory.net/rapid"
 )
 
+// stateAt returns a state of an order to the target version, as stored at a position.
+func stateAt(status rollout.Status, orderVersion uint64, row history.Position) rollout.State {
+	return rollout.State{Service: "s", OrderVersion: orderVersion, Target: target, Status: status, Replaced: []rollout.Version{oldVersion}, Row: row}
+}
+
+// copiesAt is copies of copies of both tables in an era.
+func copiesAt(era uint64, order *rollout.Order, stored *rollout.State) Copies {
+	c := copies(order, stored, oldVersion, target)
+	c.Orders, c.StatesEra = at(era, 1000), history.Era{Stated: era}
+	return c
+}
+
 // at returns the position of a version in an era that the store states.
 func at(era, version uint64) history.Position {
 	return history.Position{Era: history.Era{Stated: era}, Version: version}
@@ -48,3 +65,165 @@
 		t.Errorf("a request may go to %v, want the old version", got)
 	}
 }
+
+// Guards against a version that was rolled back and gets requests again, and a status that
+// says running for ever, because the store lost the roll-back.
+func TestLostFinalStateStaysInForceAndIsWrittenAgain(t *testing.T) {
+	order, kept := orderAt(target, at(1, 7)), orderAt(target, at(2, 7))
+	final, running := stateAt(rollout.RolledBack, 7, at(1, 12)), stateAt(rollout.Running, 7, at(2, 9))
+	for what, restored := range map[string]*rollout.State{"running came back": &running, "no state came back": nil} {
+		r := newRollouts("vm-1")
+		r.Sync(start, copiesAt(1, order, &final))
+		r.Sync(start, copiesAt(2, kept, restored))
+		setShare(r, 1)
+		expectChoices(t, what, r, kept, "", 0, oldVersion)
+		due := r.Due(start, 0)
+		if len(due) != 1 || due[0].Status != rollout.RolledBack || restored != nil && due[0].Row != restored.Row || restored == nil && due[0].Row != at(2, 0) {
+			t.Errorf("%s: %+v is due, want the roll-back in place of what came back", what, due)
+		}
+		again := stateAt(rollout.RolledBack, 7, at(2, 10))
+		r.Sync(start, copiesAt(2, kept, &again))
+		if due := r.Due(start.Add(time.Minute), 0); len(due) > 0 {
+			t.Errorf("%s: after that %+v is due", what, due)
+		}
+		next := orderAt(target, at(2, 20))
+		r.Sync(start, copiesAt(2, next, &again))
+		setShare(r, 1)
+		expectChoices(t, what+", next order", r, next, "", 0, target)
+	}
+}
+
+// Guards against an order that is not in force because a state that the store has lost, of
+// an order with a higher version, is taken for that of a newer one.
+func TestStateOfALostOrderIsNoNewerOne(t *testing.T) {
+	r, order := newRollouts("vm-1"), orderAt(later, at(2, 5))
+	lost := stateAt(rollout.RolledBack, 7, at(1, 12))
+	r.Sync(start, copiesAt(1, orderAt(target, at(1, 7)), &lost))
+	c := copiesAt(2, order, &lost)
+	c.StatesEra = history.Era{Stated: 1}
+	r.Sync(start, c)
+	if open := r.Orders(); len(open) != 1 || open[0].Target != later {
+		t.Errorf("before the states are read, the open orders are %+v, want one with target %s", open, later)
+	}
+	r.Sync(start, copiesAt(2, order, nil))
+	if open := r.Orders(); len(open) != 1 || open[0].Target != later {
+		t.Errorf("the open orders are %+v, want one with target %s", open, later)
+	}
+	if due := r.Due(start, 0); len(due) != 1 || due[0].Target != later || due[0].Status != rollout.Running {
+		t.Errorf("%+v is due, want that the order runs", due)
+	}
+}
+
+// Guards against a state that replaces one of another VM, as the store gave the version of
+// the row out again: while the order or the state is known from an earlier era only, there is
+// no condition that tells the rows apart.
+func TestNoWriteUnderAVersionOfAnEarlierEra(t *testing.T) {
+	running := stateAt(rollout.Running, 7, at(1, 9))
+	for what, c := range map[string]Copies{
+		"the copy of the states is older": copiesAt(2, orderAt(target, at(2, 7)), &running),
+		"the order is lost":               copiesAt(2, orderAt(target, at(1, 7)), nil),
+		"the copy of the orders is older": copiesAt(1, orderAt(target, at(1, 7)), &rollout.State{Service: "s", Row: at(2, 0)}),
+	} {
+		r := newRollouts("vm-1")
+		if c.Services[0].Stored == &running {
+			c.StatesEra = history.Era{Stated: 1}
+		}
+		r.Sync(start, copiesAt(1, orderAt(target, at(1, 7)), &running))
+		announce(r, start, orderAt(target, at(1, 7)), tally.RollBacks)
+		r.Sync(start, c)
+		for i := range 3 {
+			r.Decide(start.Add(time.Duration(i)*time.Second), *c.Services[0].Order, fleet, Servers{})
+		}
+		if due := r.Due(start.Add(time.Minute), 0); len(due) > 0 {
+			t.Errorf("%s: %+v is due", what, due)
+		}
+	}
+}
+
+// Guards against a withdrawn order whose status says running until the store has given out
+// all versions that it lost, and against a running one that is taken for withdrawn while the
+// copy of the orders is of an earlier era.
+func TestWithdrawalAfterTheStoreWentBack(t *testing.T) {
+	running := stateAt(rollout.Running, 7, at(2, 8))
+	r := newRollouts("vm-1")
+	older := copiesAt(2, nil, &running)
+	older.Orders = at(1, 1000)
+	r.Sync(start, older)
+	if due := r.Due(start.Add(time.Minute), 0); len(due) > 0 {
+		t.Errorf("with a copy of the orders of an earlier era, %+v is due", due)
+	}
+	c := copiesAt(2, nil, &running)
+	c.Orders = at(2, 9)
+	r.Sync(start, c)
+	if due := r.Due(start.Add(withdrawalTime), 0); len(due) != 1 || due[0].Status != rollout.RolledBack {
+		t.Errorf("%+v is due, want the roll-back", due)
+	}
+}
+
+// Guards against a roll-back that is lost for good, VMs that give the version its share
+// again, and VMs that write in turns, when the store goes back at any time to any earlier
+// state, with VMs that hear of it at different times, and refused writes.
+func TestRollBackHoldsAfterTheStoreWentBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &stateStore{finals: make(map[uint64][]rollout.Status), version: 10, era: history.Era{Stated: 1}}
+		store.state.Row.Era = store.era
+		order := func(era history.Era) *rollout.Order {
+			return orderAt(target, history.Position{Era: era, Version: 7})
+		}
+		seconds := func(what string, low, high int) time.Time {
+			return start.Add(time.Duration(rapid.IntRange(low, high).Draw(t, what)) * time.Second)
+		}
+		var writers []*Rollouts
+		var eras []history.Era
+		for i := range writersAt {
+			r := newRollouts(vm.ID(fmt.Sprintf("vm-%d", i)))
+			r.Sync(start, copiesAt(1, order(store.era), nil))
+			writers, eras = append(writers, r), append(eras, store.era)
+		}
+		verdictAt, copyAt, restoreAt := start.Add(3*time.Second), seconds("copied", 0, 4), seconds("restored", 5, 10)
+		var older stateStore
+		calls := 0
+		for now := start; now.Before(start.Add(writeTime)); now = now.Add(writeStep) {
+			if now.Equal(copyAt) {
+				older = *store
+			}
+			if now.Equal(restoreAt) {
+				store.state, store.version, store.era = older.state, older.version, store.era.Next()
+			}
+			for i, r := range writers {
+				if now.Equal(verdictAt) {
+					announce(r, now, order(eras[i]), tally.RollBacks)
+				}
+				if rapid.IntRange(0, 9).Draw(t, "copy arrives") == 0 {
+					eras[i] = store.era
+					current := store.state
+					current.Row.Era = store.era
+					c := copiesAt(0, order(store.era), &current)
+					c.Orders.Era, c.StatesEra = store.era, store.era
+					r.Sync(now, c)
+				}
+				if now.Sub(start)%decideStep == 0 {
+					r.Decide(now, *order(eras[i]), fleet, Servers{})
+				}
+				for _, state := range r.Due(now, time.Duration(i)*150*time.Millisecond) {
+					calls++
+					outcome := writeOutcome(rapid.IntRange(0, 2).Draw(t, "outcome"))
+					succeeded, stored := store.call(now, state, outcome, rapid.Bool().Draw(t, "read back"))
+					r.RecordWrite(now, state, succeeded, stored, 0.5)
+				}
+				if now.After(verdictAt) {
+					rule := r.Rule(now, "s", order(eras[i]), func(rollout.Version) bool { return false }, 0)
+					if rule.Allows(Server{Version: target}) {
+						t.Fatalf("at %s VM %d sends to the version that was rolled back", now.Sub(start), i)
+					}
+				}
+			}
+		}
+		if store.state.Status != rollout.RolledBack {
+			t.Fatalf("the stored state is %+v", store.state)
+		}
+		if bound := writersAt * int(writeTime/time.Second); calls > bound {
+			t.Fatalf("%d writes in %s, want one a second from each VM at most", calls, writeTime)
+		}
+	})
+}
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/history"
 	"almondstile/rollout"
 	"almondstile/shard"
 	"almondstile/tally"
@@ -80,9 +81,11 @@
 	StoreNow time.Duration
 	// StatesKnown is true if the VM has a copy of the states of roll-outs.
 	StatesKnown bool
-	// OrdersVersion is the version of the copy of the orders.
-	OrdersVersion uint64
-	Services      []ServiceState
+	// Orders is the position of the copy of the orders, and StatesEra the era of that of the
+	// states.
+	Orders    history.Position
+	StatesEra history.Era
+	Services  []ServiceState
 }
 
 // Sync takes over what the store says.
@@ -110,13 +113,18 @@
 		m.statesKnown = c.StatesKnown
 		m.arrivals.update(now, s.Servers, r.hold)
 		m.ready = m.arrivals.ready(now)
+		m.ordersAt = c.Orders
+		stored := rollout.State{Service: s.Service, Row: history.Position{Era: c.StatesEra}}
 		if s.Stored != nil {
-			m.setStored(now, *s.Stored)
+			stored = *s.Stored
+		}
+		if c.StatesKnown {
+			m.setStored(now, stored)
 		}
 		if m.setOrder(now, s.Order, s.OrderedAt) {
 			started = s.Order
 		}
-		m.setWithdrawn(now, c.OrdersVersion)
+		m.setWithdrawn(now)
 		if c.StatesKnown {
 			m.startJudge(now, c.StoreNow)
 		}
--- a/rollout/replica/write.go
+++ b/rollout/replica/write.go
@@ -40,7 +40,7 @@
 
 // Due returns the states that this VM has to write now, and marks the attempts as under
 // way: RecordWrite must follow for each. delay is how long this VM leaves the write to
-// others. A state's RowVersion is the one that the store has to have.
+// others. The version of a state's Row is the one that the store has to have.
 func (r *Rollouts) Due(now time.Time, delay time.Duration) (due []rollout.State) {
 	if r == nil {
 		return nil
@@ -75,7 +75,7 @@
 
 // wanted returns the state that the store should have, if it is another one than it has.
 func (m *migration) wanted(now time.Time) (rollout.State, bool) {
-	if !m.statesKnown {
+	if !m.knowsRow() {
 		return rollout.State{}, false
 	}
 	next := m.stored
@@ -86,12 +86,16 @@
 		}
 		next.Status = rollout.RolledBack // the target version has got nothing since
 		return next, true
+	case m.ordered() && m.lost.Status != "" && m.lost.IsOf(m.order):
+		next = m.lost
+		next.Row = m.stored.Row
+		return next, true
 	case !m.open() || m.judge == nil:
 		return rollout.State{}, false
-	case m.stored.OrderVersion != m.order.Row.Version:
+	case !m.stored.IsOf(m.order):
 		next = rollout.State{
 			Service: m.order.Service, OrderVersion: m.order.Row.Version, Target: m.order.Target,
-			StartedAt: m.orderedAt, Status: rollout.Running, RowVersion: m.stored.RowVersion,
+			StartedAt: m.orderedAt, Status: rollout.Running, Row: m.stored.Row,
 		}
 	}
 	settled := now.Sub(m.verdictAt) >= settleTime && m.decision.WriteStatus
@@ -101,7 +105,7 @@
 	case m.verdict == rollout.Complete && settled && m.emptied(now):
 		next.Status, next.Replaced = rollout.Completed, m.otherVersions()
 	}
-	return next, next.Status != m.stored.Status || next.OrderVersion != m.stored.OrderVersion
+	return next, !next.SaysLike(m.stored)
 }
 
 // otherVersions returns the versions of the service's servers other than the target.
--- a/rollout/replica/write_test.go
+++ b/rollout/replica/write_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"almondstile/history"
 	"almondstile/rollout"
 	_ "almondstile/standin/seeded"
 	"almondstile/tally"
@@ -26,6 +27,7 @@
 type stateStore struct {
 	state   rollout.State
 	version uint64
+	era     history.Era
 	late    []lateWrite
 	// finals holds the final states of each order.
 	finals map[uint64][]rollout.Status
@@ -39,11 +41,11 @@
 
 // put executes a write.
 func (s *stateStore) put(state rollout.State) error {
-	if state.RowVersion != s.state.RowVersion {
+	if state.Row.Version != s.state.Row.Version { // a store doesn't know the writer's era
 		return rollout.ErrStateChanged
 	}
 	s.version++
-	state.RowVersion = s.version
+	state.Row = history.Position{Era: s.era, Version: s.version}
 	s.state = state
 	if state.Status.Final() {
 		s.finals[state.OrderVersion] = append(s.finals[state.OrderVersion], state.Status)
@@ -163,10 +165,10 @@
 	r, first, second := newRollouts("vm-1"), newOrder(7), newOrder(12)
 	r.Sync(start, copies(first, nil, oldVersion, target))
 	announce(r, start, first, tally.RollBacks)
-	stored := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, RowVersion: 9}
+	stored := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, Row: history.Position{Version: 9}}
 	r.Sync(start, copies(second, stored, oldVersion, target))
 	due := r.Due(start, 0)
-	if len(due) != 1 || due[0].Status != rollout.Running || due[0].OrderVersion != 12 || due[0].RowVersion != 9 {
+	if len(due) != 1 || due[0].Status != rollout.Running || due[0].OrderVersion != 12 || due[0].Row.Version != 9 {
 		t.Fatalf("%+v is due, want the running state of the second order in place of version 9", due)
 	}
 	announce(r, start, first, tally.RollBacks)
@@ -175,7 +177,7 @@
 	// A VM that knows only the first order must not write its state any more.
 	r.RecordWrite(start, due[0], true, nil, 0)
 	running := due[0]
-	running.RowVersion = 13
+	running.Row.Version = 13
 	late := newRollouts("vm-2")
 	late.Sync(start, copies(first, &running, oldVersion, target))
 	announce(late, start, first, tally.Completions)
@@ -188,7 +190,7 @@
 // removed there, while their copies still have it.
 func TestRemovedStateIsNotWrittenInEachRound(t *testing.T) {
 	r := newRollouts("vm-1")
-	stored := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, RowVersion: 9}
+	stored := &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, Row: history.Position{Version: 9}}
 	r.Sync(start, copies(newOrder(12), stored, oldVersion, target))
 	calls := 0
 	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(decideStep) {
@@ -206,12 +208,12 @@
 // write was there first although the row is the one that they know, that the row has
 // changed each time, or nothing. No pause followed the first two.
 func TestWritesThatDoNotSucceedArePaused(t *testing.T) {
-	known := rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, RowVersion: 9}
+	known := rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, Row: history.Position{Version: 9}}
 	for what, answer := range map[string]func(version uint64) *rollout.State{
 		"the known row": func(uint64) *rollout.State { return &known },
 		"another row each time": func(version uint64) *rollout.State {
 			s := known
-			s.RowVersion = version
+			s.Row.Version = version
 			return &s
 		},
 		"nothing": func(uint64) *rollout.State { return nil },
--- a/rollout/status.go
+++ b/rollout/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstile/contract"
+	"almondstile/history"
 
 	"github.com/cockroachdb/errors"
 )
@@ -29,8 +30,8 @@
 // State is what the store keeps of a roll-out.
 type State struct {
 	Service contract.ServiceID
-	// OrderVersion is the RowVersion of the order. A state with another one belongs to an
-	// earlier order.
+	// OrderVersion is the version of the order's row. A state with another one belongs to
+	// another order.
 	OrderVersion uint64
 	Target       Version
 	Status       Status
@@ -40,6 +41,15 @@
 	// Replaced are the versions that the target has replaced, set once the status is
 	// Completed. Servers of a version that appears later are not among them.
 	Replaced []Version
-	// RowVersion is the store's version at which the state was written, 0 before that.
-	RowVersion uint64
+	// Row is the position of the state's row: the version at which it was written, 0 if there
+	// is none, in the latest era of the store in which the VM knows it.
+	Row history.Position
+}
+
+// IsOf reports whether the state belongs to the order.
+func (s State) IsOf(o *Order) bool { return s.OrderVersion == o.Row.Version && s.Target == o.Target }
+
+// SaysLike reports whether both states say the same of the same order.
+func (s State) SaysLike(t State) bool {
+	return s.OrderVersion == t.OrderVersion && s.Target == t.Target && s.Status == t.Status
 }
