rollout/replica: a lost order that is written again goes on as it was

A version that was rolled back gets its share again, and the same verdict is found a second time at the callers' cost, if the store lost the order too and the operators write it again: it has another version, so each VM took it for a new order. Cause: nothing tied the order to the lost one.

Now an order with the service, target and duration of a lost one, in a later era, is the same one written again, if it comes within 30 s after the lost one left the view. Judge, verdict and a final state hold for it; announcements and reports begin anew under its subject, so VMs that know only the new row hear of the verdict. An order that stands in the restored copy and is written anew, and one with another target or duration, begins anew as before.

TestLostOrderWrittenAgainGoesOn and TestVerdictIsAnnouncedForTheOrderWrittenAgain without the change: "a request may go to [v2], want [v1]".

--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -24,6 +24,9 @@
 	// catchUpTime is the time that a new replica takes to hear the counts of all VMs that
 	// send requests.
 	catchUpTime = 2 * time.Second
+	// rewriteTimeout is the time after the loss of an order within which the operators write
+	// it again. Later the same order begins anew.
+	rewriteTimeout = 30 * time.Second
 	// replacedTimeout is the time after a completion within which the registrations of the
 	// old servers, which stop at once, are gone. Later, servers of their versions were
 	// started anew, for example to go back to the earlier version without an order.
@@ -42,6 +45,10 @@
 	order *rollout.Order
 	// orderedAt is the time of the store's clock at which the order was written.
 	orderedAt time.Duration
+	// lostOrder is the last order if there is none because the store has lost it, since
+	// lostOrderSince.
+	lostOrder      *rollout.Order
+	lostOrderSince time.Time
 	// withdrawnSince is the time since which the order of a running state is known to be
 	// withdrawn, zero if it is not.
 	withdrawnSince time.Time
@@ -118,23 +125,63 @@
 
 // setOrder takes over an order, or that there is none any more.
 func (m *migration) setOrder(now time.Time, order *rollout.Order, orderedAt time.Duration) (changed bool) {
+	previous := m.lastOrder(now)
 	switch {
 	case order == nil && m.order == nil:
 		return false
+	case order == nil && m.order.Row.Era != m.ordersAt.Era:
+		m.order, m.lostOrder, m.lostOrderSince = nil, m.order, now
+		return true
 	case order != nil && m.order != nil && m.order.ID() == order.ID():
 		m.order = order // its row may be of a later era
 		return false
+	case order != nil && previous != nil && isWrittenAgain(previous, order):
+		m.continueAs(previous, order, orderedAt)
+		return true
 	}
-	m.order, m.orderedAt = order, orderedAt
+	m.order, m.orderedAt, m.lostOrder = order, orderedAt, nil
 	if order != nil && !m.lost.IsOf(order) {
 		m.lost = rollout.State{}
 	}
 	m.judge, m.judgeSince, m.startedBefore = nil, time.Time{}, 0
 	m.decision, m.decidedAt, m.group, m.old = rollout.Decision{}, time.Time{}, nil, load{}
 	m.verdict, m.verdictAt, m.othersMove = rollout.NoVerdict, time.Time{}, false
+	m.resetCounts()
+	return true
+}
+
+// resetCounts starts what this VM tells and hears under the order's subjects anew, and the
+// attempts to write its state.
+func (m *migration) resetCounts() {
 	m.announcedAt, m.announcedShift = time.Time{}, false
 	m.report, m.remote, m.write = ownReport{}, make(map[tally.Subject]*remoteLoad), m.write.restart()
-	return true
+}
+
+// lastOrder returns the order in force, or the one that the store has lost a short time ago.
+func (m *migration) lastOrder(now time.Time) *rollout.Order {
+	if m.order == nil && m.lostOrder != nil && now.Sub(m.lostOrderSince) < rewriteTimeout {
+		return m.lostOrder
+	}
+	return m.order
+}
+
+// isWrittenAgain reports whether an order is the one that the store has lost, written again
+// by the operators.
+func isWrittenAgain(lost, order *rollout.Order) bool {
+	id := lost.ID()
+	id.Version = order.Row.Version
+	return id == order.ID() && lost.Row.Era.Compare(order.Row.Era) < 0
+}
+
+// continueAs goes on with a lost order as the one that was written in its place: the judge,
+// the verdict and a final state hold for it.
+func (m *migration) continueAs(lost, order *rollout.Order, orderedAt time.Duration) {
+	if final := m.state(); final.Status.Final() && final.IsOf(lost) {
+		final.OrderVersion = order.Row.Version
+		m.lost = final
+	}
+	m.order, m.orderedAt, m.lostOrder = order, orderedAt, nil
+	m.resetCounts()
 }
 
 // setWithdrawn records whether the order of the stored state is withdrawn. A copy of the
@@ -162,7 +209,8 @@
 	}
 	m.stored = s
 	written := s.Status.Final() && s.OrderVersion == m.lost.OrderVersion && s.Target == m.lost.Target
-	replaced := sameEra && (m.order == nil || !m.lost.IsOf(m.order))
+	order := m.lastOrder(now)
+	replaced := sameEra && (order == nil || !m.lost.IsOf(order))
 	if written || replaced {
 		m.lost = rollout.State{}
 	}
--- a/rollout/replica/restore_test.go
+++ b/rollout/replica/restore_test.go
@@ -160,6 +160,68 @@
 	}
 }
 
+// Guards against a version that gets its share again although it was judged bad, because the
+// store lost its order, and the operators wrote it again: with a stored state, and with a
+// verdict that was not stored yet, at once and after a moment without the order.
+func TestLostOrderWrittenAgainGoesOn(t *testing.T) {
+	lost, again := orderAt(target, at(1, 7)), orderAt(target, at(2, 5))
+	final := stateAt(rollout.RolledBack, 7, at(1, 12))
+	for what, stored := range map[string]*rollout.State{"stored": &final, "not stored": nil} {
+		for _, away := range []time.Duration{0, 5 * time.Second, rewriteTimeout} {
+			r := newRollouts("vm-1")
+			r.Sync(start, copiesAt(1, lost, stored))
+			if stored == nil {
+				announce(r, start, lost, tally.RollBacks)
+			}
+			if away > 0 {
+				r.Sync(start, copiesAt(2, nil, nil))
+			}
+			r.Sync(start.Add(away), copiesAt(2, again, nil))
+			setShare(r, 1)
+			want := oldVersion
+			if away == rewriteTimeout {
+				want = target // it begins anew
+			}
+			expectChoices(t, fmt.Sprintf("%s, away for %s", what, away), r, again, "", 0, want)
+			due := r.Due(start.Add(away), 0)
+			if stored != nil && want == oldVersion && (len(due) != 1 || due[0].Status != rollout.RolledBack || due[0].OrderVersion != 5) {
+				t.Errorf("%s, away for %s: %+v is due, want the roll-back of the order of version 5", what, away, due)
+			}
+		}
+	}
+}
+
+// Guards against VMs that don't hear of a verdict, because it was announced for the lost
+// order and they know only the one that was written in its place.
+func TestVerdictIsAnnouncedForTheOrderWrittenAgain(t *testing.T) {
+	lost, again := orderAt(target, at(1, 7)), orderAt(target, at(2, 5))
+	r, started := newRollouts("vm-1"), newRollouts("vm-2")
+	r.Sync(start, copiesAt(1, lost, nil))
+	announce(r, start, lost, tally.RollBacks)
+	r.Sync(start, copiesAt(2, again, nil))
+	started.Sync(start, copiesAt(2, again, nil))
+	step, _ := r.Decide(start, *again, fleet, Servers{})
+	for _, a := range step.Announcements {
+		started.Observe(start, a.Subject, a.Counts)
+	}
+	setShare(started, 1)
+	expectChoices(t, "a VM that started after the loss", started, again, "", 0, oldVersion)
+}
+
+// Guards against an order that operators write anew, for the same version, and that the
+// verdict on the one before ends: the store went back, but had kept that one.
+func TestOrderWrittenAnewAfterTheStoreWentBackBeginsAnew(t *testing.T) {
+	r, final := newRollouts("vm-1"), stateAt(rollout.RolledBack, 7, at(1, 12))
+	r.Sync(start, copiesAt(1, orderAt(target, at(1, 7)), &final))
+	kept := final
+	kept.Row = at(2, 12)
+	r.Sync(start, copiesAt(2, orderAt(target, at(2, 7)), &kept))
+	anew := orderAt(target, at(2, 15))
+	r.Sync(start, copiesAt(2, anew, &kept))
+	setShare(r, 1)
+	expectChoices(t, "an order written anew", r, anew, "", 0, target)
+}
+
 // Guards against a roll-back that is lost for good, VMs that give the version its share
 // again, and VMs that write in turns, when the store goes back at any time to any earlier
 // state, with VMs that hear of it at different times, and refused writes.
--- a/rollout/replica/rollouts.go
+++ b/rollout/replica/rollouts.go
@@ -99,6 +99,7 @@
 	}
 	r.services.Range(func(service contract.ServiceID, m *migration) bool {
 		if !named[service] {
+			m.ordersAt = c.Orders
 			m.setOrder(now, nil, 0)
 		}
 		return true
