hosted, platform: a VM compares eras from its announcement on

The era was noted when the tables were first loaded. Now the list of VMs brings the era. The pause between attempts is spread.

--- a/hosted/announce.go
+++ b/hosted/announce.go
@@ -5,14 +5,14 @@
 	"math/rand/v2"
 	"time"
 
-	"almondstile/catalog"
 	"almondstile/history"
 	"almondstile/wait"
 )
 
 const (
 	// announceTimeout bounds one attempt to announce this VM or to read the list of
-	// VMs. announceRetryInterval is the pause before the next one.
+	// VMs. announceRetryInterval is the mean pause before the next one, which is spread,
+	// because the store is away for all VMs at once.
 	announceTimeout       = 1 * time.Second
 	announceRetryInterval = 700 * time.Millisecond
 	// eraCheckInterval is the time between two checks whether the store went back.
@@ -26,30 +26,26 @@
 // again each time that the store went back to an older copy, which may lack this VM's row.
 // It closes vmsKnown when the other VMs are read for the first time.
 func (v *Process) keepAnnounced(ctx context.Context, vmsKnown chan<- struct{}) {
-	v.announce(ctx, func() { close(vmsKnown) })
-	var announcedIn history.Era
-	known := false
+	era := history.Era{Stated: v.announce(ctx, func() { close(vmsKnown) })}
 	for wait.For(ctx, eraCheckInterval) {
-		era := v.catalog.Era()
-		switch {
-		case !v.catalog.Loaded(catalog.OperatorTable):
-		case !known:
-			announcedIn, known = era, true
-		case era != announcedIn:
-			wait.For(ctx, rand.N(announceSpread))
-			v.announce(ctx, func() {})
-			announcedIn = era
+		latest := v.catalog.Era()
+		if latest.Compare(era) <= 0 {
+			continue
 		}
+		wait.For(ctx, rand.N(announceSpread))
+		v.announce(ctx, func() {})
+		era = latest
 	}
 }
 
 // announce announces this VM in the store and reads the other VMs from it, and tries
-// again until both have succeeded. It calls vmsRead when the other VMs are read.
-func (v *Process) announce(ctx context.Context, vmsRead func()) {
+// again until both have succeeded. It calls vmsRead when the other VMs are read. It returns
+// the number that the store then gave its era.
+func (v *Process) announce(ctx context.Context, vmsRead func()) (era uint64) {
 	read, announced := false, false
 	for ctx.Err() == nil && !(read && announced) {
 		if !read {
-			v.guard.Task("announce", func() { read = v.loadVMs(ctx, &announced) })
+			v.guard.Task("announce", func() { era, read = v.loadVMs(ctx, &announced) })
 			if read {
 				vmsRead()
 			}
@@ -58,20 +54,22 @@
 			v.guard.Task("announce", func() { announced = v.announceOnce(ctx) })
 		}
 		if !(read && announced) {
-			wait.For(ctx, announceRetryInterval)
+			wait.For(ctx, announceRetryInterval/2+rand.N(announceRetryInterval))
 		}
 	}
+	return era
 }
 
-// loadVMs adds the VMs of the store to the roster and reports whether it could read
-// them. It sets *announced if this VM is among them with its current address.
-func (v *Process) loadVMs(ctx context.Context, announced *bool) bool {
+// loadVMs adds the VMs of the store to the roster. It returns the number that the store gives
+// its era, and whether the VMs could be read. It sets *announced if this VM is among them
+// with its current address.
+func (v *Process) loadVMs(ctx context.Context, announced *bool) (era uint64, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	vms, err := v.store.VMs(ctx)
+	vms, era, err := v.store.VMs(ctx)
 	if err != nil {
 		v.log.Part("vm").WithError(err).Warn("The other VMs cannot be read from the store.")
-		return false
+		return 0, false
 	}
 	for _, other := range vms {
 		if other.ID == v.settings.Self.ID && other.ControlAddress == v.settings.Self.ControlAddress {
@@ -79,7 +77,7 @@
 		}
 		v.roster.Learn(time.Now(), other)
 	}
-	return true
+	return era, true
 }
 
 // announceOnce makes one attempt to announce this VM and reports whether it
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -43,8 +43,9 @@
 	RolloutStore
 	// LimitCalls makes all calls wait for the limiter.
 	LimitCalls(limiter CallLimiter)
-	// VMs returns the VMs that are announced in the store.
-	VMs(ctx context.Context) ([]vm.VM, error)
+	// VMs returns the VMs that are announced in the store, and the number that the store
+	// gives the era of its history.
+	VMs(ctx context.Context) (vms []vm.VM, era uint64, err error)
 	// Announce adds a VM to those that VMs returns. Announcing a VM again has no
 	// further effect.
 	Announce(ctx context.Context, v vm.VM) error
