--- a/gossip/node.go
+++ b/gossip/node.go
@@ -47,6 +47,9 @@
 	// bootstrapInterval is the interval at which a VM without a live relay contacts
 	// one of the known VMs or of the configured seeds.
 	bootstrapInterval = 500 * time.Millisecond
+	// receiveErrorPause is the pause after an error of the socket for datagrams, which may
+	// last.
+	receiveErrorPause = 10 * time.Millisecond
 	// maxConcurrentPulls bounds the number of pulls in flight.
 	maxConcurrentPulls = 2
 
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -9,6 +9,7 @@
 	"almondstile/fleet"
 	"almondstile/tally"
 	"almondstile/vm"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -23,6 +24,7 @@
 			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 				n.deps.Log.WithError(err).Debug("Receiving a datagram failed.")
 			}
+			wait.For(ctx, receiveErrorPause)
 			continue
 		}
 		n.deps.Guard.Handle("datagram", "", func() { n.handleDatagram(ctx, wg, buf[:size]) })
