catalog, gossip: the store's clock is estimated per era, and ages are kept locally

Cause: the age of a copy was the store's time now minus the time as of which the copy was confirmed. The first table that showed the new era set the estimate to the new clock, and the other tables' times are of the old one.

Change: an estimate of the clock belongs to an era, and a copy keeps the age that it had when it was confirmed, to which local time adds. The store's clock counts only for a copy of the same era, where a better estimate may show a greater age.

Evidence: TestCopyOfAnEarlierEraKeepsItsAgeWhenTheStoresClockJumps failed before: the age was an hour, a second after the last answer. The tests of catalog and gossip pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -172,11 +172,10 @@
 	case ResultNewEra:
 		c.logUnusedAnswer(t, ch, result)
 	}
-	if position, _ := c.PositionAsOf(t); before.Version > 0 && position.Era != before.Era {
-		c.StoreClock.Restart(call.readAt(now), ch.AsOf, 0)
+	position, _ := c.PositionAsOf(t)
+	c.observeClock(now, call, position.Era, ch.AsOf)
+	if before.Version > 0 && position.Era != before.Era {
 		c.recordNewEra(t, before, position, FromStore)
-	} else {
-		c.StoreClock.Observe(now, ch.AsOf)
 	}
 	if result == ResultChanged {
 		c.rebuildView(FromStore)
@@ -188,14 +187,28 @@
 	return result
 }
 
+// observeClock records the store's time in the answer to a call, received at the local time
+// now. era is that of the copy after the answer.
+func (c *Catalog) observeClock(now time.Duration, call Call, era history.Era, store time.Duration) {
+	clockEra, known := c.StoreClock.Era()
+	switch {
+	case !known || era.Compare(clockEra) > 0:
+		c.StoreClock.Restart(era, call.readAt(now), store, 0)
+	case era == clockEra:
+		c.StoreClock.Observe(now, store)
+	}
+}
+
 // Merge updates the copy of a table with a delta from another VM and rebuilds the
 // view if a row changed, which it reports. A delta that is older than the copy is
 // ignored.
 func (c *Catalog) Merge(t Table, d Delta) (changed bool) {
 	c.observeAge(t)
 	before, _ := c.PositionAsOf(t)
+	now := c.clock()
+	store, _ := c.StoreClock.At(now)
 	d.AsOf = c.credible(d.AsOf)
-	changed, newEra := c.tables[t].merge(c.clock(), d)
+	changed, newEra := c.tables[t].merge(now, store, d)
 	if newEra {
 		c.recordNewEra(t, before, d.Position, FromVM)
 	}
@@ -214,17 +227,8 @@
 	return asOf
 }
 
-// BeginsEra reports whether a delta is the whole table of a later era than the copy's.
-func (c *Catalog) BeginsEra(t Table, d Delta) bool {
-	position, _ := c.PositionAsOf(t)
-	return position.Version > 0 && d.FullTable && d.Position.Era.Compare(position.Era) > 0
-}
-
-// PrecedesEra reports whether a position is of an earlier era than the copy of the table.
-func (c *Catalog) PrecedesEra(t Table, p history.Position) bool {
-	position, _ := c.PositionAsOf(t)
-	return p.Era.Compare(position.Era) < 0
-}
+// BeginsEra reports whether a delta would replace the copy by one of a later era.
+func (c *Catalog) BeginsEra(t Table, d Delta) bool { return c.tables[t].wouldBegin(c.clock(), d) }
 
 // recordNewEra logs that the store went back to an older copy. If this VM has read that in
 // the store, the copies of the other tables have to be read again too.
@@ -268,7 +272,9 @@
 // has the same position, it is current as of then too. RecordPeerPosition reports
 // whether this VM's copy is older than the other VM's, or missing.
 func (c *Catalog) RecordPeerPosition(t Table, peer history.Position, asOf time.Duration) (behind bool) {
-	return c.tables[t].recordPeer(c.clock(), peer, c.credible(asOf))
+	now := c.clock()
+	store, _ := c.StoreClock.At(now)
+	return c.tables[t].recordPeer(now, store, peer, c.credible(asOf))
 }
 
 // DeltaSince returns the rows of a table's copy that changed after a position and
@@ -289,11 +295,13 @@
 // Age returns the time since the table's copy was last known to be current, or
 // 24 hours (neverLoadedAge) if there is no copy.
 func (c *Catalog) Age(t Table) time.Duration {
-	store, known := c.StoreClock.At(c.clock())
+	now := c.clock()
+	store, known := c.StoreClock.At(now)
 	if !c.Loaded(t) || !known {
 		return neverLoadedAge
 	}
-	return c.tables[t].age(c.clock(), store)
+	era, _ := c.StoreClock.Era()
+	return c.tables[t].age(now, store, era)
 }
 
 // Loaded reports whether there is a copy of the table.
--- a/catalog/clock.go
+++ b/catalog/clock.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"almondstile/history"
 )
 
 const (
@@ -42,6 +44,7 @@
 // concurrent use; the zero value is ready to use.
 type StoreClock struct {
 	mu       sync.Mutex
+	era      history.Era   // in which the store had this clock
 	offset   time.Duration // local clock minus store's clock, as of updatedAt
 	observed bool          // offset is set
 	// updatedAt is the local time of the last observation.
@@ -72,17 +75,25 @@
 	}
 }
 
-// Restart replaces the estimate, because the store has gone back to an older copy and its
-// clock may have as well. The store's time was read at the local time or later, by a VM
+// Restart replaces the estimate by one of an era of the store's history: the store's clock
+// may have changed with it. The store's time was read at the local time or later, by a VM
 // that is hops VMs away from the store.
-func (c *StoreClock) Restart(local, store time.Duration, hops int) {
+func (c *StoreClock) Restart(era history.Era, local, store time.Duration, hops int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.era = era
 	c.offset, c.updatedAt, c.observed = local-store, local, true
 	c.hops, c.sourceAt = hops, local
 	c.contradiction = contradiction{}
 }
 
+// Era returns the era of the estimate. Before the first observation, known is false.
+func (c *StoreClock) Era() (era history.Era, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era, c.observed
+}
+
 func (c *StoreClock) observe(local, store time.Duration, hops int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/catalog/eras.go
+++ b/catalog/eras.go
@@ -91,10 +91,11 @@
 	return !c.loaded || c.isOutdated()
 }
 
-// replace replaces the copy by the table of a later era, received at the local time now.
-// Rows that the table lacks are retained for removalGrace. The caller holds mu.
-func (c *tableCopy) replace(now time.Duration, rows []Row, era history.Era, asOf time.Duration) {
-	c.asOf, c.asOfBefore, c.confirmedAt = asOf, asOf, now
+// replace replaces the copy by the table of a later era, received at the local time now at
+// an age. Rows that the table lacks are retained for removalGrace. The caller holds mu.
+func (c *tableCopy) replace(now time.Duration, rows []Row, era history.Era, asOf, age time.Duration) {
+	c.confirm(now, asOf, age)
+	c.asOfBefore = asOf
 	c.outageEndedAt, c.hadOutage = asOf, true
 	c.inDoubt = false
 	until := asOf + removalGrace
--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -157,3 +157,16 @@
 		t.Errorf("the age of a copy that is current is %s a minute later", age)
 	}
 }
+
+// Guards against requests with keys that are rejected because the clock of a later era makes
+// a copy look old that is of an earlier one.
+func TestCopyOfAnEarlierEraKeepsItsAgeWhenTheStoresClockJumps(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 5, Era: 1, AsOf: c.storeNow()})
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 5, Era: 1, AsOf: c.storeNow()})
+	c.now += time.Second
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 3, Era: 2, AsOf: c.storeNow() + time.Hour})
+	if age := c.Age(OperatorTable); age < time.Second || age > 2*time.Second {
+		t.Errorf("the age of the operators' table is %s, a second after its last answer", age)
+	}
+}
--- a/catalog/propagation_test.go
+++ b/catalog/propagation_test.go
@@ -232,7 +232,7 @@
 		store, known := v.StoreClock.At(v.now(p))
 		hops := v.StoreClock.Hops(v.now(p))
 		p.after(simulationStep, func() {
-			if known && !to.PrecedesEra(OperatorTable, position) {
+			if clockEra, ok := to.StoreClock.Era(); known && (!ok || clockEra == position.Era) {
 				to.StoreClock.ObservePeer(to.now(p), store, hops)
 			}
 			if to.RecordPeerPosition(OperatorTable, position, asOf) {
@@ -251,7 +251,7 @@
 	hops := from.StoreClock.Hops(local)
 	p.after(pullDelay, func() {
 		if known && to.BeginsEra(OperatorTable, d) {
-			to.StoreClock.Restart(local, store, hops+1)
+			to.StoreClock.Restart(d.Position.Era, local, store, hops+1)
 		}
 		if to.Merge(OperatorTable, d) && to.rank < relaysPerZone {
 			p.after(announceDelay, func() { p.announce(to) })
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -31,10 +31,10 @@
 	asOf time.Duration
 	// asOfBefore is asOf before its last change.
 	asOfBefore time.Duration
-	// confirmedAt is the local time at which asOf was received. The copy is not younger than
-	// that, whatever the store's clock does.
-	confirmedAt time.Duration
-	loaded      bool
+	// confirmedAt is the local time at which asOf was received, and ageThen the age that the
+	// copy had then. Its age does not depend on the store's clock afterwards.
+	confirmedAt, ageThen time.Duration
+	loaded               bool
 	// laterEra is the latest era that an answer about another table has shown, and
 	// laterEraAt the local time of that. If it is later than the copy's, the whole table
 	// must be read.
@@ -85,7 +85,7 @@
 	case standing == standingLaterEra && !ch.FullTable:
 		return ResultNewEra
 	case standing == standingLaterEra:
-		c.replace(now, ch.Rows, era, ch.AsOf)
+		c.replace(now, ch.Rows, era, ch.AsOf, now-call.start)
 	default:
 		changed = c.update(now, call, ch, era)
 	}
@@ -107,9 +107,9 @@
 // whether any row changed. The caller holds mu.
 func (c *tableCopy) update(now time.Duration, call Call, ch Changes, era history.Era) (changed bool) {
 	if c.loaded && call.start >= c.confirmedAt && ch.AsOf < c.asOf {
-		c.confirm(now, ch.AsOf) // the earlier answer's time was wrong, or the clock went back
+		c.confirm(now, ch.AsOf, now-call.start) // the earlier time was wrong, or the clock went back
 	}
-	c.advanceAsOf(now, ch.AsOf)
+	c.advanceAsOf(now, ch.AsOf, now-call.start)
 	changed = !c.loaded
 	if ch.FullTable {
 		changed = c.removeMissing(keysOf(ch.Rows)) || changed
@@ -121,10 +121,11 @@
 	return changed
 }
 
-// merge applies a delta from another VM, received at the local time now. A delta that is
-// older than the copy is ignored, as is one from a later era that is not the whole table. It
-// reports whether any row changed and whether a new era began.
-func (c *tableCopy) merge(now time.Duration, d Delta) (changed, newEra bool) {
+// merge applies a delta from another VM, received at the local time now, at which the store's
+// clock shows storeNow. A delta that is older than the copy is ignored, as is one from a later
+// era that is not the whole table. It reports whether any row changed and whether a new era
+// began.
+func (c *tableCopy) merge(now, storeNow time.Duration, d Delta) (changed, newEra bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -133,13 +134,13 @@
 		if !c.begins(now, d) {
 			return false, false
 		}
-		c.replace(now, d.Rows, d.Position.Era, d.AsOf)
+		c.replace(now, d.Rows, d.Position.Era, d.AsOf, storeNow-d.AsOf)
 		c.position, c.stated = d.Position, d.Position.Era.Stated
 		return true, true
 	case d.Position.Before(c.position) || c.isOutdated():
 		return false, false
 	}
-	c.advanceAsOf(now, d.AsOf)
+	c.advanceAsOf(now, d.AsOf, storeNow-d.AsOf)
 	changed = !c.loaded
 	keys := make(map[string]bool, len(d.Keys))
 	for _, key := range d.Keys {
@@ -167,6 +168,13 @@
 	return d.Position.Era.Stated > c.position.Era.Stated || d.AsOf > c.asOf || now-c.confirmedAt >= maxDoubtTime
 }
 
+// wouldBegin reports whether a delta would replace the copy by one of a later era.
+func (c *tableCopy) wouldBegin(now time.Duration, d Delta) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.loaded || d.Position.Era != c.position.Era && c.begins(now, d)
+}
+
 // keysOf returns the set of the rows' keys.
 func keysOf(rows []Row) map[string]bool {
 	keys := make(map[string]bool, len(rows))
@@ -177,25 +185,31 @@
 }
 
 // recordPeer records that another VM's copy has the given position and was current at
-// asOf. It reports whether this copy is older, or missing. now is the local time.
-func (c *tableCopy) recordPeer(now time.Duration, peer history.Position, asOf time.Duration) (behind bool) {
+// asOf. It reports whether this copy is older, or missing. now is the local time, and
+// storeNow that of the store's clock.
+func (c *tableCopy) recordPeer(now, storeNow time.Duration, peer history.Position, asOf time.Duration) (behind bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.loaded || c.position.Before(peer) {
 		return peer.Version > 0
 	}
 	if peer == c.position && !c.isOutdated() {
-		c.advanceAsOf(now, asOf)
+		c.advanceAsOf(now, asOf, storeNow-asOf)
 	}
 	return false
 }
 
-// age returns the age of the copy at the local time now, at which the store's clock shows
-// storeNow.
-func (c *tableCopy) age(now, storeNow time.Duration) time.Duration {
+// age returns the age of the copy at the local time now. storeNow is the time of the store's
+// clock, in the era clockEra. It counts as well if the copy is of that era: the estimate of the
+// clock may have become better since the copy was confirmed.
+func (c *tableCopy) age(now, storeNow time.Duration, clockEra history.Era) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(storeNow-c.asOf, now-c.confirmedAt)
+	age := now - c.confirmedAt + c.ageThen
+	if clockEra == c.position.Era {
+		age = max(age, storeNow-c.asOf)
+	}
+	return age
 }
 
 // positionAsOf returns the position of the copy and the time of the store's clock as of
@@ -210,22 +224,23 @@
 }
 
 // advanceAsOf records at a local time that the copy is current as of a time of the store's
-// clock. An advance of more than outageThreshold is recorded as the end of an outage. The
-// caller holds mu.
-func (c *tableCopy) advanceAsOf(now, asOf time.Duration) {
+// clock, which is an age ago. An advance of more than outageThreshold is recorded as the end of
+// an outage. The caller holds mu.
+func (c *tableCopy) advanceAsOf(now, asOf, age time.Duration) {
 	if c.loaded && asOf <= c.asOf {
 		return
 	}
 	if c.loaded && asOf-c.asOf > outageThreshold {
 		c.outageEndedAt, c.hadOutage = asOf, true
 	}
-	c.confirm(now, asOf)
+	c.confirm(now, asOf, age)
 }
 
-// confirm sets the time of the store's clock as of which the copy is current. The caller
-// holds mu.
-func (c *tableCopy) confirm(now, asOf time.Duration) {
-	c.asOfBefore, c.asOf, c.confirmedAt = c.asOf, asOf, now
+// confirm sets the time of the store's clock as of which the copy is current, and the age
+// that it has at the local time now. The caller holds mu.
+func (c *tableCopy) confirm(now, asOf, age time.Duration) {
+	c.asOfBefore, c.asOf = c.asOf, asOf
+	c.confirmedAt, c.ageThen = now, max(age, 0)
 	c.inDoubt = false
 }
 
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -148,22 +148,32 @@
 
 // observeClock records the store's time in the response to a pull that started at a local
 // time. The time counts from anew if the response begins an era, and not at all if it is of
-// an earlier one: the store's clock may have gone back in between.
+// another one: the store's clock may have changed in between.
 func (n *Node) observeClock(started time.Duration, response pullResponse) {
 	if response.StoreMillis <= 0 {
 		return
 	}
 	tables, clock := n.deps.Catalog.Tables(), &n.deps.Catalog.StoreClock
-	store, begins := fromMillis(response.StoreMillis), false
+	store, era, begins := fromMillis(response.StoreMillis), history.Era{}, false
 	for i, d := range response.Tables[:min(len(response.Tables), len(tables))] {
-		if n.deps.Catalog.PrecedesEra(tables[i], d.Position) {
-			return
+		if d.Position.Version > 0 {
+			begins = begins || n.deps.Catalog.BeginsEra(tables[i], d)
+			era = later(era, d.Position.Era)
 		}
-		begins = begins || n.deps.Catalog.BeginsEra(tables[i], d)
 	}
-	if begins {
-		clock.Restart(started, store, response.StoreHops+1)
-		return
+	clockEra, known := clock.Era()
+	switch {
+	case begins && (!known || era.Compare(clockEra) > 0):
+		clock.Restart(era, started, store, response.StoreHops+1)
+	case !known || era == clockEra:
+		clock.ObservePeer(boottime.Now(), store, response.StoreHops)
+	}
+}
+
+// later returns the later one of two eras.
+func later(a, b history.Era) history.Era {
+	if a.Compare(b) < 0 {
+		return b
 	}
-	clock.ObservePeer(boottime.Now(), store, response.StoreHops)
+	return a
 }
--- a/gossip/pull_test.go
+++ b/gossip/pull_test.go
@@ -35,7 +35,7 @@
 	for _, table := range c.Tables() {
 		c.Merge(table, catalog.Delta{FullTable: true, Position: history.Position{Era: history.Era{Found: 1}, Version: 10}, AsOf: boottime.Now()})
 	}
-	c.StoreClock.Restart(boottime.Now(), boottime.Now(), 1)
+	c.StoreClock.Restart(history.Era{Found: 1}, boottime.Now(), boottime.Now(), 1)
 	if err := node.pull(context.Background(), server.Address(), false); err != nil {
 		t.Fatal(err)
 	}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -7,6 +7,7 @@
 
 	"almondstile/boottime"
 	"almondstile/fleet"
+	"almondstile/history"
 	"almondstile/tally"
 	"almondstile/vm"
 	"almondstile/wait"
@@ -117,7 +118,7 @@
 // From a VM that has run for longer it also pulls what this VM does not know because it
 // has just started.
 func (n *Node) pullIfNewer(ctx context.Context, wg *conc.WaitGroup, sender vm.VM, m message, bootTime time.Duration) {
-	if m.StoreMillis > 0 && !n.ofEarlierEra(m) {
+	if m.StoreMillis > 0 && n.sharesClock(m) {
 		n.deps.Catalog.StoreClock.ObservePeer(bootTime, fromMillis(m.StoreMillis), m.StoreHops)
 	}
 	uptime := fromMillis(m.UptimeMillis)
@@ -143,16 +144,15 @@
 	})
 }
 
-// ofEarlierEra reports whether the sender of a message has a copy from an earlier era of the
-// store's history. The store's clock may have changed since then.
-func (n *Node) ofEarlierEra(m message) bool {
-	tables := n.deps.Catalog.Tables()
-	for i, peer := range m.Tables[:min(len(m.Tables), len(tables))] {
-		if n.deps.Catalog.PrecedesEra(tables[i], peer.position()) {
-			return true
-		}
-	}
-	return false
+// sharesClock reports whether the store's time in a message is of the era of this VM's
+// estimate. The store's clock may have changed between two eras.
+func (n *Node) sharesClock(m message) bool {
+	era := history.Era{}
+	for _, peer := range m.Tables {
+		era = later(era, peer.position().Era)
+	}
+	clockEra, known := n.deps.Catalog.StoreClock.Era()
+	return !known || era == clockEra
 }
 
 // isBehind records the positions of the sender's table copies and reports whether one of
