catalog: a copy in doubt is read as a whole, and compared by its rows

Cause: one answer looked older than the copy, then the store could not be read until it had given out its lost versions again. The next changes had higher versions, so the copy was taken for complete. What was written below its version in between was never read.

Change: an answer that looks older asks for a whole table. A row of it with a version that the copy has passed, and that the copy lacks or has otherwise, shows that the store went back: a later era. The time of the answer does not matter for that, as only a lower version may be a state that lags behind. If the store states no era, the whole table is read each minute as well, so that a going back that no answer showed is found.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -153,9 +153,12 @@
 // BeginCall returns a call to the store about a table, which starts now.
 func (c *Catalog) BeginCall(t Table) Call { return c.tables[t].beginCall(c.clock()) }
 
-// NeedsWholeTable reports whether there is no copy of the table, or a later era of the store's
-// history is known than the copy's.
-func (c *Catalog) NeedsWholeTable(t Table) bool { return c.tables[t].needsWholeTable() }
+// NeedsWholeTable reports whether changes of the table are not enough: there is no copy, it is
+// of an earlier era, the store may have gone back, or it states no era and the whole table was
+// not read for the interval.
+func (c *Catalog) NeedsWholeTable(t Table, interval time.Duration) bool {
+	return c.tables[t].needsWholeTable(c.clock(), interval)
+}
 
 // Apply updates the copy of a table with the store's answer to a call and rebuilds the
 // view if a row changed. An answer that is older than the copy is ignored. It returns what
--- a/catalog/eras.go
+++ b/catalog/eras.go
@@ -42,10 +42,12 @@
 	case c.isOutdated() && call.start >= c.laterEraAt:
 		return standingLaterEra, c.laterEra
 	case c.isOutdated() || call.known.Era != own:
-		return standingOlder, own // it was sent before the latest era began, as far as can be known
+		return standingOlder, own // it may have been sent before the latest era began
 	case stated != c.stated:
 		return c.doubt(now)
-	case ch.Version < call.known.Version || ch.FullTable && c.contradicts(ch.Rows):
+	case ch.FullTable && call.known == c.position && ch.Version >= c.position.Version && c.contradicts(ch.Rows):
+		return standingLaterEra, own.Next()
+	case ch.Version < call.known.Version:
 		if ch.AsOf > c.asOf {
 			return standingLaterEra, own.Next()
 		}
@@ -57,7 +59,8 @@
 }
 
 // doubt records an answer that looks older than the copy. It is believed when all answers
-// have looked like that for maxDoubtTime. The caller holds mu.
+// have looked like that for maxDoubtTime. Until then the whole table is read, which shows
+// whether the copy has missed something. The caller holds mu.
 func (c *tableCopy) doubt(now time.Duration) (standing, history.Era) {
 	own := c.position.Era
 	if c.inDoubt && now-c.doubtSince >= maxDoubtTime {
@@ -69,11 +72,12 @@
 	return standingOlder, own
 }
 
-// contradicts reports whether the whole table holds a row with a lower version than the
-// copy does. Versions of a row only rise within an era. The caller holds mu.
+// contradicts reports whether the whole table holds a row that the copy, in the same era,
+// would have to have as well: its version is not above the copy's. The caller holds mu.
 func (c *tableCopy) contradicts(rows []Row) bool {
 	for _, row := range rows {
-		if old, ok := c.rows[row.Key]; ok && row.Version < old.Version {
+		old, ok := c.rows[row.Key]
+		if row.Version <= c.position.Version && !(ok && old.sameWrite(row)) {
 			return true
 		}
 	}
@@ -84,11 +88,11 @@
 // caller holds mu.
 func (c *tableCopy) isOutdated() bool { return c.laterEra.Compare(c.position.Era) > 0 }
 
-// needsWholeTable reports whether changes of the table would not be used.
-func (c *tableCopy) needsWholeTable() bool {
+// needsWholeTable implements Catalog.NeedsWholeTable.
+func (c *tableCopy) needsWholeTable(now, interval time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.loaded || c.isOutdated()
+	return !c.loaded || c.isOutdated() || c.inDoubt || c.stated == 0 && now-c.wholeAt >= interval
 }
 
 // replace replaces the copy by the table of a later era, received at the local time now at
--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -158,6 +158,42 @@
 	}
 }
 
+// Guards against a copy that misses what was written while the store gave out its lost
+// versions again: one answer had looked older, and then the changes seemed complete.
+func TestCopyIsReadAgainAfterAnAnswerThatLookedOlder(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 50, AsOf: c.storeNow()})
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 40, AsOf: c.storeNow() - time.Second})
+	c.now += time.Second // the store writes the configuration at 45 and gets to 60
+	c.Apply(OperatorTable, Changes{Version: 60, AsOf: c.storeNow()})
+	if !c.NeedsWholeTable(OperatorTable, time.Hour) {
+		t.Fatal("changes are taken for complete")
+	}
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(2, 45)}, Version: 61, AsOf: c.storeNow()})
+	if got := c.View().Index.Version(); got != 2 {
+		t.Errorf("configuration %d is in force, want 2", got)
+	}
+	if c.Era() == (history.Era{}) {
+		t.Error("a row that the copy had passed without it begins no era")
+	}
+	if c.NeedsWholeTable(OperatorTable, time.Hour) {
+		t.Error("the whole table is read again and again")
+	}
+}
+
+// Guards against a store without a stated era that went back unnoticed, and whose changes
+// are taken for complete for good.
+func TestWholeTableIsReadAtIntervalsWithoutAStatedEra(t *testing.T) {
+	for _, era := range []uint64{0, 1} {
+		c := newTestCatalog()
+		c.Apply(OperatorTable, Changes{FullTable: true, Version: 50, Era: era, AsOf: c.storeNow()})
+		c.now += time.Minute
+		if got, want := c.NeedsWholeTable(OperatorTable, time.Minute), era == 0; got != want {
+			t.Errorf("era %d: the whole table is needed %v after the interval, want %v", era, got, want)
+		}
+	}
+}
+
 // Guards against requests with keys that are rejected because the clock of a later era makes
 // a copy look old that is of an earlier one.
 func TestCopyOfAnEarlierEraKeepsItsAgeWhenTheStoresClockJumps(t *testing.T) {
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -118,7 +118,7 @@
 // the store no longer has the changes since its version, it reads the whole table. It returns
 // what came of the last call, and its error if that failed.
 func (r *Reader) readOnce(ctx context.Context, t Table) (Result, error) {
-	if !r.Catalog.NeedsWholeTable(t) {
+	if !r.Catalog.NeedsWholeTable(t, r.Times.wholeTableInterval) {
 		position, _ := r.Catalog.PositionAsOf(t)
 		result, err := r.waitForChanges(ctx, t, position.Version)
 		if result != ResultHistoryLost && result != ResultNewEra {
--- a/catalog/schedule.go
+++ b/catalog/schedule.go
@@ -17,6 +17,10 @@
 	// store, and otherReaderAge the age for all VMs after it, to which each of them
 	// adds its own part of otherReaderSpread.
 	secondReaderAge, otherReaderAge, otherReaderSpread time.Duration
+	// wholeTableInterval is the time between two reads of the whole table of a store that
+	// states no era: changes alone don't show that it went back and has passed its lost
+	// versions again.
+	wholeTableInterval time.Duration
 }
 
 // DefaultMaxChangeDelay replaces a maximum delay of 0 in NewReadTimes.
@@ -32,6 +36,9 @@
 	otherSpreadShare  = 0.12
 )
 
+// wholeTableInterval is the interval of the same name in ReadTimes.
+const wholeTableInterval = 1 * time.Minute
+
 // NewReadTimes returns the times for a fleet in which a change has to be in force on
 // all VMs within maxChangeDelay; 0 stands for 2.5 s.
 func NewReadTimes(maxChangeDelay time.Duration) ReadTimes {
@@ -42,6 +49,7 @@
 	return ReadTimes{
 		longPollWait: share(longPollShare), secondReaderAge: share(secondReaderShare),
 		otherReaderAge: share(otherReaderShare), otherReaderSpread: share(otherSpreadShare),
+		wholeTableInterval: wholeTableInterval,
 	}
 }
 
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -42,8 +42,10 @@
 	laterEraAt time.Duration
 	// stated is the number that the store stated with the copy's era.
 	stated uint64
-	// inDoubt is set if the last answer looked older than the copy, and nothing has
-	// confirmed the copy since. doubtSince is the local time of the first such answer.
+	// wholeAt is the local time at which a whole table was applied last.
+	wholeAt time.Duration
+	// inDoubt is set if an answer looked older than the copy, until a whole table is
+	// applied. doubtSince is the local time since which all answers have looked like that.
 	inDoubt    bool
 	doubtSince time.Duration
 	// outageEndedAt is the time of the store's clock at which the last outage that
@@ -90,7 +92,10 @@
 		changed = c.update(now, call, ch, era)
 	}
 	overtaken := call.known.Before(c.position)
-	c.position, c.loaded, c.inDoubt = history.Position{Era: era, Version: ch.Version}, true, false
+	c.position, c.loaded = history.Position{Era: era, Version: ch.Version}, true
+	if ch.FullTable {
+		c.wholeAt, c.inDoubt = now, false
+	}
 	if ch.Era > 0 {
 		c.stated = ch.Era
 	}
@@ -152,7 +157,7 @@
 		changed = c.put(row) || changed
 	}
 	if !c.loaded {
-		c.stated = d.Position.Era.Stated
+		c.stated, c.wholeAt = d.Position.Era.Stated, now
 	}
 	c.position, c.loaded = d.Position, true
 	return changed, false
@@ -241,7 +246,7 @@
 func (c *tableCopy) confirm(now, asOf, age time.Duration) {
 	c.asOfBefore, c.asOf = c.asOf, asOf
 	c.confirmedAt, c.ageThen = now, max(age, 0)
-	c.inDoubt = false
+	c.doubtSince = now
 }
 
 // changedAt returns the time of the store's clock at which the rows of the last update
