logging: one throttle for lines that may come in floods

The catalog and the front each counted the lines that they withheld; datagrams that cannot be read were logged at the level debug only, so a fleet of two releases whose messages differ showed nothing. logging.Throttle now does the first for both, and bounds the line of the second, which is a warning.

--- a/catalog/answers.go
+++ b/catalog/answers.go
@@ -1,9 +1,6 @@
 package catalog
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // CallKind names a kind of call to the store, in metrics and log lines.
 type CallKind string
@@ -39,31 +36,6 @@
 	ResultFailed     Result = "failed"
 )
 
-// answerLogInterval is the least time between two log lines about answers of one table.
-const answerLogInterval = 1 * time.Second
-
-// answerLog bounds the log lines about a table's answers.
-type answerLog struct {
-	mu        sync.Mutex
-	loggedAt  time.Time
-	withheld  int // lines that were not written since loggedAt
-	hasLogged bool
-}
-
-// due counts a line and reports whether it may be written, with the number of those that
-// were not written before it.
-func (l *answerLog) due(now time.Time) (withheld int, due bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.hasLogged && now.Sub(l.loggedAt) < answerLogInterval {
-		l.withheld++
-		return 0, false
-	}
-	withheld = l.withheld
-	l.loggedAt, l.withheld, l.hasLogged = now, 0, true
-	return withheld, true
-}
-
 // recordCall counts a call to the store and what came of it.
 func (c *Catalog) recordCall(t Table, kind CallKind, result Result) {
 	if c.Observer != nil {
@@ -73,7 +45,7 @@
 
 // logUnusedAnswer logs an answer that was not used, beside the copy that is kept.
 func (c *Catalog) logUnusedAnswer(t Table, ch Changes, result Result) {
-	withheld, due := c.unusedAnswers[t].due(time.Now())
+	withheld, due := c.unusedAnswers[t].Due(time.Now())
 	if !due {
 		return
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -101,7 +101,7 @@
 	tables   [tableCount]tableCopy
 	// unusedAnswers and wholeReads bound the log lines about answers that were not used
 	// and about reads of the whole table.
-	unusedAnswers, wholeReads [tableCount]answerLog
+	unusedAnswers, wholeReads [tableCount]logging.Throttle
 	view                      atomic.Pointer[View]
 	// rebuildMu serializes rebuildView and guards the fields below.
 	rebuildMu sync.Mutex
--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -154,7 +154,7 @@
 
 // logWholeRead logs why the whole table is read.
 func (r *Reader) logWholeRead(t Table, position history.Position, result Result) {
-	withheld, due := r.Catalog.wholeReads[t].due(time.Now())
+	withheld, due := r.Catalog.wholeReads[t].Due(time.Now())
 	if !due {
 		return
 	}
--- a/entry/httpfront/refusals.go
+++ b/entry/httpfront/refusals.go
@@ -19,48 +19,33 @@
 	refusedForRoom refusalReason = "memory-short"
 )
 
-// refusalLogInterval is the shortest time between two log lines with the same reason.
-const refusalLogInterval = 1 * time.Second
-
-// refusals logs who was turned away, at most one line an interval for each reason.
+// refusals logs who was turned away, with a bound for each reason. It is safe for concurrent
+// use; the zero value is ready to use.
 type refusals struct {
-	mu    sync.Mutex
-	since map[refusalReason]*refusalCount
-}
-
-// refusalCount counts what was not logged.
-type refusalCount struct {
-	loggedAt time.Time
-	skipped  int
+	mu        sync.Mutex
+	throttles map[refusalReason]*logging.Throttle
 }
 
 // record logs that a caller was turned away.
 func (r *refusals) record(log logging.Logger, caller net.Addr, reason refusalReason) {
-	skipped, now := r.count(reason, time.Now())
-	if now {
-		log.WithField("reason", reason).WithField("caller", caller).WithField("others", skipped).
+	withheld, due := r.throttle(reason).Due(time.Now())
+	if due {
+		log.WithField("reason", reason).WithField("caller", caller).WithField("others", withheld).
 			Warn("A caller was turned away before its request was complete.")
 	}
 }
 
-// count reports whether a refusal is to be logged now, and how many others were not logged
-// since the last line.
-func (r *refusals) count(reason refusalReason, at time.Time) (skipped int, logNow bool) {
+// throttle returns the throttle of a reason.
+func (r *refusals) throttle(reason refusalReason) *logging.Throttle {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := r.since[reason]
-	if c == nil {
-		if r.since == nil {
-			r.since = make(map[refusalReason]*refusalCount)
+	t := r.throttles[reason]
+	if t == nil {
+		if r.throttles == nil {
+			r.throttles = make(map[refusalReason]*logging.Throttle)
 		}
-		c = &refusalCount{}
-		r.since[reason] = c
-	}
-	if at.Sub(c.loggedAt) < refusalLogInterval {
-		c.skipped++
-		return 0, false
+		t = &logging.Throttle{}
+		r.throttles[reason] = t
 	}
-	skipped = c.skipped
-	c.loggedAt, c.skipped = at, 0
-	return skipped, true
+	return t
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -98,6 +98,8 @@
 	pool      *httpconn.Pool
 	pullSlots chan struct{}
 	pullPace  pullPace
+	// unreadable bounds the log lines about datagrams that cannot be read.
+	unreadable logging.Throttle
 	// pulled holds a value if a pull brought rows that changed a table's copy.
 	pulled chan struct{}
 	// Only the goroutine that runs send uses the fields from here to lastRemoteSend.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -36,18 +36,26 @@
 func (n *Node) handleDatagram(ctx context.Context, wg *conc.WaitGroup, datagram []byte) {
 	var m message
 	if err := decode(datagram, &m); err != nil {
-		n.deps.Log.WithError(err).Debug("Ignored a datagram that cannot be decoded.")
+		n.logUnreadable(err)
 		return
 	}
 	n.handleMessage(ctx, wg, m)
 }
 
+// logUnreadable logs that a datagram was ignored: it was damaged on the way, or it is from a
+// VM of another release.
+func (n *Node) logUnreadable(err error) {
+	if withheld, due := n.unreadable.Due(time.Now()); due {
+		n.deps.Log.WithError(err).WithField("withheld", withheld).Warn("A datagram cannot be read and is ignored.")
+	}
+}
+
 // handleMessage applies a message of another VM to the roster, the ledger and the
 // catalog. It pulls the sender's table copies if they are newer.
 func (n *Node) handleMessage(ctx context.Context, wg *conc.WaitGroup, m message) {
 	records, err := m.Records.records()
 	if err != nil {
-		n.deps.Log.WithError(err).Debug("Ignored a datagram whose records cannot be read.")
+		n.logUnreadable(err)
 		return
 	}
 	now, bootTime := time.Now(), boottime.Now()
