catalog: the clock of a later era does not age the copies of the earlier one

Callers would get: requests with keys rejected as store-away by all VMs that read, from the first answer with changes of a later era until a whole table is read, which may take long while the store rejects calls, if the store came back with a clock that is ahead.

Cause: the time of an answer of which only the era counts (ResultNewEra) was added to the estimate of the clock of the copy's era. The smallest difference wins, so a clock that is ahead is believed at once.

Change: such an answer is not observed. The whole table that follows starts the estimate of the later era.

Evidence: TestChangesOfALaterEraDoNotMakeCopiesLookOld failed at, "the age of the table operator is 1h0m1s, a second after its last answer" (servers the same). The tests of catalog pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -174,6 +174,7 @@
 		return result // its time may be that of a state that lags behind
 	case ResultNewEra:
 		c.logUnusedAnswer(t, ch, result)
+		return result // its time is that of the later era's clock
 	}
 	position, _ := c.PositionAsOf(t)
 	c.observeClock(now, call, position.Era, ch.AsOf)
--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -206,3 +206,18 @@
 		t.Errorf("the age of the operators' table is %s, a second after its last answer", age)
 	}
 }
+
+// Guards against requests with keys that are rejected while the whole table of a later era
+// cannot be read, because the clock of that era makes the copies look old.
+func TestChangesOfALaterEraDoNotMakeCopiesLookOld(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 5, Era: 1, AsOf: c.storeNow()})
+	c.Apply(ServerTable, Changes{FullTable: true, Version: 5, Era: 1, AsOf: c.storeNow()})
+	c.now += time.Second
+	c.Apply(OperatorTable, Changes{Version: 3, Era: 2, AsOf: c.storeNow() + time.Hour})
+	for _, table := range []Table{OperatorTable, ServerTable} {
+		if age := c.Age(table); age > 2*time.Second {
+			t.Errorf("the age of the table %s is %s, a second after its last answer", table, age)
+		}
+	}
+}
