catalog: an era that another VM found says nothing of the number that the store states

Callers would get: copies that follow the store only through one VM of the fleet, whole reads at each step of all others, and an era that is counted up every few seconds without end, each time with a read of all tables by all VMs.

Cause: when the store states a lower number than before, the first VM that believes it counts a found era and keeps the lower number. A VM that took the era over from it kept the number in the era, which is the higher one. So each answer that it got looked as if the store had gone back once more: its copy was in doubt for good, or it counted a further era, which the first VM then took over in the same way.

Change: after an era that VMs have found comes from another VM, the stated number is not known until the next answer of the store. A higher one still begins an era.

Evidence: TestEraThatAnotherVMFoundInAStoreThatStatesALowerOneIsFollowed and TestVMsThatReadAStoreThatStatesALowerEraAgreeOnOneEra failed at: "the whole table is read again and again" and "12 eras were found after the store stated a lower one once". The tests of catalog pass.

--- a/catalog/eras.go
+++ b/catalog/eras.go
@@ -29,8 +29,8 @@
 // the local time. The caller holds mu.
 func (c *tableCopy) judge(now time.Duration, call Call, ch Changes) (standing, history.Era) {
 	own, stated := c.position.Era, ch.Era
-	if stated == 0 {
-		stated = c.stated // the answer states no era, so the versions decide
+	if stated == 0 || c.stated == 0 && own.Found > 0 && stated <= own.Stated {
+		stated = c.stated // one of the numbers is not known, so the versions decide
 	}
 	switch {
 	case !c.loaded && c.laterEra.Stated == ch.Era && call.start >= c.laterEraAt:
@@ -58,6 +58,15 @@
 	return standingCurrent, own
 }
 
+// statedWith returns the number that the store states with an era that another VM has read,
+// or 0 if it is not known.
+func statedWith(era history.Era) uint64 {
+	if era.Found > 0 {
+		return 0
+	}
+	return era.Stated
+}
+
 // doubt records an answer that looks older than the copy. It is believed when all answers
 // have looked like that for maxDoubtTime. Until then the whole table is read, which shows
 // whether the copy has missed something. The caller holds mu.
--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -221,3 +221,54 @@
 		}
 	}
 }
+
+// Guards against a copy that is in doubt for good, and read as a whole at each step, because
+// another VM was the first to believe a store that states a lower era.
+func TestEraThatAnotherVMFoundInAStoreThatStatesALowerOneIsFollowed(t *testing.T) {
+	one, other := newTestCatalog(), newTestCatalog()
+	answer := func(c *testCatalog, era uint64) Changes {
+		return Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 6, Era: era, AsOf: c.storeNow()}
+	}
+	one.Apply(OperatorTable, answer(one, 2))
+	other.Apply(OperatorTable, answer(other, 2))
+	for range 300 { // 30 s
+		one.now += 100 * time.Millisecond
+		other.now = one.now
+		one.Apply(OperatorTable, answer(one, 1))
+		position, _ := other.PositionAsOf(OperatorTable)
+		other.Merge(OperatorTable, one.DeltaSince(OperatorTable, position))
+	}
+	if result := other.Apply(OperatorTable, answer(other, 1)); result == ResultOlder {
+		t.Errorf("the result of the store's answer is %s, in the era %s of the other VM", result, other.Era())
+	}
+	if other.NeedsWholeTable(OperatorTable, time.Hour) {
+		t.Error("the whole table is read again and again")
+	}
+}
+
+// Guards against two VMs that count eras without end, because each takes the number that the
+// store states for a change after it has taken over the other's copy.
+func TestVMsThatReadAStoreThatStatesALowerEraAgreeOnOneEra(t *testing.T) {
+	vms := []*testCatalog{newTestCatalog(), newTestCatalog()}
+	answer := func(c *testCatalog, era uint64) Changes {
+		return Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 6, Era: era, AsOf: c.storeNow()}
+	}
+	for _, c := range vms {
+		c.Apply(OperatorTable, answer(c, 2))
+	}
+	for turn := range 12 { // each VM in turn reads for 5 s, then the other one pulls from it
+		reader, other := vms[turn%2], vms[1-turn%2]
+		for range 50 {
+			reader.now += 100 * time.Millisecond
+			other.now = reader.now
+			reader.Apply(OperatorTable, answer(reader, 1))
+		}
+		position, _ := other.PositionAsOf(OperatorTable)
+		other.Merge(OperatorTable, reader.DeltaSince(OperatorTable, position))
+	}
+	for _, c := range vms {
+		if found := c.Era().Found; found > 1 {
+			t.Errorf("%d eras were found after the store stated a lower one once", found)
+		}
+	}
+}
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -40,7 +40,8 @@
 	// must be read.
 	laterEra   history.Era
 	laterEraAt time.Duration
-	// stated is the number that the store stated with the copy's era.
+	// stated is the number that the store stated with the copy's era. It is 0 if the store
+	// stated none, or if another VM found the era: the store may state a lower number then.
 	stated uint64
 	// wholeAt is the local time at which a whole table was applied last.
 	wholeAt time.Duration
@@ -140,7 +141,7 @@
 			return false, false
 		}
 		c.replace(now, d.Rows, d.Position.Era, d.AsOf, storeNow-d.AsOf)
-		c.position, c.stated = d.Position, d.Position.Era.Stated
+		c.position, c.stated = d.Position, statedWith(d.Position.Era)
 		return true, true
 	case d.Position.Before(c.position) || c.isOutdated():
 		return false, false
@@ -157,7 +158,7 @@
 		changed = c.put(row) || changed
 	}
 	if !c.loaded {
-		c.stated, c.wholeAt = d.Position.Era.Stated, now
+		c.stated, c.wholeAt = statedWith(d.Position.Era), now
 	}
 	c.position, c.loaded = d.Position, true
 	return changed, false
