catalog: every whole table of the copy's era is compared by its rows

Callers would get: a configuration, a zone or a server of a store that went back is not in force until the next whole read, a minute later, although the copy was in doubt.

Cause: the rows were compared only if the copy had not changed since the start of the call. If another VM's copy came in during the call, the whole table was applied row by row, rows with lower or equal versions were dropped, and the doubt ended. On the other hand, a copy from another VM with the same position may hold a row of a later page, above that position; the whole table's older row then began an era although the store had not gone back.

Change: the comparison does not depend on the start of the call. The answer has no lower version than the copy, so a row with a version that the copy has passed was not written since, and the copy must have it. Rows of the copy above its own position are left out.

The tests of catalog about eras, restores and copies pass.

--- a/catalog/eras.go
+++ b/catalog/eras.go
@@ -45,7 +45,7 @@
 		return standingOlder, own // it may have been sent before the latest era began
 	case stated != c.stated:
 		return c.doubt(now)
-	case ch.FullTable && call.known == c.position && ch.Version >= c.position.Version && c.contradicts(ch.Rows):
+	case ch.FullTable && ch.Version >= c.position.Version && c.contradicts(ch.Rows):
 		return standingLaterEra, own.Next()
 	case ch.Version < call.known.Version:
 		if ch.AsOf > c.asOf {
@@ -82,11 +82,12 @@
 }
 
 // contradicts reports whether the whole table holds a row that the copy, in the same era,
-// would have to have as well: its version is not above the copy's. The caller holds mu.
+// would have to have as well: its version is not above the copy's. A row of the copy whose
+// version is above the copy's own came with a later page. The caller holds mu.
 func (c *tableCopy) contradicts(rows []Row) bool {
 	for _, row := range rows {
 		old, ok := c.rows[row.Key]
-		if row.Version <= c.position.Version && !(ok && old.sameWrite(row)) {
+		if row.Version <= c.position.Version && !(ok && (old.sameWrite(row) || old.Version > c.position.Version)) {
 			return true
 		}
 	}
--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -272,3 +272,33 @@
 		}
 	}
 }
+
+// Guards against a copy whose doubt ends without a comparison, because another VM's copy came
+// in while the whole table was read: what the store lost stays in use, and what it has since
+// written is not.
+func TestDoubtIsNotEndedByAWholeTableThatWasNotCompared(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 45)}, Version: 50, AsOf: c.storeNow()})
+	c.Apply(OperatorTable, Changes{Version: 40, AsOf: c.storeNow() - time.Second})
+	c.now += time.Second
+	call := c.BeginCall(OperatorTable)
+	c.Merge(OperatorTable, Delta{Keys: []string{"config"}, Position: history.Position{Version: 60}, AsOf: c.storeNow()})
+	c.Catalog.Apply(OperatorTable, call, Changes{FullTable: true, Rows: []Row{configRow(2, 45)}, Version: 60, AsOf: c.storeNow()})
+	if got := c.View().Index.Version(); got != 2 && !c.NeedsWholeTable(OperatorTable, time.Hour) {
+		t.Errorf("configuration %d is in force, want 2, and the copy is not in doubt any more", got)
+	}
+}
+
+// Guards against a new era that is found because a peer's copy, read in several pages, has a
+// row that is newer than its position.
+func TestRowNewerThanThePositionOfACopyBeginsNoEra(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 30)}, Version: 50, AsOf: c.storeNow()})
+	call := c.BeginCall(OperatorTable)
+	c.now += 100 * time.Millisecond
+	c.Merge(OperatorTable, Delta{Rows: []Row{configRow(2, 52)}, Keys: []string{"config"}, Position: history.Position{Version: 50}, AsOf: c.storeNow()})
+	c.Catalog.Apply(OperatorTable, call, Changes{FullTable: true, Rows: []Row{configRow(1, 30)}, Version: 51, AsOf: c.storeNow() - 100*time.Millisecond})
+	if era := c.Era(); era != (history.Era{}) {
+		t.Errorf("the era %s began although the store did not go back", era)
+	}
+}
