catalog: the age of an answer does not include the time that the store held the call

Cause: since a copy's age at the receipt of an answer is the duration of the call. The store holds a call for changes until the end of the wait, so a current answer counted as old as the wait.

Change: the age is at most what the store's clock shows, if its estimate is of the copy's era. It is never above the duration of the call, so a clock that went back does not make the copy old.

The tests of catalog pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -167,7 +167,7 @@
 	c.observeAge(t)
 	before, _ := c.PositionAsOf(t)
 	now := c.clock()
-	result := c.tables[t].apply(now, call, ch)
+	result := c.tables[t].apply(now, c.answerAge(now, call, ch.AsOf), call, ch)
 	switch result {
 	case ResultOlder:
 		c.logUnusedAnswer(t, ch, result)
@@ -191,6 +191,18 @@
 	return result
 }
 
+// answerAge returns the age of an answer, received at the local time now, if it is of the era
+// of the copy at the start of the call. The store answered during the call; the clock of that
+// era tells when.
+func (c *Catalog) answerAge(now time.Duration, call Call, asOf time.Duration) time.Duration {
+	age := now - call.start
+	store, known := c.StoreClock.At(now)
+	if era, _ := c.StoreClock.Era(); known && call.known.Version > 0 && era == call.known.Era {
+		age = min(age, max(store-asOf, 0))
+	}
+	return age
+}
+
 // observeClock records the store's time in the answer to a call, received at the local time
 // now. era is that of the copy after the answer.
 func (c *Catalog) observeClock(now time.Duration, call Call, era history.Era, store time.Duration) {
--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -302,3 +302,16 @@
 		t.Errorf("the era %s began although the store did not go back", era)
 	}
 }
+
+// Guards against a copy that looks as old as the call that the store held, although the answer
+// is current: its VM rejects requests with keys too soon, and reads the store too often.
+func TestAgeAfterALongPollIsThatOfTheAnswer(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Version: 50, AsOf: c.storeNow()})
+	call := c.BeginCall(OperatorTable)
+	c.now += NewReadTimes(maxChangeDelay).longPollWait
+	c.Catalog.Apply(OperatorTable, call, Changes{Version: 50, AsOf: c.storeNow()})
+	if age := c.Age(OperatorTable); age > 100*time.Millisecond {
+		t.Errorf("the age is %s at the receipt of an answer that is current", age)
+	}
+}
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -74,8 +74,8 @@
 // apply applies the store's answer to a call: changes for this version of the copy or an
 // older one, or the whole table. Answers that are older than the copy are ignored. An
 // answer from a later era replaces the copy if it is the whole table; otherwise the result
-// is ResultNewEra. now is the local time.
-func (c *tableCopy) apply(now time.Duration, call Call, ch Changes) Result {
+// is ResultNewEra. now is the local time, and age that of the answer if it is of the copy's era.
+func (c *tableCopy) apply(now, age time.Duration, call Call, ch Changes) Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	standing, era := c.judge(now, call, ch)
@@ -90,7 +90,7 @@
 	case standing == standingLaterEra:
 		c.replace(now, ch.Rows, era, ch.AsOf, now-call.start)
 	default:
-		changed = c.update(now, call, ch, era)
+		changed = c.update(now, call, ch, era, age)
 	}
 	overtaken := call.known.Before(c.position)
 	c.position, c.loaded = history.Position{Era: era, Version: ch.Version}, true
@@ -109,13 +109,13 @@
 	return ResultUnchanged
 }
 
-// update applies an answer from the copy's era, received at the local time now, and reports
-// whether any row changed. The caller holds mu.
-func (c *tableCopy) update(now time.Duration, call Call, ch Changes, era history.Era) (changed bool) {
+// update applies an answer from the copy's era, received at the local time now at an age, and
+// reports whether any row changed. The caller holds mu.
+func (c *tableCopy) update(now time.Duration, call Call, ch Changes, era history.Era, age time.Duration) (changed bool) {
 	if c.loaded && call.start >= c.confirmedAt && ch.AsOf < c.asOf {
-		c.confirm(now, ch.AsOf, now-call.start) // the earlier time was wrong, or the clock went back
+		c.confirm(now, ch.AsOf, age) // the earlier time was wrong, or the clock went back
 	}
-	c.advanceAsOf(now, ch.AsOf, now-call.start)
+	c.advanceAsOf(now, ch.AsOf, age)
 	changed = !c.loaded
 	if ch.FullTable {
 		changed = c.removeMissing(keysOf(ch.Rows)) || changed
