callrate: a small share holds a whole token

Callers would get: VMs that never read a whole table, nor announce themselves, nor write the state of a roll-out, in a fleet in which a VM's share is below about 0.6 calls a second.

Cause: the bucket held the tokens of one second, which is less than one call then. A token took a second or more, and each call has a time limit of 0.7 or 1 s, so each one was turned away at once, for good.

Change: a bucket holds at least one token. The rate stays the same.

Evidence: TestSmallShareAdmitsCallsWithAShortTimeLimit failed at: "0 calls were admitted in a minute at 0.5 a second, want at least 15". The tests of callrate pass, with those of the platform's fleets and limits.

--- a/callrate/bucket.go
+++ b/callrate/bucket.go
@@ -25,9 +25,10 @@
 	overloadedAt time.Duration
 }
 
-// refill adds the tokens of the time since the last refill, at a rate per second.
+// refill adds the tokens of the time since the last refill, at a rate per second. A bucket that
+// could not hold one token would never admit a call with a short time limit.
 func (b *bucket) refill(now time.Duration, rate float64) {
-	limit := rate * burstTime.Seconds()
+	limit := max(rate*burstTime.Seconds(), 1)
 	if !b.filled {
 		b.tokens, b.factor, b.filled, b.at = limit, 1, true, now
 		return
@@ -35,7 +36,7 @@
 	elapsed := max(now-b.at, 0)
 	b.at = now
 	b.factor = min(1, b.factor+elapsed.Seconds()/recoveryTime.Seconds())
-	b.tokens = min(limit*b.factor, b.tokens+rate*b.factor*elapsed.Seconds())
+	b.tokens = min(max(limit*b.factor, 1), b.tokens+rate*b.factor*elapsed.Seconds())
 }
 
 // reserve takes a token and returns the time until it is there. If that is longer than
--- a/callrate/share_test.go
+++ b/callrate/share_test.go
@@ -92,3 +92,21 @@
 		t.Errorf("a wait whose context has ended returned %v", err)
 	}
 }
+
+// Guards against a VM of a large fleet that may never call the store, because its bucket holds
+// less than one token and the time until there is one exceeds the time limit of each call.
+func TestSmallShareAdmitsCallsWithAShortTimeLimit(t *testing.T) {
+	const limit, vms, timeLimit = 100.0, 420, 700 * time.Millisecond
+	s := NewShare(Limits{ReadsPerSecond: limit}, func() int { return vms }, nil)
+	rate := s.perSecond(Read)
+	var b bucket
+	admitted := 0
+	for now := time.Second; now < 61*time.Second; now += 100 * time.Millisecond {
+		if _, ok := b.reserve(now, rate, timeLimit); ok {
+			admitted++
+		}
+	}
+	if least := int(rate * 60 / 2); admitted < least {
+		t.Errorf("%d calls were admitted in a minute at %.1f a second, want at least %d", admitted, rate, least)
+	}
+}
