catalog: a copy in doubt is kept current by changes between reads of the whole table

Callers would get: zones and servers of a state that lags behind, for 3 s in each minute, and an era that is counted up each time, if whole tables lag behind while changes are current.

Cause: a copy in doubt read nothing but whole tables, each step. If these lag behind, all answers of 3 s looked older, and the store was taken for one that went back. A whole table that was not used left the interval over, too, so that each step read it again.

Change: between two reads of the whole table for a doubt lies a second, in which changes are read. If they continue the copy, the doubt does not become an era. The interval counts from the last whole table received, used or not.

Evidence: TestWholeTablesThatLagDoNotBeginErasWhileChangesAreCurrent failed at: "the era 0.1 began although all changes continued the copy" (8 s, with an interval of 1 s). The tests of catalog pass.

--- a/catalog/eras.go
+++ b/catalog/eras.go
@@ -10,6 +10,10 @@
 // the store, its clock or the era that it states went back.
 const maxDoubtTime = 3 * time.Second
 
+// doubtReadInterval is the least time between two reads of the whole table because of a doubt.
+// In between changes are read, which may show that only whole tables lag behind.
+const doubtReadInterval = 1 * time.Second
+
 // standing tells how an answer of the store relates to a copy.
 type standing int
 
@@ -102,7 +106,7 @@
 func (c *tableCopy) needsWholeTable(now, interval time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.loaded || c.isOutdated() || c.inDoubt || c.stated == 0 && now-c.wholeAt >= interval
+	return !c.loaded || c.isOutdated() || c.inDoubt && now-c.wholeAt >= doubtReadInterval || c.stated == 0 && now-c.wholeAt >= interval
 }
 
 // replace replaces the copy by the table of a later era, received at the local time now at
--- a/catalog/reader_test.go
+++ b/catalog/reader_test.go
@@ -241,3 +241,31 @@
 		t.Errorf("configuration %d is in force after 2 s of answers with configuration 2; the age is %s", got, c.Age(OperatorTable))
 	}
 }
+
+// Guards against eras that are found without end, and copies that go back each time, because
+// whole tables come from a state that lags behind while changes are current.
+func TestWholeTablesThatLagDoNotBeginErasWhileChangesAreCurrent(t *testing.T) {
+	c := newTestCatalog()
+	began, start := time.Now(), c.now
+	c.Catalog = New(testDecoder{}, func() time.Duration { return start + time.Since(began) }, c.log)
+	storeNow := func() time.Duration { return start + time.Since(began) - storeClockLag }
+	c.Catalog.Apply(OperatorTable, c.BeginCall(OperatorTable), Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 50, AsOf: storeNow()})
+	s := &answeringStore{
+		read: func() (Changes, error) {
+			return Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 40, AsOf: storeNow() - 10*time.Second}, nil
+		},
+		changes: func(uint64, time.Duration) (Changes, error) {
+			time.Sleep(100 * time.Millisecond)
+			return Changes{Version: 50, AsOf: storeNow()}, nil
+		},
+	}
+	times := NewReadTimes(maxChangeDelay)
+	times.wholeTableInterval = time.Second
+	r := Reader{Catalog: c.Catalog, Store: s, Role: firstReader{}, Times: times, Log: c.log}
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	r.Run(ctx, OperatorTable)
+	if era := c.Era(); era != (history.Era{}) {
+		t.Errorf("the era %s began although all changes continued the copy", era)
+	}
+}
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -43,7 +43,7 @@
 	// stated is the number that the store stated with the copy's era. It is 0 if the store
 	// stated none, or if another VM found the era: the store may state a lower number then.
 	stated uint64
-	// wholeAt is the local time at which a whole table was applied last.
+	// wholeAt is the local time at which a whole table was received last.
 	wholeAt time.Duration
 	// inDoubt is set if an answer looked older than the copy, until a whole table is
 	// applied. doubtSince is the local time since which all answers have looked like that.
@@ -79,6 +79,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	standing, era := c.judge(now, call, ch)
+	if ch.FullTable {
+		c.wholeAt = now
+	}
 	changed := true
 	switch {
 	case standing == standingOlder:
@@ -95,7 +98,7 @@
 	overtaken := call.known.Before(c.position)
 	c.position, c.loaded = history.Position{Era: era, Version: ch.Version}, true
 	if ch.FullTable {
-		c.wholeAt, c.inDoubt = now, false
+		c.inDoubt = false
 	}
 	if ch.Era > 0 {
 		c.stated = ch.Era
