catalog: times of VMs of an earlier stated era are not measured by the later era's clock

Callers would get: requests with keys rejected as store-away by a VM that has pulled one table of the later era, and whose operators' table is still of the earlier one, until that is read.

Cause: stopped comparing a copy's time with the clock of another era when its age is asked for, but not when a message of a peer confirms the copy, or brings rows of its era. The age of the message was the difference of the two clocks, and it was then kept as the copy's age.

Change: a time that comes with a copy of an era that the store stated before that of the clock confirms nothing. The copy goes on ageing by local time from its last confirmation. Eras that VMs have found are left as they are: a table may stay in the earlier one for long.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -223,7 +223,7 @@
 	before, _ := c.PositionAsOf(t)
 	now := c.clock()
 	store, _ := c.StoreClock.At(now)
-	d.AsOf = c.credible(d.AsOf)
+	d.AsOf = c.credible(d.AsOf, d.Position.Era)
 	changed, newEra := c.tables[t].merge(now, store, d)
 	if newEra {
 		c.recordNewEra(t, before, d.Position, FromVM)
@@ -234,10 +234,13 @@
 	return changed
 }
 
-// credible returns a time of the store's clock that another VM has sent, or 0 if it is ahead
-// of the clock: it would make a copy look current for as long.
-func (c *Catalog) credible(asOf time.Duration) time.Duration {
-	if store, known := c.StoreClock.At(c.clock()); known && asOf > store+contradictionOffset {
+// credible returns a time of the store's clock that another VM has sent with a copy of an era.
+// It returns 0 if that is ahead of the clock, as it would make a copy look current for as long,
+// or if the clock is of a later era that the store states, which does not show how long ago
+// that was. Every read of the store then brings the copy to that era too.
+func (c *Catalog) credible(asOf time.Duration, era history.Era) time.Duration {
+	store, known := c.StoreClock.At(c.clock())
+	if clockEra, _ := c.StoreClock.Era(); known && (clockEra.Stated > era.Stated || asOf > store+contradictionOffset) {
 		return 0
 	}
 	return asOf
@@ -290,7 +293,7 @@
 func (c *Catalog) RecordPeerPosition(t Table, peer history.Position, asOf time.Duration) (behind bool) {
 	now := c.clock()
 	store, _ := c.StoreClock.At(now)
-	return c.tables[t].recordPeer(now, store, peer, c.credible(asOf))
+	return c.tables[t].recordPeer(now, store, peer, c.credible(asOf, peer.Era))
 }
 
 // DeltaSince returns the rows of a table's copy that changed after a position and
