catalog: changes are asked for since the copy that they continue

Callers would get: rows of a new era that are not in use until they are written again.

Cause: a reader took the version for its call from the copy, and a moment later the position by which the answer is judged. If another VM's copy of a later era came in between, the call asked for changes since a version of the earlier era, and the answer was taken for a continuation of the new copy.

Change: the version is that of the position by which the answer is judged.

Evidence: TestChangesAreAskedForSinceTheCopyThatTheyContinue failed before: "the configuration of version 60 is not in force, and the copy is at {2.0 310}". The tests of catalog pass.

--- a/catalog/reader.go
+++ b/catalog/reader.go
@@ -119,12 +119,12 @@
 // what came of the last call, and its error if that failed.
 func (r *Reader) readOnce(ctx context.Context, t Table) (Result, error) {
 	if !r.Catalog.NeedsWholeTable(t, r.Times.wholeTableInterval) {
-		position, _ := r.Catalog.PositionAsOf(t)
-		result, err := r.waitForChanges(ctx, t, position.Version)
+		call := r.Catalog.BeginCall(t)
+		result, err := r.waitForChanges(ctx, t, call)
 		if result != ResultHistoryLost && result != ResultNewEra {
 			return result, err
 		}
-		r.logWholeRead(t, position, result)
+		r.logWholeRead(t, call.known, result)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
@@ -133,12 +133,12 @@
 	return r.conclude(t, CallTable, call, changes, err)
 }
 
-// waitForChanges waits for changes since a version, with a timeout, and applies them.
-func (r *Reader) waitForChanges(ctx context.Context, t Table, version uint64) (Result, error) {
+// waitForChanges waits for changes since the version of the copy at the start of the call, with
+// a timeout, and applies them.
+func (r *Reader) waitForChanges(ctx context.Context, t Table, call Call) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Times.longPollWait+callMargin)
 	defer cancel()
-	call := r.Catalog.BeginCall(t)
-	changes, err := r.Store.WaitForChanges(ctx, t, version, r.Times.longPollWait)
+	changes, err := r.Store.WaitForChanges(ctx, t, call.known.Version, r.Times.longPollWait)
 	return r.conclude(t, CallChanges, call, changes, err)
 }
 
--- a/catalog/reader_test.go
+++ b/catalog/reader_test.go
@@ -269,3 +269,36 @@
 		t.Errorf("the era %s began although all changes continued the copy", era)
 	}
 }
+
+// Guards against a call that asks for changes since the version of a copy of an earlier era,
+// which another VM's copy of a later one replaced just before: the rows between are not read.
+func TestChangesAreAskedForSinceTheCopyThatTheyContinue(t *testing.T) {
+	c := newTestCatalog()
+	c.Apply(OperatorTable, Changes{FullTable: true, Era: 1, Version: 300, AsOf: c.storeNow()})
+	merge := func() {
+		c.Catalog.Merge(OperatorTable, Delta{FullTable: true, Position: history.Position{Era: history.Era{Stated: 2}, Version: 40}, AsOf: c.storeNow()})
+	}
+	s := &answeringStore{changes: func(after uint64, _ time.Duration) (Changes, error) {
+		ch := Changes{Era: 2, Version: 310, AsOf: c.storeNow()}
+		if after < 60 {
+			ch.Rows = []Row{configRow(1, 60)}
+		}
+		return ch, nil
+	}}
+	calls := 0
+	tables, clock := c.Catalog, c.Catalog.clock
+	tables.clock = func() time.Duration { // the copy is replaced when the call begins
+		if calls++; calls == 2 {
+			merge()
+		}
+		return clock()
+	}
+	r := Reader{Catalog: tables, Store: s, Role: firstReader{}, Times: NewReadTimes(maxChangeDelay), Log: c.log}
+	if _, err := r.readOnce(context.Background(), OperatorTable); err != nil {
+		t.Fatal(err)
+	}
+	if c.View().Index == nil {
+		position, _ := c.PositionAsOf(OperatorTable)
+		t.Errorf("the configuration of version 60 is not in force, and the copy is at %v", position)
+	}
+}
