configstore: an operator's plan settles lost versions that no VM can write back

What operators saw: after the table came back from an older copy and no VM had all lost versions one by one, or after lost versions were given out again below the one in force, each plan was refused until all VMs were stopped at once, which also brought withdrawn keys back.

Cause: a plan was made on the head only, and the head stayed below the version in force.

That configuration is written to an object of the plan before the plan is stored. The confirm moves the head from exactly the one that the plan saw to the version after the one in force, in one transaction, so a write-back, another operator's change or another loss in between makes it fail. Nothing lost is taken for written: the head names the object, and VMs that lack the base read it as a whole.

--- a/configstore/confirm.go
+++ b/configstore/confirm.go
@@ -96,9 +96,12 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	if h.Version != stored.BaseVersion || !sameDigest(h.Digest, stored.BaseDigest) {
+	if !stored.follows(h) {
 		return p.resolveBaseChanged(ctx, planID, h)
 	}
+	if newest := p.follower.newestKnownVersion(); stored.Settles != nil && newest > stored.BaseVersion {
+		return Outcome{}, versionsLost(newest, stored.BaseVersion)
+	}
 	writes, err := confirmWrites(stored, h)
 	if err != nil {
 		return Outcome{}, err
@@ -106,6 +109,10 @@
 	err = p.transact(ctx, writes...)
 	switch {
 	case err == nil:
+		if stored.Settles != nil {
+			p.log.WithField("version", stored.BaseVersion+1).WithField("replaced", h.Version).
+				Warn("A new version settles the versions of the configuration that the store had lost.")
+		}
 		return Outcome{Kind: Accepted, Version: stored.BaseVersion + 1}, nil
 	case errors.Is(err, store.ErrConditionFailed):
 		return Outcome{}, err
@@ -139,7 +146,12 @@
 	planUnchanged := store.Condition{Kind: store.VersionIs, Version: stored.rowVersion}
 	accepted := stored
 	accepted.State, accepted.Version = PlanAccepted, next
-	newHead := head{Version: next, Snapshots: h.Snapshots, Digest: stored.ResultDigest}
+	newHead := head{Version: next, Snapshots: h.Snapshots, Digest: stored.ResultDigest, Settled: h.Settled}
+	if s := stored.Settles; s != nil {
+		// Older snapshots lead to no newer version without the lost deltas.
+		newHead.Snapshots = []uint64{stored.BaseVersion}
+		newHead.Settled = &settlement{Version: stored.BaseVersion, Object: s.Object}
+	}
 	delta := contract.Delta{Version: next, Intent: stored.Intent, Digest: stored.ResultDigest}
 
 	planWrite, err := putJSON(planKey(stored.ID), accepted, planUnchanged)
--- a/configstore/fake_test.go
+++ b/configstore/fake_test.go
@@ -190,3 +190,10 @@
 func setZone(region string) contract.Intent {
 	return contract.NewIntent(contract.SetZone{ID: zone.ID("a"), Region: region})
 }
+
+// brokenObjects is an object store that executes no write and has no object.
+type brokenObjects struct{}
+
+func (brokenObjects) Put(context.Context, string, []byte) error { return store.ErrNotDone }
+
+func (brokenObjects) Get(context.Context, string) ([]byte, error) { return nil, store.ErrNotFound }
--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -85,6 +85,7 @@
 	writeBackAt     atomic.Pointer[time.Time]
 	loggedMismatch  atomic.Uint64 // the last version whose digest was logged as another one
 	writeBackSpread time.Duration
+	gap             atomic.Pointer[gap] // nil if the head is not lower than the version in force
 	// peerVersions holds the last version that each peer reported.
 	peerVersions shard.Map[vm.ID, VMVersion]
 }
@@ -231,6 +232,7 @@
 	if current.loaded && h.Version <= current.index.Version() {
 		return f.handleHeadInForce(ctx, current, h)
 	}
+	f.gap.Store(nil)
 	c, deltas, err := f.configurationAt(ctx, current.index.Configuration(), h)
 	if err != nil {
 		return err
--- a/configstore/loader.go
+++ b/configstore/loader.go
@@ -76,9 +76,10 @@
 func sameDigest(a, b string) bool { return a == "" || b == "" || a == b }
 
 // rebuild applies deltas to current or, if current is more than
-// maxDeltasBeforeSnapshot versions behind, to the newest usable snapshot.
+// maxDeltasBeforeSnapshot versions behind or the store has lost deltas after it, to
+// the newest usable snapshot.
 func (l *loader) rebuild(ctx context.Context, current *contract.Configuration, h head) (*contract.Configuration, []contract.Delta, error) {
-	if h.Version > current.Version+maxDeltasBeforeSnapshot && h.newestSnapshot() > current.Version {
+	if behind := h.Version > current.Version+maxDeltasBeforeSnapshot; (behind || h.lacksDeltasAfter(current.Version)) && h.newestSnapshot() > current.Version {
 		current = l.newestUsableSnapshot(ctx, current, h)
 	}
 	var deltas []contract.Delta
@@ -105,7 +106,7 @@
 		if version <= current.Version || version > h.Version {
 			continue
 		}
-		c, err := l.readSnapshot(ctx, version)
+		c, err := l.readSnapshot(ctx, h.snapshotObject(version), version)
 		if err == nil {
 			return c
 		}
@@ -114,11 +115,11 @@
 	return current
 }
 
-// readSnapshot reads and decodes the snapshot of a version.
-func (l *loader) readSnapshot(ctx context.Context, version uint64) (*contract.Configuration, error) {
+// readSnapshot reads and decodes the snapshot of a version from an object.
+func (l *loader) readSnapshot(ctx context.Context, name string, version uint64) (*contract.Configuration, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
-	data, err := l.objects.Get(ctx, SnapshotName(version))
+	data, err := l.objects.Get(ctx, name)
 	if err != nil {
 		return nil, markUnavailable(err, "reading a snapshot")
 	}
--- a/configstore/planner.go
+++ b/configstore/planner.go
@@ -51,8 +51,7 @@
 // headConfiguration returns the head and the configuration at its version. It reads
 // the versions in force here and at peers first. The head only moves forward, so the
 // head that is read afterwards cannot be older. If it is, the table has lost
-// versions that are still in force and will be written back, and the error is
-// ErrInconsistent.
+// versions that are still in force, and the error is errVersionsLost.
 func (p *Planner) headConfiguration(ctx context.Context) (head, *contract.Configuration, error) {
 	inForce := p.follower.Index().Configuration()
 	reported := p.follower.newestReportedVersion(p.now())
@@ -61,17 +60,18 @@
 		return head{}, nil, err
 	}
 	if newest := max(inForce.Version, reported); newest > h.Version {
-		return head{}, nil, errors.Wrapf(ErrInconsistent, "version %d in force is newer than the head's version %d", newest, h.Version)
+		return h, nil, versionsLost(newest, h.Version)
 	}
 	c, _, err := p.configurationAt(ctx, inForce, h)
 	return h, c, err
 }
 
 // Plan computes the effect of an intent on the newest version, stores the result as
-// an open plan and returns it. Its errors are those of contract.NewPlan, and
+// an open plan and returns it. If the store has lost versions that no VM can write
+// back, the plan changes the configuration in force and settles them. Its errors are those of contract.NewPlan, and
 // ErrUnavailable, ErrInconsistent or ErrIntentTooLarge.
 func (p *Planner) Plan(ctx context.Context, intent contract.Intent) (contract.Plan, error) {
-	h, base, err := p.headConfiguration(ctx)
+	h, base, err := p.planBase(ctx)
 	if err != nil {
 		return contract.Plan{}, err
 	}
@@ -83,10 +83,19 @@
 	if err != nil {
 		return contract.Plan{}, err
 	}
+	settles := base.Version > h.Version
+	if settles {
+		warnOfSettlement(&plan, h)
+	}
 	stored, err := openPlan(plan, base, h)
 	if err != nil {
 		return contract.Plan{}, err
 	}
+	if settles {
+		if err := p.settleWith(ctx, &stored, base, h); err != nil {
+			return contract.Plan{}, err
+		}
+	}
 	write, err := putJSON(planKey(plan.ID), stored, store.Condition{Kind: store.Absent})
 	if err != nil {
 		return contract.Plan{}, err
--- a/configstore/rows.go
+++ b/configstore/rows.go
@@ -55,6 +55,8 @@
 	Snapshots []uint64 `json:"snapshots,omitempty"`
 	// Digest is the digest of the configuration of Version, or "" if it is not known.
 	Digest string `json:"digest,omitempty"`
+	// Settled is set if the store has lost versions that an operator's plan settled.
+	Settled *settlement `json:"settled,omitempty"`
 
 	// rowVersion is the store's version of the row, which also grows when only
 	// Snapshots changes. It is 0 if the row is missing.
@@ -111,6 +113,9 @@
 	// after the plan.
 	BaseDigest   string `json:"base_digest,omitempty"`
 	ResultDigest string `json:"result_digest,omitempty"`
+	// Settles is set if the plan settles versions that the store has lost. The head
+	// is then older than BaseVersion.
+	Settles *settledHead `json:"settles,omitempty"`
 
 	// rowVersion is the store's version of the row.
 	rowVersion uint64
--- a/configstore/snapshots.go
+++ b/configstore/snapshots.go
@@ -67,7 +67,7 @@
 		if h.newestSnapshot() >= version {
 			return nil
 		}
-		next := head{Version: h.Version, Snapshots: []uint64{version}, Digest: h.Digest}
+		next := head{Version: h.Version, Snapshots: []uint64{version}, Digest: h.Digest, Settled: h.Settled}
 		if previous := h.newestSnapshot(); previous > 0 {
 			next.Snapshots = append(next.Snapshots, previous)
 		}
--- a/configstore/writeback.go
+++ b/configstore/writeback.go
@@ -20,6 +20,7 @@
 func (f *Follower) handleHeadInForce(ctx context.Context, current *view, h head) error {
 	if h.Version == current.index.Version() {
 		f.writeBackAt.Store(nil)
+		f.gap.Store(nil)
 		digest, err := current.digest()
 		if err == nil && !sameDigest(digest, h.Digest) && f.loggedMismatch.Swap(h.Version) != h.Version {
 			f.log.WithField("version", h.Version).Error("The store has another configuration of the version in force; make a change to replace both.")
@@ -27,6 +28,7 @@
 		return err
 	}
 	now := time.Now()
+	f.recordGap(h, now)
 	at := f.writeBackAt.Load()
 	if at == nil {
 		f.log.WithField("head", h.Version).WithField("in_force", current.index.Version()).
@@ -53,7 +55,7 @@
 		return nil
 	}
 	for _, delta := range lost {
-		next := head{Version: delta.Version, Snapshots: h.Snapshots, Digest: delta.Digest}
+		next := head{Version: delta.Version, Snapshots: h.Snapshots, Digest: delta.Digest, Settled: h.Settled}
 		err := f.writeVersion(ctx, h, next, delta)
 		if errors.Is(err, store.ErrConditionFailed) {
 			return nil // another VM writes them back
