configstore: a plan of before a loss is not accepted below a version in force

What operators saw: after the table came back from an older copy, the confirm of a plan that was still open in that copy was answered with 'accepted' and a version that had been given out before. VMs that had the lost version in force never took it, and lost versions could no longer be written back.

Cause: a confirm compared the plan with the head only; a new plan is also compared with the versions in force.

Evidence: TestNoConfirmBelowAVersionInForce on the code before: 'Confirm at a returns {Kind:accepted Version:2 ...}, <nil> at head 2, want ErrInconsistent at head 1'.

Nothing is changed, and it can be repeated.

--- a/configstore/confirm.go
+++ b/configstore/confirm.go
@@ -92,6 +92,8 @@
 	if stored.State == PlanAccepted {
 		return Outcome{Kind: Accepted, Version: stored.Version}, nil
 	}
+	// Read before the head, which only moves forward unless the store loses versions.
+	inForce := p.newestInForce(stored)
 	h, err := p.head(ctx)
 	if err != nil {
 		return Outcome{}, err
@@ -99,8 +101,8 @@
 	if !stored.follows(h) {
 		return p.resolveBaseChanged(ctx, planID, h)
 	}
-	if newest := p.follower.newestKnownVersion(); stored.Settles != nil && newest > stored.BaseVersion {
-		return Outcome{}, versionsLost(newest, stored.BaseVersion)
+	if inForce > stored.BaseVersion {
+		return Outcome{}, versionsLost(inForce, stored.BaseVersion)
 	}
 	writes, err := confirmWrites(stored, h)
 	if err != nil {
--- a/configstore/settle.go
+++ b/configstore/settle.go
@@ -121,6 +121,15 @@
 	return h, inForce, nil
 }
 
+// newestInForce returns the newest version in force that a confirm of the plan must
+// not be below. For a plan that settles lost versions, older reports count, too.
+func (p *Planner) newestInForce(stored StoredPlan) uint64 {
+	if stored.Settles != nil {
+		return p.follower.newestKnownVersion()
+	}
+	return max(p.follower.Index().Version(), p.follower.newestReportedVersion(p.now()))
+}
+
 // settleWith makes a plan on base settle the versions that the store has lost after
 // the head. It writes base to an object first, because VMs that do not have it in
 // force need it once the plan is accepted. The head does not change yet.
--- a/configstore/settle_test.go
+++ b/configstore/settle_test.go
@@ -183,3 +183,23 @@
 		t.Errorf("the store has %d plans, want the 15 of before", len(rows))
 	}
 }
+
+// Guards against a plan of before a loss that is accepted below a version in force:
+// the operator is told a version that comes into force nowhere.
+func TestNoConfirmBelowAVersionInForce(t *testing.T) {
+	fleet := newFakeFleet("a", "restarted")
+	acceptPlans(t, fleet.planner("a"), 1)
+	open := mustPlan(t, fleet.planner("a"), setZone("x"))
+	lost := fleet.store.copyRows()
+	acceptPlans(t, fleet.planner("a"), 1)
+	fleet.followers["a"].poll(ctx)
+	fleet.store.restoreRows(lost)
+	fleet.followers["restarted"].poll(ctx)
+	fleet.followers["restarted"].RecordPeerVersion(fleet.vms[0], 2, time.Now())
+	for _, id := range []vm.ID{"a", "restarted"} {
+		outcome, err := fleet.planner(id).Confirm(ctx, open)
+		if h, _ := fleet.planner(id).head(ctx); !errors.Is(err, ErrInconsistent) || h.Version != 1 {
+			t.Errorf("Confirm at %s returns %+v, %v at head %d, want ErrInconsistent at head 1", id, outcome, err, h.Version)
+		}
+	}
+}
