configstore: reads of the store's whole history are spread and paced

What the store saw: after it came back from an older copy and lost versions were given out again, all VMs with a lost configuration read the whole history within one poll, up to 41 rows each without a pause, and again at each poll while it could not be used.

Cause: the whole read followed at once on the read that found the other history.

The digest of the first delta shows another history, so that not all deltas are read twice. Starts and ordinary changes are as before.

--- a/configstore/fake_test.go
+++ b/configstore/fake_test.go
@@ -161,6 +161,8 @@
 // start gives a VM a new follower, as after a restart.
 func (f *fakeFleet) start(id vm.ID) *Follower {
 	f.followers[id] = NewFollower(f.store, fakeObjectStore{f.store}, f, f, logging.Discard().Part("config"), Options{})
+	// TestWholeReadsAreSpread has the delays.
+	f.followers[id].wholeReadSpacing, f.followers[id].wholeReadPause = 0, 0
 	return f.followers[id]
 }
 
--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -86,6 +86,11 @@
 	loggedMismatch  atomic.Uint64 // the last version whose digest was logged as another one
 	writeBackSpread time.Duration
 	gap             atomic.Pointer[gap] // nil if the head is not lower than the version in force
+	// whole is the next read of the store's whole history; nil if none is needed.
+	// wholeReadSpacing is the delay before it for each VM of the fleet, and
+	// wholeReadPause the time between two of its reads.
+	whole                            atomic.Pointer[wholeRead]
+	wholeReadSpacing, wholeReadPause time.Duration
 	// peerVersions holds the last version that each peer reported.
 	peerVersions shard.Map[vm.ID, VMVersion]
 }
@@ -145,7 +150,9 @@
 		wakePoll:    make(chan struct{}, 1),
 		wakeCatchUp: make(chan struct{}, 1),
 
-		writeBackSpread: writeBackSpread,
+		writeBackSpread:  writeBackSpread,
+		wholeReadSpacing: wholeReadSpacing,
+		wholeReadPause:   wholeReadPause,
 	}
 	f.view.Store(newView(&contract.Configuration{}, false, nil, ""))
 	return f
@@ -233,8 +240,8 @@
 		return f.handleHeadInForce(ctx, current, h)
 	}
 	f.gap.Store(nil)
-	c, deltas, err := f.configurationAt(ctx, current.index.Configuration(), h)
-	if err != nil {
+	c, deltas, err := f.newerConfiguration(ctx, current, h)
+	if err != nil || c == nil {
 		return err
 	}
 	f.activate(c, deltas)
--- a/configstore/loader.go
+++ b/configstore/loader.go
@@ -7,6 +7,7 @@
 	"almondstile/contract"
 	"almondstile/logging"
 	"almondstile/store"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 )
@@ -36,24 +37,43 @@
 // shows that current is not part of the store's history, because the store has lost
 // versions and given them out again, it starts from the store's content alone.
 func (l *loader) configurationAt(ctx context.Context, current *contract.Configuration, h head) (*contract.Configuration, []contract.Delta, error) {
-	c, deltas, err := l.rebuild(ctx, current, h)
-	if err == nil {
-		err = checkDigest(c, h.Digest)
-	}
+	c, deltas, err := l.continued(ctx, current, h)
 	if current.Version == 0 || !errors.Is(err, ErrInconsistent) {
 		return c, deltas, err
 	}
+	l.logOtherHistory(err, current, h)
+	c, err = l.wholeConfiguration(ctx, h, 0)
+	return c, nil, err // no deltas follow current
+}
+
+// continued returns the configuration at the head's version if it continues current.
+// Otherwise the error is ErrInconsistent.
+func (l *loader) continued(ctx context.Context, current *contract.Configuration, h head) (*contract.Configuration, []contract.Delta, error) {
+	c, deltas, err := l.rebuild(ctx, current, h, 0)
+	if err == nil {
+		err = checkDigest(c, h.Digest)
+	}
+	return c, deltas, err
+}
+
+// logOtherHistory logs that the store's history does not contain current.
+func (l *loader) logOtherHistory(err error, current *contract.Configuration, h head) {
 	l.log.WithError(err).WithField("head", h.Version).WithField("in_force", current.Version).
 		Warn("The store's history does not contain the configuration in force; reading all of it.")
-	c, _, err = l.rebuild(ctx, &contract.Configuration{}, h)
+}
+
+// wholeConfiguration returns the configuration at the head's version from the store's
+// content alone. It pauses between two reads of deltas.
+func (l *loader) wholeConfiguration(ctx context.Context, h head, pause time.Duration) (*contract.Configuration, error) {
+	c, _, err := l.rebuild(ctx, &contract.Configuration{}, h, pause)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if err := checkDigest(c, h.Digest); err != nil {
 		// All VMs get the same configuration from the store's content.
 		l.log.WithError(err).Error("The store's own history has another digest than its head and is used all the same.")
 	}
-	return c, nil, nil // the deltas do not follow current
+	return c, nil
 }
 
 // checkDigest returns ErrInconsistent if the configuration has another digest. An
@@ -77,13 +97,17 @@
 
 // rebuild applies deltas to current or, if current is more than
 // maxDeltasBeforeSnapshot versions behind or the store has lost deltas after it, to
-// the newest usable snapshot.
-func (l *loader) rebuild(ctx context.Context, current *contract.Configuration, h head) (*contract.Configuration, []contract.Delta, error) {
+// the newest usable snapshot. It pauses between two reads of deltas. The digest of the
+// first one tells at once whether the store's history continues current.
+func (l *loader) rebuild(ctx context.Context, current *contract.Configuration, h head, pause time.Duration) (*contract.Configuration, []contract.Delta, error) {
 	if behind := h.Version > current.Version+maxDeltasBeforeSnapshot; (behind || h.lacksDeltasAfter(current.Version)) && h.newestSnapshot() > current.Version {
 		current = l.newestUsableSnapshot(ctx, current, h)
 	}
 	var deltas []contract.Delta
 	for current.Version < h.Version {
+		if len(deltas) > 0 && pause > 0 && !wait.For(ctx, pause) {
+			return nil, nil, markUnavailable(ctx.Err(), "reading the history")
+		}
 		delta, err := l.readDelta(ctx, current.Version+1)
 		if err != nil {
 			return nil, nil, err
@@ -92,6 +116,11 @@
 		if err != nil {
 			return nil, nil, errors.Mark(errors.Wrapf(err, "applying delta %d", delta.Version), ErrInconsistent)
 		}
+		if len(deltas) == 0 && delta.Version < h.Version { // otherwise the caller checks it
+			if err := checkDigest(next, delta.Digest); err != nil {
+				return nil, nil, err
+			}
+		}
 		current = next
 		deltas = append(deltas, delta)
 	}
--- a/configstore/writeback.go
+++ b/configstore/writeback.go
@@ -18,6 +18,7 @@
 
 // handleHeadInForce handles a head that is not newer than the version in force.
 func (f *Follower) handleHeadInForce(ctx context.Context, current *view, h head) error {
+	f.whole.Store(nil)
 	if h.Version == current.index.Version() {
 		f.writeBackAt.Store(nil)
 		f.gap.Store(nil)
