rollout/replica: the target of a lost order is avoided until it may be written again

What callers saw: while a roll-out ran, the store lost its order and state. From then on until the operators wrote the order again, each VM sent the new version its full part of the requests, although nobody had judged it, or a roll-back that was not stored yet was in force.

Cause: without an order only a stored state made a version avoided, and that was lost too.

Evidence: TestTargetOfALostOrderIsAvoided on the code before: 'no verdict, at once: requests go to [v1 v2], want [v1]', the same 29 s later and with a roll-back.

Why it works: for the 30 s in which the order counts as the same one if it is written again, its target gets only what other versions cannot take, as after a withdrawal; after a roll-back without an end, as with a stored one. A version that was judged good is not held.

--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -272,6 +272,20 @@
 	case rollout.Running, rollout.RolledBack:
 		rule.target, rule.scope = m.state().Target, preferOld
 	}
+	if m.avoidsLostTarget(now) {
+		rule.target, rule.scope = m.lostOrder.Target, preferOld
+	}
+}
+
+// avoidsLostTarget reports whether the target of an order that the store has lost gets
+// only what the other versions cannot take: as long as the operators may write the order
+// again, because its deadline goes on, and without an end if it was to be rolled back. A
+// version to which the VMs were about to move all requests was judged good.
+func (m *migration) avoidsLostTarget(now time.Time) bool {
+	if m.lostOrder == nil || m.verdict == rollout.Complete || m.lost.Status != "" {
+		return false
+	}
+	return m.verdict == rollout.RollBack || now.Sub(m.lostOrderSince) < rewriteTimeout
 }
 
 // replaced returns the versions whose servers stop because of the completion. Without
--- a/rollout/replica/restore_test.go
+++ b/rollout/replica/restore_test.go
@@ -289,3 +289,39 @@
 		}
 	})
 }
+
+// Guards against a version that nobody has judged, or that was judged bad, and that gets
+// its full part of the requests because the store lost its order: the order's deadline
+// goes on, and the operators write it again a moment later.
+func TestTargetOfALostOrderIsAvoided(t *testing.T) {
+	order, running := orderAt(target, at(1, 7)), stateAt(rollout.Running, 7, at(1, 9))
+	for _, c := range []struct {
+		what    string
+		verdict tally.Field
+		after   time.Duration
+		want    []rollout.Version
+	}{
+		{"no verdict, at once", tally.TargetSends, 0, []rollout.Version{oldVersion}},
+		{"no verdict, before the time for the operators ends", tally.TargetSends, rewriteTimeout - time.Second, []rollout.Version{oldVersion}},
+		{"no verdict, nobody writes it again", tally.TargetSends, rewriteTimeout, []rollout.Version{oldVersion, target}},
+		{"rolled back, nobody writes it again", tally.RollBacks, time.Hour, []rollout.Version{oldVersion}},
+		{"moved as a whole", tally.Completions, 0, []rollout.Version{oldVersion, target}},
+	} {
+		r := newRollouts("vm-1")
+		r.Sync(start, copiesAt(1, order, &running))
+		announce(r, start, order, c.verdict)
+		r.Refresh(start.Add(hold))
+		lostAt := start.Add(hold)
+		r.Sync(lostAt, copiesAt(2, nil, nil))
+		var got []rollout.Version
+		rule := r.Rule(lostAt.Add(c.after), "s", nil, func(rollout.Version) bool { return false }, 0.5)
+		for _, v := range []rollout.Version{oldVersion, target} {
+			if rule.Allows(Server{Version: v}) && rule.Prefers(Server{Version: v}) {
+				got = append(got, v)
+			}
+		}
+		if fmt.Sprint(got) != fmt.Sprint(c.want) {
+			t.Errorf("%s: requests go to %v, want %v", c.what, got, c.want)
+		}
+	}
+}
