rollout/replica, hosted: a final state that the store has lost is announced

What callers and operators saw: a VM that started after the store had lost the final state of a roll-out judged the version again: a version that had been rolled back got its share, and a second, different final state could be written; after a completion the VM sent all requests to old servers, which had stopped.

Cause: a verdict is announced until the store has it, but a final state that the store had and lost was only written again, by a VM that reaches the store.

Evidence: TestLostFinalStateIsAnnounced, first written against Orders and Decide, on the code before: 'announced 0 times in 10 s, want once a second', 'a request may go to [v2], want [v1]'. It now calls LostFinals, with the same bounds. TestLostCompletionIsAnnounced came with the change.

Why it works: VMs that know the lost state announce its verdict once a second under the standing order, as VMs do for a verdict that is not stored yet, until they read a final state. A VM that started follows the verdict and writes the same state.

--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -119,6 +119,9 @@
 		}
 		k.report(now, step)
 	}
+	for _, a := range k.rollouts.LostFinals(now) {
+		k.ledger.AddCounts(now, a.Subject, a.Counts)
+	}
 	k.reportEnded()
 	for _, state := range k.rollouts.Due(now, k.writeDelay(now)) {
 		k.writes.Go(func() { k.write(ctx, state) })
--- a/rollout/replica/decide.go
+++ b/rollout/replica/decide.go
@@ -83,6 +83,29 @@
 	return step, ok
 }
 
+// LostFinals returns the announcements that are due of final states that the store has
+// lost and whose orders stand. VMs that have started since know nothing of them, and would
+// judge the version again, or send to old servers that have stopped.
+func (r *Rollouts) LostFinals(now time.Time) (due []Announcement) {
+	if r == nil {
+		return nil
+	}
+	r.services.Range(func(_ contract.ServiceID, m *migration) bool {
+		if m.hasLostFinal() && now.Sub(m.announcedAt) >= announceInterval {
+			m.announcedAt = now
+			var c tally.Counts
+			if m.lost.Status == rollout.RolledBack {
+				c[tally.RollBacks] = 1
+			} else {
+				c[tally.Completions] = 1
+			}
+			due = append(due, Announcement{OrderSubject(m.order), c})
+		}
+		return true
+	})
+	return due
+}
+
 // decide asks the judge and takes over its decision.
 func (m *migration) decide(now time.Time, f Fleet, servers Servers) Step {
 	old := m.oldLoad(now, f.ConnectedVMs)
--- a/rollout/replica/migration.go
+++ b/rollout/replica/migration.go
@@ -110,6 +110,11 @@
 	return m.order != nil && !(m.order.Row.Era == m.stored.Row.Era && m.order.Row.Version < m.stored.OrderVersion)
 }
 
+// hasLostFinal reports whether the store has lost the final state of the order in force.
+func (m *migration) hasLostFinal() bool {
+	return m.ordered() && m.lost.Status != "" && m.lost.IsOf(m.order)
+}
+
 // open reports whether the order in force has no final state yet.
 func (m *migration) open() bool {
 	return m.ordered() && !(m.state().IsOf(m.order) && m.state().Status.Final())
--- a/rollout/replica/restore_test.go
+++ b/rollout/replica/restore_test.go
@@ -325,3 +325,52 @@
 		}
 	}
 }
+
+// Guards against a second, different final state: the store lost the roll-back, the only VM
+// that knows it does not reach the store, and a VM that started since judges the version
+// again and completes it.
+func TestLostFinalStateIsAnnounced(t *testing.T) {
+	final, kept := stateAt(rollout.RolledBack, 7, at(1, 12)), orderAt(target, at(2, 7))
+	running := stateAt(rollout.Running, 7, at(2, 9))
+	r, started := newRollouts("vm-1"), newRollouts("vm-2")
+	r.Sync(start, copiesAt(1, orderAt(target, at(1, 7)), &final))
+	if due := r.LostFinals(start); len(due) > 0 {
+		t.Errorf("%+v is announced of a stored final state", due)
+	}
+	r.Sync(start, copiesAt(2, kept, &running))
+	started.Sync(start, copiesAt(2, kept, &running))
+	announced := 0
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		for _, a := range r.LostFinals(now) {
+			announced++
+			started.Observe(now, a.Subject, a.Counts)
+		}
+	}
+	if announced < 9 || announced > 10 {
+		t.Errorf("announced %d times in 10 s, want once a second", announced)
+	}
+	setShare(started, 1)
+	expectChoices(t, "a VM that started after the loss", started, kept, "", 0, oldVersion)
+	if due := started.Due(start.Add(20*time.Second), 0); len(due) > 0 && due[0].Status == rollout.Completed {
+		t.Errorf("%+v is due", due)
+	}
+	r.Sync(start, copiesAt(2, kept, &rollout.State{Service: "s", OrderVersion: 7, Target: target, Status: rollout.RolledBack, Row: at(2, 13)}))
+	if due := r.LostFinals(start.Add(time.Minute)); len(due) > 0 {
+		t.Errorf("%+v is announced although the store has the final state", due)
+	}
+}
+
+// Guards against a VM that starts after the loss of a completion and sends all requests to
+// old servers, which have stopped at the completion.
+func TestLostCompletionIsAnnounced(t *testing.T) {
+	final, kept := stateAt(rollout.Completed, 7, at(1, 12)), orderAt(target, at(2, 7))
+	running := stateAt(rollout.Running, 7, at(2, 9))
+	r, started := newRollouts("vm-1"), newRollouts("vm-2")
+	r.Sync(start, copiesAt(1, orderAt(target, at(1, 7)), &final))
+	r.Sync(start, copiesAt(2, kept, &running))
+	started.Sync(start, copiesAt(2, kept, &running))
+	for _, a := range r.LostFinals(start) {
+		started.Observe(start, a.Subject, a.Counts)
+	}
+	expectChoices(t, "a VM that started after the loss", started, kept, "", 0, target)
+}
--- a/rollout/replica/write.go
+++ b/rollout/replica/write.go
@@ -86,7 +86,7 @@
 		}
 		next.Status = rollout.RolledBack // the target version has got nothing since
 		return next, true
-	case m.ordered() && m.lost.Status != "" && m.lost.IsOf(m.order):
+	case m.hasLostFinal():
 		next = m.lost
 		next.Row = m.stored.Row
 		return next, true
