rollout/replica, docs: two lost final states, and an order rewritten while a VM is behind

Tests and a description of what holds; no change of the product. A VM that was cut off during the loss goes on with its verdict also if the order was written again long after, since it knows the same as one whose store was away.

--- a/rollout/replica/restore_test.go
+++ b/rollout/replica/restore_test.go
@@ -374,3 +374,78 @@
 	}
 	expectChoices(t, "a VM that started after the loss", started, kept, "", 0, target)
 }
+
+// Guards against two VMs that know different final states, which the store has lost one
+// after the other, and that write in turns, or that follow another state than the store's;
+// and against a third VM, which knows neither, that does.
+func TestTwoLostFinalStatesEndInOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		era := history.Era{Stated: 3}
+		store := &stateStore{finals: make(map[uint64][]rollout.Status), version: 20, era: era}
+		store.state = stateAt(rollout.Running, 7, at(3, 9))
+		order := orderAt(target, at(3, 7))
+		rolledBack, completed := stateAt(rollout.RolledBack, 7, at(1, 12)), stateAt(rollout.Completed, 7, at(2, 14))
+		vms := []*Rollouts{newRollouts("vm-0"), newRollouts("vm-1"), newRollouts("vm-2")}
+		vms[0].Sync(start, copiesAt(1, orderAt(target, at(1, 7)), &rolledBack))
+		vms[1].Sync(start, copiesAt(2, orderAt(target, at(2, 7)), &completed))
+		running := store.state
+		for _, r := range vms {
+			r.Sync(start, copiesAt(3, order, &running))
+		}
+		calls := 0
+		end := start.Add(writeTime)
+		for now := start; now.Before(end); now = now.Add(writeStep) {
+			store.step(now)
+			faults := now.Before(start.Add(faultsUntil))
+			for i, r := range vms {
+				if !faults || rapid.IntRange(0, 9).Draw(t, "copy arrives") == 0 {
+					current := store.state
+					r.Sync(now, copiesAt(3, order, &current))
+				}
+				if now.Sub(start)%decideStep == 0 {
+					r.Decide(now, *order, fleet, Servers{})
+				}
+				for _, a := range r.LostFinals(now) {
+					for j, other := range vms {
+						if j != i && (!faults || rapid.Bool().Draw(t, "announcement arrives")) {
+							other.Observe(now, a.Subject, a.Counts)
+						}
+					}
+				}
+				for _, state := range r.Due(now, time.Duration(i)*150*time.Millisecond) {
+					calls++
+					outcome := outcomeDone
+					if faults {
+						outcome = writeOutcome(rapid.IntRange(0, 3).Draw(t, "outcome"))
+					}
+					succeeded, stored := store.call(now, state, outcome, rapid.Bool().Draw(t, "read back"))
+					r.RecordWrite(now, state, succeeded, stored, 0.5)
+				}
+			}
+		}
+		if len(store.finals[7]) != 1 {
+			t.Fatalf("the final states %v were written, want one", store.finals[7])
+		}
+		for i, r := range vms {
+			rule := r.Rule(end, "s", order, func(rollout.Version) bool { return false }, 0)
+			if allowed := rule.Allows(Server{Version: target}); r.Stored("s").Status != store.state.Status || allowed != (store.state.Status == rollout.Completed) {
+				t.Fatalf("VM %d has %s and sends to the target: %v, the store has %s", i, r.Stored("s").Status, allowed, store.state.Status)
+			}
+		}
+		if bound := len(vms) * int(writeTime/time.Second); calls > bound {
+			t.Fatalf("%d writes in %s, want one a second from each VM at most", calls, writeTime)
+		}
+	})
+}
+
+// Shows what docs/design/rollout-state.md says: a VM that was cut off while the store lost
+// an order and the operators wrote it again, once or several times, goes on as it was. It
+// cannot tell how long ago the loss was.
+func TestOrderRewrittenWhileAVMIsBehind(t *testing.T) {
+	r, again := newRollouts("vm-1"), orderAt(target, at(2, 50))
+	r.Sync(start, copiesAt(1, orderAt(target, at(1, 7)), nil))
+	announce(r, start, orderAt(target, at(1, 7)), tally.RollBacks)
+	r.Sync(start.Add(10*time.Minute), copiesAt(2, again, nil))
+	setShare(r, 1)
+	expectChoices(t, "rolled back before it was cut off", r, again, "", 0, oldVersion)
+}
