configstore, bench: pauses use wait.For

Planner.waitBeforeRetry and the load generator's sleepUntil repeated the body of wait.For. Both are replaced by it; nothing else changes.

Measured: go test -race ./configstore ./bench/load passes.

--- a/bench/load/generator.go
+++ b/bench/load/generator.go
@@ -11,6 +11,7 @@
 	"almondstile/request"
 	"almondstile/shard"
 	"almondstile/standin/backendsim"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -50,7 +51,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	for _, a := range timetable {
-		if !sleepUntil(ctx, start.Add(a.At)) {
+		if !wait.For(ctx, time.Until(start.Add(a.At))) {
 			return
 		}
 		if g.inFlight.Load() >= maxInFlight {
@@ -65,18 +66,6 @@
 	}
 }
 
-// sleepUntil waits until a time. It returns false if ctx is done earlier.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Skipped returns the number of calls that were not sent because maxInFlight calls
 // were in flight.
 func (g *Generator) Skipped() int64 { return g.skippedCalls.Load() }
@@ -105,7 +94,7 @@
 			return
 		}
 		intended = c.Done.Add(retryPause)
-		if attempt < attempts && !sleepUntil(ctx, intended) {
+		if attempt < attempts && !wait.For(ctx, time.Until(intended)) {
 			return
 		}
 	}
--- a/configstore/confirm.go
+++ b/configstore/confirm.go
@@ -5,6 +5,7 @@
 
 	"almondstile/contract"
 	"almondstile/store"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 )
@@ -55,7 +56,7 @@
 	mayHaveExecuted := false
 	var lastErr error
 	for attempt := range maxAttempts {
-		if attempt > 0 && !p.waitBeforeRetry(ctx) {
+		if attempt > 0 && !wait.For(ctx, p.retryPause) {
 			break
 		}
 		outcome, err := p.tryConfirm(ctx, planID)
--- a/configstore/planner.go
+++ b/configstore/planner.go
@@ -7,6 +7,7 @@
 	"almondstile/contract"
 	"almondstile/logging"
 	"almondstile/store"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -122,7 +123,7 @@
 func (p *Planner) storePlan(ctx context.Context, write store.Write) error {
 	var err error
 	for attempt := range maxAttempts {
-		if attempt > 0 && !p.waitBeforeRetry(ctx) {
+		if attempt > 0 && !wait.For(ctx, p.retryPause) {
 			break
 		}
 		err = p.transact(ctx, write)
@@ -161,16 +162,3 @@
 	defer cancel()
 	return p.table.Transact(ctx, writes)
 }
-
-// waitBeforeRetry waits for the pause between two attempts and returns true. If the
-// context ends before that, it returns false at once.
-func (p *Planner) waitBeforeRetry(ctx context.Context) bool {
-	timer := time.NewTimer(p.retryPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/configstore/snapshots.go
+++ b/configstore/snapshots.go
@@ -6,6 +6,7 @@
 
 	"almondstile/contract"
 	"almondstile/store"
+	"almondstile/wait"
 
 	"github.com/cockroachdb/errors"
 )
@@ -57,7 +58,7 @@
 func (p *Planner) addSnapshotToHead(ctx context.Context, version uint64) error {
 	var err error
 	for attempt := range maxAttempts {
-		if attempt > 0 && !p.waitBeforeRetry(ctx) {
+		if attempt > 0 && !wait.For(ctx, p.retryPause) {
 			break
 		}
 		var h head
