configstore: one function builds the writes of a version

Confirming a plan and writing a lost version back each built the writes of the head and of the delta, and their conditions. versionWrites now builds them for both. transact moves from Planner to loader, which Planner and Follower share, so that the time limit of a transaction also stands once.

--- a/configstore/confirm.go
+++ b/configstore/confirm.go
@@ -161,10 +161,6 @@
 	if err != nil {
 		return nil, err
 	}
-	headWrite, err := putJSON(headKey, newHead, h.unchangedCondition())
-	if err != nil {
-		return nil, err
-	}
-	deltaWrite, err := putJSON(deltaKey(next), delta, store.Condition{Kind: store.Absent})
-	return []store.Write{planWrite, headWrite, deltaWrite}, err
+	writes, err := versionWrites(h, newHead, delta)
+	return append([]store.Write{planWrite}, writes...), err
 }
--- a/configstore/loader.go
+++ b/configstore/loader.go
@@ -16,8 +16,9 @@
 // as deltas, one by one. If it misses more, it starts from a snapshot.
 const maxDeltasBeforeSnapshot = 2 * snapshotEvery
 
-// loader reads configurations from the store. Its errors are ErrUnavailable or
-// ErrInconsistent.
+// loader reads configurations from the store and executes transactions on it. The
+// errors of reads are ErrUnavailable or ErrInconsistent, those of transact are the
+// errors of package store.
 type loader struct {
 	table   store.Table
 	objects store.ObjectStore
@@ -32,6 +33,13 @@
 	return readHead(ctx, l.table)
 }
 
+// transact executes a transaction within the time limit of one call.
+func (l *loader) transact(ctx context.Context, writes ...store.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	return l.table.Transact(ctx, writes)
+}
+
 // configurationAt returns the configuration at the head's version and the deltas
 // that were applied, which start from current or from a snapshot. If the digest
 // shows that current is not part of the store's history, because the store has lost
--- a/configstore/planner.go
+++ b/configstore/planner.go
@@ -155,10 +155,3 @@
 	}
 	return stored, nil
 }
-
-// transact executes a transaction with the timeout of one call.
-func (p *Planner) transact(ctx context.Context, writes ...store.Write) error {
-	ctx, cancel := context.WithTimeout(ctx, p.timeout)
-	defer cancel()
-	return p.table.Transact(ctx, writes)
-}
--- a/configstore/rows.go
+++ b/configstore/rows.go
@@ -135,6 +135,18 @@
 	return errors.Mark(errors.Wrap(err, action), ErrUnavailable)
 }
 
+// versionWrites returns the writes of the next version: they move the head from h to
+// next and create the row of the delta that leads there. Their transaction fails with
+// store.ErrConditionFailed if the head was written since h was read.
+func versionWrites(h, next head, delta contract.Delta) ([]store.Write, error) {
+	headWrite, err := putJSON(headKey, next, h.unchangedCondition())
+	if err != nil {
+		return nil, err
+	}
+	deltaWrite, err := putJSON(deltaKey(delta.Version), delta, store.Condition{Kind: store.Absent})
+	return []store.Write{headWrite, deltaWrite}, err
+}
+
 // putJSON returns the write that puts a value, encoded as JSON, under a key.
 func putJSON(key string, value any, condition store.Condition) (store.Write, error) {
 	data, err := json.Marshal(value)
--- a/configstore/writeback.go
+++ b/configstore/writeback.go
@@ -57,7 +57,10 @@
 	}
 	for _, delta := range lost {
 		next := head{Version: delta.Version, Snapshots: h.Snapshots, Digest: delta.Digest, Settled: h.Settled}
-		err := f.writeVersion(ctx, h, next, delta)
+		writes, err := versionWrites(h, next, delta)
+		if err == nil {
+			err = f.transact(ctx, writes...)
+		}
 		if errors.Is(err, store.ErrConditionFailed) {
 			return nil // another VM writes them back
 		}
@@ -101,22 +104,6 @@
 	return &kept
 }
 
-// writeVersion writes the delta and moves the head to its version, on the condition
-// that neither was written since the head was read.
-func (f *Follower) writeVersion(ctx context.Context, h, next head, delta contract.Delta) error {
-	headWrite, err := putJSON(headKey, next, h.unchangedCondition())
-	if err != nil {
-		return err
-	}
-	deltaWrite, err := putJSON(deltaKey(delta.Version), delta, store.Condition{Kind: store.Absent})
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, f.timeout)
-	defer cancel()
-	return f.table.Transact(ctx, []store.Write{headWrite, deltaWrite})
-}
-
 // deltasAfter returns the deltas from the head's version to the version in force. ok
 // is false if some of them are not kept, or if the view does not know the digest of
 // the head's version, or knows another one.
