--- a/membership/change.go
+++ b/membership/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"almondstile/vm"
@@ -108,7 +107,7 @@
 			add = append(add, *row.VM)
 		}
 	}
-	slices.SortFunc(add, func(a, b vm.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(add, compareIDs)
 	return add
 }
 
--- a/membership/store.go
+++ b/membership/store.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// listKey is the key of the member list's row. The version of the row is the
-	// version of the list.
+	// listKey is the key of the member list's row. The version of the list is the
+	// version of the row plus the offset in its value.
 	listKey = "members"
 	// listVersionKey is the key of a row that is written together with the list
-	// and so has the same version and offset. VMs poll this row, because the list of 420 VMs
-	// has about 100 kB.
+	// and so has the same version and offset. VMs poll this row, because the list
+	// of 420 VMs has about 100 kB.
 	listVersionKey = "members/head"
 	sessionPrefix  = "session/"
 )
@@ -39,7 +39,9 @@
 	VMs     []vm.VM      `json:"vms"`
 	Changes []ListChange `json:"steps,omitempty"`
 	Lineage []string     `json:"lineage,omitempty"`
-	// VersionOffset is the list's version less the version of its row.
+	// VersionOffset is the list's version less the version of its row. It grows
+	// if the table goes back to a row of a lower version, because versions of lists
+	// only rise.
 	VersionOffset uint64 `json:"offset,omitempty"`
 }
 
@@ -179,7 +181,7 @@
 
 // rosterWrites returns the writes that replace the roster base with next.
 func rosterWrites(base, next Roster) ([]store.Write, error) {
-	offset := next.List.Version - (base.RowVersion + 1)
+	offset := next.List.Version - (base.RowVersion + 1) // the write raises the row's version by 1
 	list, err := json.Marshal(rosterValue{
 		VMs: next.List.VMs, Changes: next.Changes, Lineage: next.Lineage, VersionOffset: offset,
 	})
