membership: joining has a file of its own, and conditions have names

list.go held both the reads of the list and the join. The join is in join.go now. restarts and loggedRestarts counted joins after a lost list, while a restart elsewhere is one of a process; they are rejoins and loggedRejoins. resumeAfterLapse only sets a time, so it is delayActingAfterLapse. The condition that the store or a majority confirms the list stood in MayAct and in Ready; it is listConfirmed. The long conditions of MayAct and finishJoin are split into named parts, and comments on two fields that had one in common are separate. Behaviour is unchanged.

Measured: the race-enabled test binary of membership passes.

--- a/membership/act.go
+++ b/membership/act.go
@@ -14,7 +14,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := &m.list
-	if m.phase != listed || now.Before(list.resumeAt) || !holdsRole(list.roster.List, role, m.self) || !m.leaseAndListValid(now) && !m.supportedByMajority(now) {
+	mayUseList := m.phase == listed && !now.Before(list.resumeAt)
+	if !mayUseList || !holdsRole(list.roster.List, role, m.self) || !m.listConfirmed(now) {
 		return time.Time{}, false
 	}
 	othersExcludedSince, ok := list.handover.excludedSince(role)
@@ -41,6 +42,12 @@
 	return ok && holder.ID == self.ID && holder.Incarnation == self.Incarnation
 }
 
+// listConfirmed reports whether the store or more than half of the VMs in the list
+// confirm that this VM may act by its list.
+func (m *Member) listConfirmed(now time.Time) bool {
+	return m.leaseAndListValid(now) || m.supportedByMajority(now)
+}
+
 // leaseAndListValid reports whether the session lease is valid and the last read
 // that confirmed the current list was sent less than LeaseDuration ago.
 func (m *Member) leaseAndListValid(now time.Time) bool {
@@ -93,7 +100,7 @@
 		return false, "leaving"
 	case m.phase == joining:
 		return false, "not in the member list"
-	case !m.leaseAndListValid(now) && !m.supportedByMajority(now):
+	case !m.listConfirmed(now):
 		return false, "neither the store nor more than half of the VMs can be reached"
 	default:
 		return true, ""
@@ -111,7 +118,7 @@
 	}
 	listID := m.list.roster.id()
 	if len(m.list.lostLists) > 0 {
-		listID = ""
+		listID = "" // confirms no handover; see Heartbeat.ListID
 	}
 	return Heartbeat{
 		Incarnation:           m.self.Incarnation,
--- a/membership/list.go
+++ b/membership/list.go
@@ -30,12 +30,14 @@
 	// lostLists are lists that the table has lost and by which other VMs may still
 	// act. They count as older lists of the next join.
 	lostLists []olderList
-	// supportedAt is when this VM last had the support of the store-outage rule.
-	// resumeAt is the time before which it does not act after it was without the
-	// table and that support; see resumeAfterLapse.
-	supportedAt, resumeAt time.Time
-	// restarts counts the lists that replaced the one in use without following it.
-	restarts uint64
+	// supportedAt is when this VM last had the support of the store-outage rule
+	// while it could not rely on its lease and its last read of the list.
+	supportedAt time.Time
+	// resumeAt is the time before which this VM does not act after it was without
+	// the table and that support; see delayActingAfterLapse.
+	resumeAt time.Time
+	// rejoins counts the lists that replaced the one in use without following it.
+	rejoins uint64
 	// raiseAt is the earliest time at which this VM may raise the version of the
 	// list after the table went back. It is zero if the table did not.
 	raiseAt time.Time
@@ -71,7 +73,7 @@
 	case r.Err != nil:
 		return nil
 	case l.roster.isList(r.Roster.List.Version, r.Roster.id()):
-		m.resumeAfterLapse(now)
+		m.delayActingAfterLapse(now)
 		l.recordRead(a.DecidedAt)
 		return nil
 	case r.Roster.List.Version <= l.roster.List.Version:
@@ -80,7 +82,7 @@
 		m.joinAgain()
 	}
 	l.raiseAt = time.Time{}
-	m.resumeAfterLapse(now)
+	m.delayActingAfterLapse(now)
 	if !now.Before(l.lastReadSentAt.Add(m.options.LeaseDuration)) {
 		// Other VMs may have held and lost this VM's roles in the meantime.
 		l.history = nil
@@ -99,11 +101,11 @@
 	return nil
 }
 
-// resumeAfterLapse sets resumeAt before a successful read of the list, if this VM has
-// not read it for as long as a lease, and was not supported in a store outage. Other
-// VMs may have held its roles since by a list that the table has lost again; their
-// leases end within the takeover wait.
-func (m *Member) resumeAfterLapse(now time.Time) {
+// delayActingAfterLapse sets resumeAt before a successful read of the list is recorded,
+// if this VM has not read it for as long as a lease, and was not supported in a store
+// outage. Other VMs may have held its roles since by a list that the table has lost
+// again; their leases end within the takeover wait.
+func (m *Member) delayActingAfterLapse(now time.Time) {
 	l := &m.list
 	lapsed := !now.Before(l.lastReadSentAt.Add(m.options.LeaseDuration)) &&
 		!now.Before(l.supportedAt.Add(m.options.HeartbeatValidity))
@@ -112,82 +114,6 @@
 	}
 }
 
-// joinAgain makes this VM join by the next list as if it had just started, after
-// the list in use and those before it are out of use.
-func (m *Member) joinAgain() {
-	l := &m.list
-	lost := append(l.roster.olderLists(), l.roster.current())
-	if l.olderLists != nil {
-		l.lostLists = append(lost, l.olderLists...) // these contain the earlier lostLists
-	} else {
-		l.lostLists = append(lost, l.lostLists...)
-	}
-	l.history = nil
-	l.restarts++
-	m.handleRemoval()
-}
-
-// updatePhase sets the phase by the current list. A joining VM becomes listed once
-// the list contains it and a write of its session row is known to have taken
-// effect. A listed VM that was removed joins again.
-func (m *Member) updatePhase(now time.Time) {
-	inList := contains(m.list.roster.List, m.self)
-	switch {
-	case m.phase == joining && inList && m.session.rowOwned:
-		m.phase = listed
-		m.list.joinedAt = now
-		m.list.olderLists = append(m.list.roster.olderLists(), m.list.lostLists...)
-		if len(m.list.lostLists) == 0 {
-			m.list.handover = newHandover(m.list.roster, m.list.olderLists)
-		}
-		m.finishJoin(now)
-	case m.phase == listed && !inList:
-		m.handleRemoval()
-	}
-}
-
-// handleRemoval resets the state of a VM that is not in the list any more, so that
-// it joins again. Its session row was deleted or belongs to another process, so
-// the row is read before the next write.
-func (m *Member) handleRemoval() {
-	if m.phase == listed {
-		m.phase = joining
-	}
-	m.session.rowKnown = false
-	m.list.joinFinished = false
-	m.list.olderLists = nil
-	m.list.handover = handover{}
-}
-
-// finishJoin ends the wait of a VM that joined, if no VM can act by an older list
-// any more. This is the case if there was no older list with members, or if
-// takeoverWait has passed and the older lists are proven out of use.
-func (m *Member) finishJoin(now time.Time) {
-	l := &m.list
-	if m.phase != listed || l.joinFinished {
-		return
-	}
-	firstInList := true
-	for _, list := range l.olderLists {
-		firstInList = firstInList && len(list.members) == 0
-	}
-	waited := !now.Before(l.joinedAt.Add(m.options.takeoverWait()))
-	// If the current list no longer records the change that added this VM, its
-	// writer had proof that the lists before that change are out of use.
-	proven := len(l.lostLists) == 0 && !l.roster.adds(m.self.ID) || m.evidence(now).rulesOutMajorities(l.olderLists, l.joinedAt)
-	if firstInList || waited && proven {
-		l.joinFinished, l.joinFinishedAt, l.olderLists, l.lostLists = true, now, nil, nil
-	}
-}
-
-// restarts returns how often this VM joined again because the table had lost the
-// list that it used.
-func (m *Member) restarts() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.list.restarts
-}
-
 // evidence returns the evidence from the sessions that this VM has read.
 func (m *Member) evidence(now time.Time) majorityEvidence {
 	return majorityEvidence{tracker: &m.tracker, options: m.options, now: now, rosterReceivedAt: m.list.receivedAt}
--- a/membership/manager.go
+++ b/membership/manager.go
@@ -57,8 +57,8 @@
 	store  storeClient
 
 	mu sync.Mutex // guards the fields below
-	// loggedRestarts is the last logged number of lists that the table has lost.
-	loggedRestarts uint64
+	// loggedRejoins is the number of rejoins of the member that are logged.
+	loggedRejoins uint64
 	// publishedVersion is the version of the list last sent to the subscribers.
 	publishedVersion uint64
 	subscribers      []chan vm.MemberList
@@ -195,8 +195,8 @@
 		m.notReadyReason = reason
 		m.config.Log.WithField("ready", ready).WithField("reason", reason).Info("The readiness of this VM changed.")
 	}
-	if restarts := m.member.restarts(); restarts > m.loggedRestarts {
-		m.loggedRestarts = restarts
+	if rejoins := m.member.rejoins(); rejoins > m.loggedRejoins {
+		m.loggedRejoins = rejoins
 		m.config.Log.WithField("version", list.Version).Warn("The table has lost the member list that this VM used; its roles wait until no VM can act by it.")
 	}
 	if list.Version <= m.publishedVersion {
--- a/membership/member.go
+++ b/membership/member.go
@@ -150,7 +150,7 @@
 	}
 	var actions []Action
 	if m.list.roster.isList(r.Version, r.ListID) {
-		m.resumeAfterLapse(now)
+		m.delayActingAfterLapse(now)
 		m.list.recordRead(a.DecidedAt)
 		m.updatePhase(now) // the session row may have been read after the list
 	} else {
--- a/membership/session.go
+++ b/membership/session.go
@@ -117,8 +117,8 @@
 // handleSessionReadResult handles a read of this VM's own session row. It detects
 // that another process took over the VM's ID, that the VM was removed from the
 // fleet, and that a write with an unknown outcome took effect. The row that this
-// process replaced is no other process: the table went back to it, and the next
-// write replaces it again.
+// process replaced does not count as another process: the table went back to it, and
+// the next write replaces it again.
 func (m *Member) handleSessionReadResult(now time.Time, r Result) {
 	if r.Err != nil {
 		return
