membership: tests share the end of a simulation

The end of all faults and the checks that follow stood in both random tests, the checks also in two more, and the two tests of documented limits counted violations alike. Each is one function now. The seeds, the random choices and the bounds are the same; endFaults also ends faults that one of the tests does not inject.

Measured: go test -race ./membership passes (151 s on a busy machine).

--- a/membership/member_test.go
+++ b/membership/member_test.go
@@ -71,20 +71,9 @@
 				t.Fatal(s.violation)
 			}
 		}
-		s.storeDown, s.delayedShare = false, 0
-		for _, v := range s.vms {
-			v.blockedTo, v.storeRequestsLost, v.storeResponsesLost, v.dropAfterWrite, v.pausedUntil = map[int]bool{}, false, false, false, 0
-			if !v.alive || v.member.AnswerHeartbeat(v.localTime(), HeartbeatRequest{}).Leaving {
-				v.start()
-			}
-		}
+		s.endFaults()
 		s.run(40 * time.Second)
-		if s.violation != "" {
-			t.Fatal(s.violation)
-		}
-		if n := s.rolesWithoutHolder(); n > 0 {
-			t.Fatalf("%d roles have no holder 40 s after the last fault", n)
-		}
+		s.requireOneHolderEach(t, "40 s after the last fault")
 	})
 }
 
--- a/membership/restore_test.go
+++ b/membership/restore_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,17 +11,6 @@
 	"pgregory.net/rapid"
 )
 
-// startSimulation returns a simulation in which the first running of size VMs have
-// joined.
-func startSimulation(seed uint64, size, running int) *simulation {
-	s := newSimulation(seed, size)
-	for _, v := range s.vms[:running] {
-		v.start()
-	}
-	s.run(12 * time.Second)
-	return s
-}
-
 // rolesRecoverIn is the time in which all roles must have a holder after the table
 // went back: a join with its takeover wait, and the reads around it.
 const rolesRecoverIn = 25 * time.Second
@@ -75,12 +65,7 @@
 		})
 		s.vms[0].storeRequestsLost = false
 		s.run(20 * time.Second)
-		if s.violation != "" {
-			t.Fatalf("seed %d: %s", seed, s.violation)
-		}
-		if n := s.rolesWithoutHolder(); n > 0 {
-			t.Fatalf("seed %d: %d roles have no holder", seed, n)
-		}
+		s.requireOneHolderEach(t, fmt.Sprintf("seed %d", seed))
 	}
 }
 
@@ -211,20 +196,9 @@
 				t.Fatal(s.violation)
 			}
 		}
-		s.storeDown = false
-		for _, v := range s.vms {
-			v.blockedTo, v.storeRequestsLost, v.pausedUntil = map[int]bool{}, false, 0
-			if !v.alive || v.member.AnswerHeartbeat(v.localTime(), HeartbeatRequest{}).Leaving {
-				v.start() // a lost list of two needs both to be proven out of use
-			}
-		}
+		s.endFaults() // a lost list of two needs both VMs to be proven out of use
 		s.run(60 * time.Second)
-		if s.violation != "" {
-			t.Fatal(s.violation)
-		}
-		if n := s.rolesWithoutHolder(); n > 0 {
-			t.Fatalf("%d roles have no holder 60 s after the last step", n)
-		}
+		s.requireOneHolderEach(t, "60 s after the last step")
 	})
 }
 
@@ -265,12 +239,7 @@
 		}
 		s.platform.RestoreTable(lost)
 		s.run(30 * time.Second)
-		if s.violation != "" {
-			t.Fatalf("seed %d: %s", seed, s.violation)
-		}
-		if n := s.rolesWithoutHolder(); n > 0 {
-			t.Fatalf("seed %d: %d roles have no holder", seed, n)
-		}
+		s.requireOneHolderEach(t, fmt.Sprintf("seed %d", seed))
 	}
 }
 
@@ -288,13 +257,27 @@
 	s.runUntil(t, rolesRecoverIn-leasesEndIn, "all roles have a holder", func() bool { return s.rolesWithoutHolder() == 0 })
 }
 
+// requireViolationInOneOf fails the test if no play of the first seeds has two VMs that
+// act in one role.
+func requireViolationInOneOf(t *testing.T, seeds uint64, play func(seed uint64) *simulation) {
+	t.Helper()
+	violations := 0
+	for seed := range seeds {
+		if play(seed).violation != "" {
+			violations++
+		}
+	}
+	if violations == 0 {
+		t.Error("no two VMs acted in one role; docs/PROMISES.md says that it is possible")
+	}
+}
+
 // Shows what docs/PROMISES.md says: two VMs may act in one role for a lease if the
 // table loses the list altogether, and a VM starts while the others do not reach it.
 // The VM cannot tell that it is not the first of a new fleet.
 func TestNewVMActsAtOnceByAnEmptyTable(t *testing.T) {
 	t.Parallel()
-	violations := 0
-	for seed := range uint64(10) {
+	requireViolationInOneOf(t, 10, func(seed uint64) *simulation {
 		s := newSimulation(seed, 4)
 		empty := s.platform.CopyTable()
 		for _, v := range s.vms[:3] {
@@ -307,13 +290,8 @@
 		s.platform.RestoreTable(empty)
 		s.vms[3].start()
 		s.run(20 * time.Second)
-		if s.violation != "" {
-			violations++
-		}
-	}
-	if violations == 0 {
-		t.Error("no two VMs acted in one role; docs/PROMISES.md says that it is possible")
-	}
+		return s
+	})
 }
 
 // Shows what docs/PROMISES.md says: two VMs may act in one role if more than half of
@@ -321,8 +299,7 @@
 // support each other by a list of which the others know nothing.
 func TestVMsCutOffWithALostList(t *testing.T) {
 	t.Parallel()
-	violations := 0
-	for seed := range uint64(10) {
+	requireViolationInOneOf(t, 10, func(seed uint64) *simulation {
 		s := startSimulation(seed, 6, 2)
 		lost := s.platform.CopyTable()
 		for _, v := range s.vms[2:5] {
@@ -341,13 +318,8 @@
 			v.start()
 		}
 		s.run(40 * time.Second)
-		if s.violation != "" {
-			violations++
-		}
-	}
-	if violations == 0 {
-		t.Error("no two VMs acted in one role; docs/PROMISES.md says that it is possible")
-	}
+		return s
+	})
 }
 
 // Guards against VMs that join again with each change of the list while VMs of an
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -100,6 +100,17 @@
 	return s
 }
 
+// startSimulation returns a simulation in which the first running of size VMs have
+// joined.
+func startSimulation(seed uint64, size, running int) *simulation {
+	s := newSimulation(seed, size)
+	for _, v := range s.vms[:running] {
+		v.start()
+	}
+	s.run(12 * time.Second)
+	return s
+}
+
 // spreadClocks gives each clock a random rate. Any two rates differ by up to 10%.
 func (s *simulation) spreadClocks() {
 	const slowestRate = 0.954 // 0.954 × 1.1 × 0.953 ≈ 1
@@ -285,6 +296,36 @@
 	return n
 }
 
+// endFaults ends all faults and starts a new process on each VM that does not run or
+// that is leaving.
+func (s *simulation) endFaults() {
+	s.storeDown, s.delayedShare = false, 0
+	for _, v := range s.vms {
+		v.blockedTo, v.storeRequestsLost, v.storeResponsesLost, v.dropAfterWrite, v.pausedUntil = map[int]bool{}, false, false, false, 0
+		if !v.alive || v.member.AnswerHeartbeat(v.localTime(), HeartbeatRequest{}).Leaving {
+			v.start()
+		}
+	}
+}
+
+// fatalTest is a *testing.T or a *rapid.T.
+type fatalTest interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// requireOneHolderEach fails the test if two VMs could act in one role, or if a role
+// has no holder now. at says in the failure message when that was checked.
+func (s *simulation) requireOneHolderEach(t fatalTest, at string) {
+	t.Helper()
+	if s.violation != "" {
+		t.Fatalf("%s: %s", at, s.violation)
+	}
+	if n := s.rolesWithoutHolder(); n > 0 {
+		t.Fatalf("%s: %d roles have no holder", at, n)
+	}
+}
+
 // runUntil advances true time until the condition holds and returns how long that
 // took. It fails the test at a violation, or if the condition does not hold within
 // limit.
