memory: bytes that are given back wake only those for whom there is room

What callers saw: beside a crowd, ordinary requests took long or got 503 overloaded, because each step of a request waits for the budget's lock.

Cause: bytes that were given back woke all calls that waited for some. Each of them went through all leases with the lock held, found no room and waited again.

Change: those who wait form a list. Bytes that are given back wake the calls for whom there is room together; if there are none and nobody is leaving, the first one, which turns others away. Each still looks again every 250 ms, as before.

--- a/memory/budget.go
+++ b/memory/budget.go
@@ -49,9 +49,8 @@
 	leaving int64
 	// holding contains the leases that hold bytes or belong to an open connection.
 	holding map[*Lease]struct{}
-	// freed is closed when bytes are given back while somebody waits for them. It is nil
-	// while nobody waits.
-	freed chan struct{}
+	// waiting contains those that wait for bytes, in the order in which they began.
+	waiting []*waiter
 }
 
 // NewBudget returns a budget of total bytes. The observer may be nil.
@@ -180,10 +179,7 @@
 	if l.held == 0 && !l.connected {
 		delete(b.holding, l)
 	}
-	if b.freed != nil {
-		close(b.freed)
-		b.freed = nil
-	}
+	b.wakeSome()
 }
 
 // relieve selects leases to turn away so that n bytes become free for the lease, and marks
@@ -235,15 +231,6 @@
 	b.observer.Count("memory.turned-away." + reason)
 }
 
-// waitForBytes returns a channel that is closed when bytes are given back. The caller holds
-// b.mu.
-func (b *Budget) waitForBytes() <-chan struct{} {
-	if b.freed == nil {
-		b.freed = make(chan struct{})
-	}
-	return b.freed
-}
-
 // reclaimShare is the part of the budget that has to have been given back before memory is
 // worth returning to the system.
 const reclaimShare = 0.25
--- a/memory/lease.go
+++ b/memory/lease.go
@@ -117,31 +117,39 @@
 
 // take takes n bytes for a message that will take further bytes later.
 func (l *Lease) take(ctx context.Context, n, later int64) error {
-	freed, err := l.tryTake(n, later)
-	if freed == nil {
+	w, err := l.tryTake(nil, n, later)
+	if w == nil {
 		return err
 	}
 	limit := time.NewTimer(maxWait)
 	defer limit.Stop()
+	again := time.NewTicker(retryInterval) // somebody may have stalled meanwhile
+	defer again.Stop()
 	for {
-		again := time.NewTimer(retryInterval) // somebody may have stalled meanwhile
 		select {
-		case <-freed:
+		case <-w.woken:
 		case <-again.C:
 		case <-limit.C:
-			again.Stop()
+			l.giveUp(w)
 			return ErrShort
 		case <-ctx.Done():
-			again.Stop()
+			l.giveUp(w)
 			return ctx.Err()
 		}
-		again.Stop()
-		if freed, err = l.tryTake(n, later); freed == nil {
+		if next, err := l.tryTake(w, n, later); next == nil {
 			return err
 		}
 	}
 }
 
+// giveUp ends the wait for bytes without having taken any.
+func (l *Lease) giveUp(w *waiter) {
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.budget.stopWaiting(w)
+	l.budget.wakeForRoom() // w may have been woken for some
+}
+
 // TakeAtOnce takes n bytes if there is room for them, without turning others away and without
 // a wait, and reports whether it did. A nil Lease has room for all.
 func (l *Lease) TakeAtOnce(n int64) bool {
@@ -159,13 +167,15 @@
 }
 
 // tryTake takes n bytes if it can, and turns others away if the budget is short. If bytes
-// may become free soon, it returns a channel that is closed when some are given back.
-func (l *Lease) tryTake(n, later int64) (freed <-chan struct{}, err error) {
+// may become free soon, it returns a waiter that is woken when there may be room: the given
+// one, or a new one for nil.
+func (l *Lease) tryTake(w *waiter, n, later int64) (*waiter, error) {
 	b := l.budget
 	b.mu.Lock()
 	small := l.held-l.connection+n+later <= smallBytes
 	if !l.leaving.Load() && b.room(n, small) {
 		b.add(l, n)
+		b.stopWaiting(w)
 		b.mu.Unlock()
 		return nil, nil
 	}
@@ -175,8 +185,16 @@
 		chosen, coming = b.relieve(l, n, small)
 	}
 	turnedAway := l.leaving.Load()
-	if !turnedAway && (coming || b.mayFind(l)) {
-		freed = b.waitForBytes()
+	waits := !turnedAway && (coming || b.mayFind(l))
+	if waits {
+		if w == nil {
+			w = &waiter{bytes: n, woken: make(chan struct{}, 1)}
+		}
+		w.small = small
+		b.wait(w)
+	} else {
+		b.stopWaiting(w)
+		b.wakeForRoom() // w may have been woken for some
 	}
 	b.mu.Unlock()
 	for _, other := range chosen {
@@ -185,10 +203,10 @@
 	switch {
 	case turnedAway:
 		return nil, ErrTurnedAway
-	case freed == nil:
+	case !waits:
 		return nil, ErrShort
 	}
-	return freed, nil
+	return w, nil
 }
 
 // mayFind reports whether somebody may be turned away within maxWait who may not yet. The
