--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -341,3 +341,50 @@
 		}
 	}
 }
+
+// Guards against eras that are found without end because answers alternate between two
+// replicas of the store, of which one lags behind and states the current time.
+func TestAlternatingReplicasDoNotBeginErasWithoutEnd(t *testing.T) {
+	c := newTestCatalog()
+	for i := range 300 { // 30 s
+		c.now += 100 * time.Millisecond
+		ch := Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 50, AsOf: c.storeNow()}
+		if i%2 == 1 {
+			ch.Version = 40
+		}
+		c.Apply(OperatorTable, ch)
+	}
+	if found := c.Era().Found; found > 5 {
+		t.Errorf("%d eras began in 30 s", found)
+	}
+}
+
+// Guards against a VM that found an era alone, from a state that lags behind, then loses the
+// store, and never takes over what the other VMs read.
+func TestVMThatFoundAnEraAloneFollowsItsPeersWithoutTheStore(t *testing.T) {
+	alone, peer := newTestCatalog(), newTestCatalog()
+	fresh := Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 50, AsOf: alone.storeNow()}
+	alone.Apply(OperatorTable, fresh)
+	peer.Apply(OperatorTable, fresh)
+	for range 40 {
+		alone.now += 100 * time.Millisecond
+		alone.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 40, AsOf: alone.storeNow() - 10*time.Second})
+	}
+	for range 600 { // a minute
+		alone.now += 100 * time.Millisecond
+		peer.now = alone.now
+		peer.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(2, 55)}, Version: 55, AsOf: peer.storeNow()})
+		position, asOf := peer.PositionAsOf(OperatorTable)
+		if alone.RecordPeerPosition(OperatorTable, position, asOf) {
+			known, _ := alone.PositionAsOf(OperatorTable)
+			alone.Merge(OperatorTable, peer.DeltaSince(OperatorTable, known))
+		}
+		if position, _ := alone.PositionAsOf(OperatorTable); peer.RecordPeerPosition(OperatorTable, position, 0) {
+			known, _ := peer.PositionAsOf(OperatorTable)
+			peer.Merge(OperatorTable, alone.DeltaSince(OperatorTable, known))
+		}
+	}
+	if got := alone.View().Index.Version(); got != 2 {
+		t.Errorf("configuration %d is in force a minute after its peer read 2; the age is %s", got, alone.Age(OperatorTable))
+	}
+}
