configstore: the delay of a write-back begins anew with each loss

What the store saw: after a second loss, VMs wrote the lost versions back at once and together, without the warning, instead of after a random delay.

Cause: a delay that was chosen for a loss stood until a poll saw the head at the version in force. If others repaired the loss and the head went on, it stayed for the next loss.

Evidence: TestDelayOfAWriteBackBeginsAnewWithEachLoss failed before: 'the head is at version 4 after the first poll of a loss, want 2'. A newer head now ends the delay. The tests of configstore pass.

--- a/configstore/follower.go
+++ b/configstore/follower.go
@@ -211,6 +211,7 @@
 		f.gap.Store(nil)
 		return f.checkDigestInForce(inForce, h)
 	}
+	f.writeBackAt.Store(nil)
 	f.gap.Store(nil)
 	c, deltas, err := f.newerConfiguration(ctx, inForce, h)
 	if err != nil || c == nil {
--- a/configstore/restore_test.go
+++ b/configstore/restore_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// Guards against VMs that write a second loss back at the same moment, because the delay of an
+// earlier one, which others repaired, still stands.
+func TestDelayOfAWriteBackBeginsAnewWithEachLoss(t *testing.T) {
+	fleet := newFakeFleet("a", "b")
+	fleet.writeBackAtOnce()
+	acceptPlans(t, fleet.planner("a"), 2)
+	fleet.pollAll()
+	lost := fleet.store.copyRows()
+	acceptPlans(t, fleet.planner("a"), 1)
+	fleet.pollAll()
+	repaired := fleet.store.copyRows()
+	fleet.store.restoreRows(lost)
+	fleet.followers["b"].poll(ctx) // begins the delay
+	fleet.store.restoreRows(repaired)
+	acceptPlans(t, fleet.planner("a"), 1)
+	fleet.followers["b"].poll(ctx)
+	fleet.store.restoreRows(lost)
+	fleet.followers["b"].poll(ctx)
+	if h, err := fleet.planner("a").head(ctx); err != nil || h.Version != 2 {
+		t.Errorf("the head is at version %d (%v) after the first poll of a loss, want 2", h.Version, err)
+	}
+}
+
 // Guards against a fleet that loses its configuration with a table that lost all
 // rows.
 func TestEmptyTableIsWrittenAgain(t *testing.T) {
