catalog: a confirmation by a later time does not make a copy older

Cause: a VM that had taken one table's found era, and the clock with it, measured messages about a table still of the earlier era by that clock. The difference of the two clocks became the age of its copy. For eras that the store states such times were dropped already; for found eras they cannot be, as a table may stay in the earlier one.

Change: the age that comes with a later time of the same era is at most the copy's own by local time. If it were larger, the clock is that of another era.

Evidence: TestMessageOfAnEarlierEraDoesNotAgeACopyByTheLaterClock, which now plays found eras, too, failed before ("found eras, announcement: the age of the operators' table is 1h0m0s, a second after its last answer"; the same for a pull).

--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -319,25 +319,32 @@
 // Guards against requests with keys that are rejected because a message of a VM of the earlier
 // era is measured by the clock of the later one, which another table's copy has brought.
 func TestMessageOfAnEarlierEraDoesNotAgeACopyByTheLaterClock(t *testing.T) {
-	one, two := history.Era{Stated: 1}, history.Era{Stated: 2}
-	for name, record := range map[string]func(c *testCatalog, at history.Position, asOf time.Duration){
-		"announcement": func(c *testCatalog, at history.Position, asOf time.Duration) {
-			c.RecordPeerPosition(OperatorTable, at, asOf)
-		},
-		"pull": func(c *testCatalog, at history.Position, asOf time.Duration) {
-			c.Merge(OperatorTable, Delta{Keys: []string{"config"}, Position: at, AsOf: asOf})
-		},
+	type record func(c *testCatalog, at history.Position, asOf time.Duration)
+	announcement := func(c *testCatalog, at history.Position, asOf time.Duration) {
+		c.RecordPeerPosition(OperatorTable, at, asOf)
+	}
+	pull := func(c *testCatalog, at history.Position, asOf time.Duration) {
+		c.Merge(OperatorTable, Delta{Keys: []string{"config"}, Position: at, AsOf: asOf})
+	}
+	for name, test := range map[string]struct {
+		one, two history.Era
+		record   record
+	}{
+		"stated eras, announcement": {history.Era{Stated: 1}, history.Era{Stated: 2}, announcement},
+		"stated eras, pull":         {history.Era{Stated: 1}, history.Era{Stated: 2}, pull},
+		"found eras, announcement":  {history.Era{}, history.Era{Found: 1}, announcement},
+		"found eras, pull":          {history.Era{}, history.Era{Found: 1}, pull},
 	} {
 		c := newTestCatalog()
-		c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 5, Era: 1, AsOf: c.storeNow()})
-		c.Apply(ServerTable, Changes{FullTable: true, Version: 5, Era: 1, AsOf: c.storeNow()})
+		c.Apply(OperatorTable, Changes{FullTable: true, Rows: []Row{configRow(1, 5)}, Version: 5, Era: test.one.Stated, AsOf: c.storeNow()})
+		c.Apply(ServerTable, Changes{FullTable: true, Version: 5, Era: test.one.Stated, AsOf: c.storeNow()})
 		c.now += time.Second
 		later := c.storeNow() + time.Hour
-		c.StoreClock.Restart(two, c.now, later, 1)
-		c.Merge(ServerTable, Delta{FullTable: true, Position: history.Position{Era: two, Version: 3}, AsOf: later})
-		record(c, history.Position{Era: one, Version: 5}, c.storeNow())
+		c.StoreClock.Restart(test.two, c.now, later, 1)
+		c.Merge(ServerTable, Delta{FullTable: true, Position: history.Position{Era: test.two, Version: 3}, AsOf: later})
+		test.record(c, history.Position{Era: test.one, Version: 5}, c.storeNow())
 		if age := c.Age(OperatorTable); age > 2*time.Second {
-			t.Errorf("after a message (%s) the age of the operators' table is %s, a second after its last answer", name, age)
+			t.Errorf("%s: the age of the operators' table is %s, a second after its last answer", name, age)
 		}
 	}
 }
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -214,13 +214,16 @@
 func (c *tableCopy) age(now, storeNow time.Duration, clockEra history.Era) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	age := now - c.confirmedAt + c.ageThen
+	age := c.localAge(now)
 	if clockEra == c.position.Era {
 		age = max(age, storeNow-c.asOf)
 	}
 	return age
 }
 
+// localAge returns the age of the copy by local time. The caller holds mu.
+func (c *tableCopy) localAge(now time.Duration) time.Duration { return now - c.confirmedAt + c.ageThen }
+
 // positionAsOf returns the position of the copy and the time of the store's clock as of
 // which it is current. Both are 0 before the table is loaded.
 func (c *tableCopy) positionAsOf() (history.Position, time.Duration) {
@@ -233,12 +236,16 @@
 }
 
 // advanceAsOf records at a local time that the copy is current as of a time of the store's
-// clock, which is an age ago. An advance of more than outageThreshold is recorded as the end of
-// an outage. The caller holds mu.
+// clock, which is an age ago. A later time does not make the copy older: the age is wrong then,
+// because it was taken with the clock of another era. An advance of more than outageThreshold is
+// recorded as the end of an outage. The caller holds mu.
 func (c *tableCopy) advanceAsOf(now, asOf, age time.Duration) {
 	if c.loaded && asOf <= c.asOf {
 		return
 	}
+	if c.loaded {
+		age = min(age, c.localAge(now))
+	}
 	if c.loaded && asOf-c.asOf > outageThreshold {
 		c.outageEndedAt, c.hadOutage = asOf, true
 	}
