catalog: the simulated fleets' seeds run in parallel, and two conditions have names

They are subtests that run in parallel now, with the same seeds, bounds and checks. The conditions of needsWholeTable and judge are split; they are the same.

--- a/catalog/eras.go
+++ b/catalog/eras.go
@@ -33,8 +33,10 @@
 // the local time. The caller holds mu.
 func (c *tableCopy) judge(now time.Duration, call Call, ch Changes) (standing, history.Era) {
 	own, stated := c.position.Era, ch.Era
-	if stated == 0 || c.stated == 0 && own.Found > 0 && stated <= own.Stated {
-		stated = c.stated // one of the numbers is not known, so the versions decide
+	answerStatesNone := stated == 0
+	copyKnowsNone := c.stated == 0 && own.Found > 0 && stated <= own.Stated
+	if answerStatesNone || copyKnowsNone {
+		stated = c.stated // the versions decide
 	}
 	switch {
 	case !c.loaded && c.laterEra.Stated == ch.Era && call.start >= c.laterEraAt:
@@ -106,7 +108,14 @@
 func (c *tableCopy) needsWholeTable(now, interval time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.loaded || c.isOutdated() || c.inDoubt && now-c.wholeAt >= doubtReadInterval || c.stated == 0 && now-c.wholeAt >= interval
+	switch sinceWhole := now - c.wholeAt; {
+	case !c.loaded || c.isOutdated():
+		return true
+	case c.inDoubt && sinceWhole >= doubtReadInterval:
+		return true
+	default:
+		return c.stated == 0 && sinceWhole >= interval
+	}
 }
 
 // replace replaces the copy by the table of a later era, received at the local time now at
--- a/catalog/propagation_test.go
+++ b/catalog/propagation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -341,10 +342,10 @@
 // readers of all zones away, and against VMs that go back to an older version.
 func TestChangesAreInForceInTimeWhenReadersLoseTheStore(t *testing.T) {
 	for seed := uint64(1); seed <= 40; seed++ {
-		newPropagation(seed, smallZone).run(t)
-		if t.Failed() {
-			t.Fatalf("seed %d", seed)
-		}
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			newPropagation(seed, smallZone).run(t)
+		})
 	}
 }
 
@@ -353,25 +354,28 @@
 func TestFewVMsFollowTheStoreAfterAnOutage(t *testing.T) {
 	const largeZone, outage, afterwards = 60, 3 * time.Second, 8 * time.Second
 	for seed := uint64(1); seed <= 5; seed++ {
-		p := newPropagation(seed, largeZone)
-		for p.now < time.Second {
-			p.step()
-		}
-		for _, v := range p.vms {
-			v.turnedAwayUntil = p.now + outage
-		}
-		for p.now < time.Second+outage {
-			p.step()
-		}
-		p.calls = 0
-		for p.now < time.Second+outage+afterwards {
-			p.step()
-		}
-		// Each VM may call once to find that the store is back, and a few of them follow
-		// it for substitutePeriod.
-		limit := 3 * len(p.vms)
-		if p.calls > limit {
-			t.Errorf("seed %d: %d VMs called the store %d times in the %s after an outage, want at most %d", seed, len(p.vms), p.calls, afterwards, limit)
-		}
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			p := newPropagation(seed, largeZone)
+			for p.now < time.Second {
+				p.step()
+			}
+			for _, v := range p.vms {
+				v.turnedAwayUntil = p.now + outage
+			}
+			for p.now < time.Second+outage {
+				p.step()
+			}
+			p.calls = 0
+			for p.now < time.Second+outage+afterwards {
+				p.step()
+			}
+			// Each VM may call once to find that the store is back, and a few of them follow
+			// it for substitutePeriod.
+			limit := 3 * len(p.vms)
+			if p.calls > limit {
+				t.Errorf("%d VMs called the store %d times in the %s after an outage, want at most %d", len(p.vms), p.calls, afterwards, limit)
+			}
+		})
 	}
 }
--- a/catalog/restore_test.go
+++ b/catalog/restore_test.go
@@ -46,6 +46,7 @@
 	for seed := uint64(1); seed <= 40; seed++ {
 		for _, statesEra := range []bool{false, true} {
 			t.Run(fmt.Sprintf("seed %d, states its era %v", seed, statesEra), func(t *testing.T) {
+				t.Parallel()
 				p := newPropagation(seed, smallZone)
 				p.statesEra = statesEra
 				p.playRestores(t, statesEra && seed%2 == 0)
