--- a/catalog/eras_test.go
+++ b/catalog/eras_test.go
@@ -317,7 +317,7 @@
 }
 
 // Guards against requests with keys that are rejected because a message of a VM of the earlier
-// era is measured by the clock of the later one, which another table's copy has brought.
+// era is compared with the clock of the later one, which another table's copy has brought.
 func TestMessageOfAnEarlierEraDoesNotAgeACopyByTheLaterClock(t *testing.T) {
 	type record func(c *testCatalog, at history.Position, asOf time.Duration)
 	announcement := func(c *testCatalog, at history.Position, asOf time.Duration) {
